Lay the whole path from callers to targets, not yet working end to end

Cause: the repository was empty. Change: build, error table, configuration, policies, scheduling objects, peers, platform and target adapters, callers' and operators' ports, stand-ins, load tool, demo and command line.

--- /dev/null
+++ b/src/main/java/org/martenwell/command/ApplyCommand.java
@@ -0,0 +1,88 @@
+package org.martenwell.command;
+
+import io.activej.http.HttpMethod;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.martenwell.configuration.FleetConfigurationReader;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.http.HeaderField;
+import org.martenwell.http.HttpAnswer;
+import org.martenwell.operator.OperatorServlet;
+import org.martenwell.settings.SettingsReader;
+
+/** Applies a fleet configuration through any router. */
+enum ApplyCommand implements Command {
+
+    /** The only instance. */
+    INSTANCE;
+
+    /** Names the version that the change is based on. */
+    private static final String BASE = "base";
+
+    /** Asks for a check without a change. */
+    private static final String DRY_RUN = "dry-run";
+
+    @Override
+    public String arguments() {
+        return "--operator ADDRESS --base VERSION [--dry-run] FILE";
+    }
+
+    @Override
+    public String summary() {
+        return "Applies a fleet configuration and tells whether every router has it in force.";
+    }
+
+    @Override
+    public Options options() {
+        return OptionSet.of(
+                OptionSet.operator(),
+                OptionSet.tokenFile(),
+                OptionSet.required(
+                        BASE,
+                        "VERSION",
+                        "the version that the change is based on, 0 for the first"),
+                OptionSet.flag(DRY_RUN, "checks the file and the version but changes nothing"));
+    }
+
+    @Override
+    public void run(CommandLine line, PrintStream out) {
+        Path file = OptionSet.file(line);
+        String text = SettingsReader.readText(file);
+        FleetConfigurationReader.INSTANCE.read(file.toString(), text);
+        String base = line.getOptionValue(BASE);
+        OperatorClient client = new OperatorClient(line.getOptionValue(OptionSet.OPERATOR));
+        if (line.hasOption(DRY_RUN)) {
+            dryRun(client, base, out);
+            return;
+        }
+        HttpAnswer answer =
+                client.change(
+                        HttpMethod.PUT,
+                        "/configuration",
+                        OptionSet.token(line),
+                        List.of(new HeaderField(OperatorServlet.BASE_VERSION, base)),
+                        text.getBytes(StandardCharsets.UTF_8));
+        out.print(new String(answer.body(), StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Checks that the version in force is the one that the change is based on.
+     *
+     * @param client Calls the router.
+     * @param base The version that the change is based on.
+     * @param out Receives the output.
+     */
+    private static void dryRun(OperatorClient client, String base, PrintStream out) {
+        String current = ShowCommand.version(client);
+        if (!current.equals(base)) {
+            throw MartenwellException.of(
+                    ErrorKind.VERSION_CONFLICT, "Version " + current + " is in force.");
+        }
+        out.println("no problems, version " + current + " is in force");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/command/DrainCommand.java
@@ -0,0 +1,40 @@
+package org.martenwell.command;
+
+import io.activej.http.HttpMethod;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+import org.martenwell.http.HttpAnswer;
+
+/** Drains a router. */
+enum DrainCommand implements Command {
+
+    /** The only instance. */
+    INSTANCE;
+
+    @Override
+    public String arguments() {
+        return "--operator ADDRESS";
+    }
+
+    @Override
+    public String summary() {
+        return "Lets a router finish what it has and take nothing new, and waits until it has.";
+    }
+
+    @Override
+    public Options options() {
+        return OptionSet.of(OptionSet.operator(), OptionSet.tokenFile());
+    }
+
+    @Override
+    public void run(CommandLine line, PrintStream out) {
+        OperatorClient client = new OperatorClient(line.getOptionValue(OptionSet.OPERATOR));
+        HttpAnswer answer =
+                client.change(
+                        HttpMethod.POST, "/drain", OptionSet.token(line), List.of(), new byte[0]);
+        out.print(new String(answer.body(), StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/command/StatusCommand.java
@@ -0,0 +1,34 @@
+package org.martenwell.command;
+
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/** Shows what a router knows and does. */
+enum StatusCommand implements Command {
+
+    /** The only instance. */
+    INSTANCE;
+
+    @Override
+    public String arguments() {
+        return "--operator ADDRESS";
+    }
+
+    @Override
+    public String summary() {
+        return "Shows a router's readiness, members, kept targets, load and service counts.";
+    }
+
+    @Override
+    public Options options() {
+        return OptionSet.of(OptionSet.operator());
+    }
+
+    @Override
+    public void run(CommandLine line, PrintStream out) {
+        OperatorClient client = new OperatorClient(line.getOptionValue(OptionSet.OPERATOR));
+        out.print(new String(client.get("/status").body(), StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package org.martenwell.command;
--- /dev/null
+++ b/src/main/java/org/martenwell/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Assembles a router's parts into one process. */
+package org.martenwell.daemon;
--- /dev/null
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -0,0 +1,302 @@
+package org.martenwell.demo;
+
+import io.activej.promise.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.martenwell.daemon.RouterDaemon;
+import org.martenwell.http.HttpCalls;
+import org.martenwell.json.Json;
+import org.martenwell.platform.Box;
+import org.martenwell.platform.BoxRole;
+import org.martenwell.platform.BoxState;
+import org.martenwell.platform.HttpPlatform;
+import org.martenwell.router.ConfigurationStore;
+import org.martenwell.schedule.SchedulingParameters;
+import org.martenwell.service.LoopThread;
+import org.martenwell.service.LoopbackPorts;
+import org.martenwell.settings.RouterLimits;
+import org.martenwell.settings.RouterSettings;
+import org.martenwell.standin.PlatformSettings;
+import org.martenwell.standin.StandinPlatform;
+import org.martenwell.standin.StandinTarget;
+import org.martenwell.standin.TargetSettings;
+
+/**
+ * A whole site on loopback: a stand-in platform, stand-in targets and routers, each router with a
+ * loop of its own.
+ */
+public final class DemoFleet {
+
+    /** The operators' token. */
+    public static final String TOKEN = "demo-operators-token";
+
+    /** The key that peers share. */
+    private static final String PEER_KEY = "demo-peer-key-demo-peer-key-demo-peer-key";
+
+    /** How many targets share a loop. */
+    private static final int TARGETS_PER_LOOP = 4;
+
+    /** The longest wait for the routers to be ready, in milliseconds. */
+    private static final long READY_MILLIS = 15_000;
+
+    /** The loops, all to be stopped. */
+    private final List<LoopThread> loops = new ArrayList<>();
+
+    /** The platform's loop. */
+    private final LoopThread platformLoop;
+
+    /** The platform. */
+    private final StandinPlatform platform;
+
+    /** The targets. */
+    private final List<StandinTarget> targets = new ArrayList<>();
+
+    /** The loops of the targets, in their order. */
+    private final List<LoopThread> targetLoops = new ArrayList<>();
+
+    /** The routers. */
+    private final List<RouterDaemon> routers = new ArrayList<>();
+
+    /** The loops of the routers, in their order. */
+    private final List<LoopThread> routerLoops = new ArrayList<>();
+
+    /** The settings of the routers. */
+    private final List<RouterSettings> routerSettings;
+
+    /** The settings of the targets. */
+    private final List<TargetSettings> targetSettings;
+
+    /** The platform's address. */
+    private final String platformAddress;
+
+    /**
+     * Creates a fleet that does not run yet.
+     *
+     * @param routerCount How many routers.
+     */
+    private DemoFleet(int routerCount) {
+        int targetCount = DemoSite.REPLICAS + DemoSite.APPLICATIONS;
+        List<String> ports = LoopbackPorts.free(1 + targetCount + 3 * routerCount);
+        platformAddress = ports.get(0);
+        targetSettings = DemoSite.targets(ports.subList(1, 1 + targetCount));
+        routerSettings = new ArrayList<>();
+        for (int index = 0; index < routerCount; index++) {
+            int first = 1 + targetCount + 3 * index;
+            routerSettings.add(settings(index, ports.subList(first, first + 3)));
+        }
+        platformLoop = startLoop("platform");
+        platform =
+                new StandinPlatform(
+                        platformLoop.loop(), new PlatformSettings(platformAddress, 1_000, boxes()));
+    }
+
+    /**
+     * Starts a fleet and waits until every router is ready.
+     *
+     * @param routerCount How many routers.
+     * @return The running fleet.
+     */
+    public static DemoFleet start(int routerCount) {
+        DemoFleet fleet = new DemoFleet(routerCount);
+        fleet.start();
+        return fleet;
+    }
+
+    /** Stops all loops. */
+    public void stop() {
+        loops.forEach(LoopThread::stop);
+    }
+
+    /**
+     * Returns the callers' addresses of the routers.
+     *
+     * @return The addresses.
+     */
+    public List<String> callerAddresses() {
+        return routerSettings.stream().map(RouterSettings::callerAddress).toList();
+    }
+
+    /**
+     * Returns the settings of the routers.
+     *
+     * @return The settings.
+     */
+    public List<RouterSettings> routerSettings() {
+        return routerSettings;
+    }
+
+    /**
+     * Reads the present numbers of the whole fleet.
+     *
+     * @return The numbers.
+     */
+    public FleetSample sample() {
+        long bytes = 0;
+        for (int index = 0; index < routers.size(); index++) {
+            RouterDaemon router = routers.get(index);
+            bytes += routerLoops.get(index).call(() -> Promise.of(router.peerBytesSent()));
+        }
+        long produced = 0;
+        long possible = 0;
+        for (int index = 0; index < targets.size(); index++) {
+            StandinTarget target = targets.get(index);
+            var use = targetLoops.get(index).call(() -> Promise.of(target.use()));
+            boolean model = index < DemoSite.REPLICAS;
+            produced += model ? use.produced() : 0;
+            possible += model ? use.possible() : 0;
+        }
+        long calls = platformLoop.call(() -> Promise.of(platform.counts())).total();
+        return new FleetSample(System.currentTimeMillis(), bytes, produced, possible, calls);
+    }
+
+    /** Starts all parts. */
+    private void start() {
+        platformLoop.call(platform::start);
+        LoopThread shared = null;
+        for (int index = 0; index < targetSettings.size(); index++) {
+            if (index % TARGETS_PER_LOOP == 0) {
+                shared = startLoop("targets-" + index / TARGETS_PER_LOOP);
+            }
+            StandinTarget target = new StandinTarget(shared.loop(), targetSettings.get(index));
+            shared.call(target::start);
+            targets.add(target);
+            targetLoops.add(shared);
+        }
+        writeConfiguration();
+        for (RouterSettings settings : routerSettings) {
+            startRouter(settings);
+        }
+        awaitReady();
+    }
+
+    /**
+     * Starts a router in a loop of its own.
+     *
+     * @param settings Its settings.
+     */
+    private void startRouter(RouterSettings settings) {
+        LoopThread loop = startLoop(settings.name());
+        RouterDaemon router =
+                loop.call(
+                        () ->
+                                Promise.of(
+                                        new RouterDaemon(
+                                                loop.loop(),
+                                                settings,
+                                                SchedulingParameters.DEFAULTS,
+                                                settings.name().hashCode())));
+        loop.call(router::start);
+        routers.add(router);
+        routerLoops.add(loop);
+    }
+
+    /** Writes the configuration to the platform. */
+    private void writeConfiguration() {
+        String text = Json.print(DemoSite.configuration(targetSettings));
+        platformLoop.call(
+                () -> {
+                    HttpCalls calls = HttpCalls.pooled(platformLoop.loop(), 1 << 20);
+                    return new HttpPlatform(calls, platformAddress)
+                            .create(
+                                    ConfigurationStore.KIND,
+                                    ConfigurationStore.NAME,
+                                    text.getBytes(StandardCharsets.UTF_8))
+                            .toVoid();
+                });
+    }
+
+    /** Waits until every router is ready and knows all others. */
+    private void awaitReady() {
+        long deadline = System.currentTimeMillis() + READY_MILLIS;
+        while (System.currentTimeMillis() < deadline) {
+            boolean all = true;
+            for (int index = 0; index < routers.size(); index++) {
+                RouterDaemon router = routers.get(index);
+                var status = routerLoops.get(index).call(() -> Promise.of(router.status()));
+                all = all && status.ready() && status.members().size() == routers.size() - 1;
+            }
+            if (all) {
+                return;
+            }
+            sleep(50);
+        }
+    }
+
+    /**
+     * Waits.
+     *
+     * @param millis How long, in milliseconds.
+     */
+    static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /**
+     * Starts a loop that {@link #stop} stops.
+     *
+     * @param name The thread's name.
+     * @return The loop.
+     */
+    private LoopThread startLoop(String name) {
+        LoopThread loop = LoopThread.start(name);
+        loops.add(loop);
+        return loop;
+    }
+
+    /**
+     * Builds a router's settings.
+     *
+     * @param index The router's index.
+     * @param ports Its addresses for callers, operators and peers.
+     * @return The settings.
+     */
+    private RouterSettings settings(int index, List<String> ports) {
+        RouterLimits limits =
+                new RouterLimits(4 << 20, 20_000, 10_000, 64L << 20, 30_000, 60_000, 0);
+        return new RouterSettings(
+                "router-" + index,
+                DemoSite.DOMAINS.get(index % DemoSite.DOMAINS.size()),
+                ports.get(0),
+                ports.get(1),
+                ports.get(2),
+                platformAddress,
+                TOKEN,
+                PEER_KEY,
+                Optional.empty(),
+                Optional.of(limits));
+    }
+
+    /**
+     * Builds the platform's list of boxes.
+     *
+     * @return The boxes.
+     */
+    private List<Box> boxes() {
+        List<Box> boxes = new ArrayList<>();
+        for (RouterSettings settings : routerSettings) {
+            boxes.add(
+                    new Box(
+                            settings.name(),
+                            BoxRole.ROUTER,
+                            settings.peerAddress(),
+                            settings.failureDomain(),
+                            BoxState.LIVE));
+        }
+        for (var target : DemoSite.configuration(targetSettings).targets()) {
+            boxes.add(
+                    new Box(
+                            target.name(),
+                            BoxRole.TARGET,
+                            target.address(),
+                            target.failureDomain(),
+                            BoxState.LIVE));
+        }
+        return boxes;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/member/KeeperAssignment.java
@@ -0,0 +1,46 @@
+package org.martenwell.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.martenwell.configuration.Target;
+import org.martenwell.schedule.KeeperReference;
+
+/**
+ * Assigns a keeper to each target by rendezvous hashing, preferring routers of the target's failure
+ * domain. When a router comes or goes, only targets that it wins or held change their keeper.
+ */
+public enum KeeperAssignment {
+
+    /** The only instance. */
+    INSTANCE;
+
+    /**
+     * Assigns keepers.
+     *
+     * @param targets The targets.
+     * @param candidates The routers that may keep targets.
+     * @return The keeper of each target, by target; empty if there are no candidates.
+     */
+    public Map<String, KeeperReference> assign(
+            Collection<Target> targets, Collection<KeeperCandidate> candidates) {
+        Map<String, KeeperReference> keepers = new LinkedHashMap<>();
+        List<KeeperCandidate> all = List.copyOf(candidates);
+        for (Target target : targets) {
+            List<KeeperCandidate> near = new ArrayList<>(all);
+            near.removeIf(each -> !each.failureDomain().equals(target.failureDomain()));
+            List<KeeperCandidate> preferred = near.isEmpty() ? all : near;
+            for (KeeperCandidate winner :
+                    RendezvousHash.best(
+                            preferred,
+                            1,
+                            each -> RendezvousHash.score(each.name(), target.name()))) {
+                keepers.put(
+                        target.name(), new KeeperReference(winner.name(), winner.incarnation()));
+            }
+        }
+        return keepers;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/member/MemberState.java
@@ -0,0 +1,11 @@
+package org.martenwell.member;
+
+/** What is known of a member. */
+public enum MemberState {
+
+    /** Its heartbeats arrive. */
+    ALIVE,
+
+    /** Its heartbeats are late. */
+    SUSPECTED
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/message/PeerMessage.java
@@ -0,0 +1,4 @@
+package org.martenwell.message;
+
+/** A message from one router to another. */
+public interface PeerMessage {}
--- /dev/null
+++ b/src/main/java/org/martenwell/message/package-info.java
@@ -0,0 +1,2 @@
+/** What all messages between routers have in common. */
+package org.martenwell.message;
--- /dev/null
+++ b/src/main/java/org/martenwell/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs and metrics. */
+package org.martenwell.observe;
--- /dev/null
+++ b/src/main/java/org/martenwell/peer/FrameCodec.java
@@ -0,0 +1,96 @@
+package org.martenwell.peer;
+
+import java.nio.ByteBuffer;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import org.apache.commons.codec.digest.HmacAlgorithms;
+import org.apache.commons.codec.digest.HmacUtils;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+
+/**
+ * Signs the frames of one connection in one direction. A frame is a signature and a payload; the
+ * signature covers the connection's nonce, the frame's number and the payload, so that a frame can
+ * neither be forged nor sent again.
+ */
+final class FrameCodec {
+
+    /** The largest frame, in bytes; a configuration is at most a megabyte. */
+    static final int MAX_FRAME_BYTES = 1 << 21;
+
+    /** The size of a connection's nonce, in bytes. */
+    static final int NONCE_BYTES = 16;
+
+    /** The size of a signature, in bytes. */
+    private static final int SIGNATURE_BYTES = 16;
+
+    /** Computes signatures. */
+    private final HmacUtils signer;
+
+    /** The connection's nonce. */
+    private final byte[] nonce;
+
+    /** The next frame's number. */
+    private long number;
+
+    /**
+     * Creates a codec.
+     *
+     * @param key The key that peers share.
+     * @param nonce The connection's nonce.
+     */
+    FrameCodec(String key, byte[] nonce) {
+        this.signer = new HmacUtils(HmacAlgorithms.HMAC_SHA_256, key);
+        this.nonce = nonce.clone();
+    }
+
+    /**
+     * Signs a payload.
+     *
+     * @param payload The payload.
+     * @return The frame.
+     */
+    byte[] seal(byte[] payload) {
+        byte[] signature = sign(payload);
+        number++;
+        return ByteBuffer.allocate(SIGNATURE_BYTES + payload.length)
+                .put(signature)
+                .put(payload)
+                .array();
+    }
+
+    /**
+     * Checks a frame, or throws an exception of the kind {@link ErrorKind#BAD_FRAME}.
+     *
+     * @param frame The frame.
+     * @return The payload.
+     */
+    byte[] open(byte[] frame) {
+        if (frame.length < SIGNATURE_BYTES) {
+            throw MartenwellException.of(ErrorKind.BAD_FRAME, "The frame is too short.");
+        }
+        byte[] payload = Arrays.copyOfRange(frame, SIGNATURE_BYTES, frame.length);
+        byte[] signature = Arrays.copyOf(frame, SIGNATURE_BYTES);
+        if (!MessageDigest.isEqual(signature, sign(payload))) {
+            throw MartenwellException.of(ErrorKind.BAD_FRAME, "The frame is not authentic.");
+        }
+        number++;
+        return payload;
+    }
+
+    /**
+     * Computes the signature of the next frame.
+     *
+     * @param payload The payload.
+     * @return The signature.
+     */
+    private byte[] sign(byte[] payload) {
+        byte[] signed =
+                ByteBuffer.allocate(NONCE_BYTES + Long.BYTES + payload.length)
+                        .put(nonce)
+                        .putLong(number)
+                        .put(payload)
+                        .array();
+        return Arrays.copyOf(signer.hmac(signed), SIGNATURE_BYTES);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/peer/PeerLink.java
@@ -0,0 +1,219 @@
+package org.martenwell.peer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.nio.NioReactor;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.Random;
+import org.martenwell.service.IpAddress;
+
+/**
+ * The connection to one peer. It is opened again whenever it breaks, with growing, jittered delay.
+ */
+final class PeerLink {
+
+    /** How long a connection may take to open, in milliseconds. */
+    private static final long CONNECT_MILLIS = 1_000;
+
+    /** The first delay before another attempt, in milliseconds. */
+    private static final long FIRST_DELAY_MILLIS = 50;
+
+    /** The longest delay before another attempt, in milliseconds. */
+    private static final long LONGEST_DELAY_MILLIS = 2_000;
+
+    /** The most bytes that wait to be sent; a peer that takes none loses its connection. */
+    private static final int MAX_PENDING_BYTES = 4 << 20;
+
+    /** The size of a frame's length field, in bytes. */
+    private static final int LENGTH_BYTES = 4;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The peer's name. */
+    private final String name;
+
+    /** The peer's address. */
+    private final String address;
+
+    /** The key that peers share. */
+    private final String key;
+
+    /** Spreads attempts to connect. */
+    private final Random random;
+
+    /** Counts traffic. */
+    private final PeerTraffic traffic;
+
+    /** Is told when the connection opens. */
+    private final PeerListener listener;
+
+    /** What waits to be sent. */
+    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+
+    /** The connection or {@code null} if there is none. */
+    private TcpSocket socket;
+
+    /** Signs frames, or {@code null} if there is no connection. */
+    private FrameCodec codec;
+
+    /** {@code true} while bytes are being written. */
+    private boolean writing;
+
+    /** {@code true} once closed for good. */
+    private boolean closed;
+
+    /** The delay before the next attempt, in milliseconds. */
+    private long delayMillis = FIRST_DELAY_MILLIS;
+
+    /**
+     * Creates a connection that is not open.
+     *
+     * @param reactor The loop.
+     * @param name The peer's name.
+     * @param address The peer's address.
+     * @param key The key that peers share.
+     * @param random Spreads attempts to connect.
+     * @param traffic Counts traffic.
+     * @param listener Is told when the connection opens.
+     */
+    PeerLink(
+            NioReactor reactor,
+            String name,
+            String address,
+            String key,
+            Random random,
+            PeerTraffic traffic,
+            PeerListener listener) {
+        this.reactor = reactor;
+        this.name = name;
+        this.address = address;
+        this.key = key;
+        this.random = random;
+        this.traffic = traffic;
+        this.listener = listener;
+    }
+
+    /**
+     * Returns the peer's address.
+     *
+     * @return The address.
+     */
+    String address() {
+        return address;
+    }
+
+    /** Opens the connection. */
+    void open() {
+        TcpSocket.connect(reactor, IpAddress.of(address), Duration.ofMillis(CONNECT_MILLIS), null)
+                .whenResult(this::opened)
+                .whenException(exception -> retryLater());
+    }
+
+    /** Closes the connection for good. */
+    void close() {
+        closed = true;
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
+    /**
+     * Sends a payload, or drops it if there is no connection.
+     *
+     * @param payload The payload.
+     */
+    void send(byte[] payload) {
+        if (codec == null) {
+            return;
+        }
+        if (pending.size() > MAX_PENDING_BYTES) {
+            socket.close();
+            return;
+        }
+        byte[] frame = codec.seal(payload);
+        traffic.sent(frame.length + LENGTH_BYTES);
+        byte[] length = ByteBuffer.allocate(LENGTH_BYTES).putInt(frame.length).array();
+        pending.writeBytes(length);
+        pending.writeBytes(frame);
+        write();
+    }
+
+    /**
+     * Takes the opened connection and waits for its nonce.
+     *
+     * @param opened The connection.
+     */
+    private void opened(TcpSocket opened) {
+        if (closed) {
+            opened.close();
+            return;
+        }
+        BinaryChannelSupplier input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(opened));
+        input.decode(ByteBufsDecoders.ofFixedSize(FrameCodec.NONCE_BYTES))
+                .whenResult(nonce -> greeted(opened, nonce.asArray()))
+                .then(() -> input.endOfStream())
+                .whenComplete(() -> broken(opened));
+    }
+
+    /**
+     * Starts sending.
+     *
+     * @param opened The connection.
+     * @param nonce Its nonce.
+     */
+    private void greeted(TcpSocket opened, byte[] nonce) {
+        socket = opened;
+        codec = new FrameCodec(key, nonce);
+        delayMillis = FIRST_DELAY_MILLIS;
+        listener.connected(name);
+    }
+
+    /**
+     * Drops a broken connection.
+     *
+     * @param broken The connection.
+     */
+    private void broken(TcpSocket broken) {
+        broken.close();
+        socket = null;
+        codec = null;
+        writing = false;
+        pending.reset();
+        retryLater();
+    }
+
+    /** Opens the connection again after a delay. */
+    private void retryLater() {
+        if (!closed) {
+            long jittered = delayMillis / 2 + random.nextLong(delayMillis);
+            delayMillis = Math.min(LONGEST_DELAY_MILLIS, delayMillis * 2);
+            reactor.delayBackground(jittered, this::open);
+        }
+    }
+
+    /** Writes what waits, all at once, if nothing is being written. */
+    private void write() {
+        if (writing || pending.size() == 0) {
+            return;
+        }
+        TcpSocket current = socket;
+        ByteBuf buffer = ByteBuf.wrapForReading(pending.toByteArray());
+        pending.reset();
+        writing = true;
+        current.write(buffer)
+                .whenResult(
+                        () -> {
+                            if (current == socket) {
+                                writing = false;
+                                write();
+                            }
+                        })
+                .whenException(exception -> current.close());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -0,0 +1,146 @@
+package org.martenwell.peer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.consumer.ChannelConsumers;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.message.PeerMessage;
+import org.martenwell.observe.LogEvent;
+import org.martenwell.service.ManagedService;
+
+/** Takes connections from peers. A frame that can't be accepted costs its sender the connection. */
+final class PeerServer implements ManagedService {
+
+    /** The log. */
+    private static final Logger LOGGER = LogManager.getLogger(PeerServer.class);
+
+    /** Makes nonces, which must not be guessed. */
+    private static final SecureRandom NONCES = new SecureRandom();
+
+    /** The server. */
+    private final SimpleServer server;
+
+    /** The key that peers share. */
+    private final String key;
+
+    /** Counts traffic. */
+    private final PeerTraffic traffic;
+
+    /** Is told of messages. */
+    private final PeerListener listener;
+
+    /** The open connections. */
+    private final Set<ITcpSocket> sockets = new HashSet<>();
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param reactor The loop.
+     * @param address Where to listen.
+     * @param key The key that peers share.
+     * @param traffic Counts traffic.
+     * @param listener Is told of messages.
+     */
+    PeerServer(
+            NioReactor reactor,
+            InetSocketAddress address,
+            String key,
+            PeerTraffic traffic,
+            PeerListener listener) {
+        this.key = key;
+        this.traffic = traffic;
+        this.listener = listener;
+        this.server = SimpleServer.builder(reactor, this::serve).withListenAddress(address).build();
+    }
+
+    @Override
+    public Promise<Void> start() {
+        try {
+            server.listen();
+            return Promise.complete();
+        } catch (IOException exception) {
+            return Promise.ofException(
+                    MartenwellException.of(
+                            ErrorKind.INPUT_OUTPUT,
+                            "The address for peers can't be used.",
+                            exception));
+        }
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        Set.copyOf(sockets).forEach(ITcpSocket::close);
+        return server.close().toVoid();
+    }
+
+    /**
+     * Serves one connection.
+     *
+     * @param socket The connection.
+     */
+    private void serve(ITcpSocket socket) {
+        byte[] nonce = new byte[FrameCodec.NONCE_BYTES];
+        NONCES.nextBytes(nonce);
+        sockets.add(socket);
+        FrameCodec codec = new FrameCodec(key, nonce);
+        socket.write(ByteBuf.wrapForReading(nonce))
+                .then(() -> read(socket, codec))
+                .whenException(exception -> refuse(exception))
+                .whenComplete(
+                        () -> {
+                            sockets.remove(socket);
+                            socket.close();
+                        });
+    }
+
+    /**
+     * Reads frames until the connection ends.
+     *
+     * @param socket The connection.
+     * @param codec Checks frames.
+     * @return Completes when the connection ends.
+     */
+    private Promise<Void> read(ITcpSocket socket, FrameCodec codec) {
+        return BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket))
+                .decodeStream(ByteBufsDecoders.ofIntSizePrefixedBytes(FrameCodec.MAX_FRAME_BYTES))
+                .streamTo(ChannelConsumers.ofConsumer(frame -> receive(codec, frame.asArray())));
+    }
+
+    /**
+     * Takes in one frame.
+     *
+     * @param codec Checks frames.
+     * @param frame The frame.
+     */
+    private void receive(FrameCodec codec, byte[] frame) {
+        traffic.received(frame.length);
+        PeerMessage message = MessageCodec.INSTANCE.decode(codec.open(frame));
+        listener.received(message);
+    }
+
+    /**
+     * Notes why a connection ends.
+     *
+     * @param exception The failure.
+     */
+    private void refuse(Exception exception) {
+        if (exception instanceof MartenwellException known && known.kind() == ErrorKind.BAD_FRAME) {
+            traffic.refused();
+            LOGGER.warn(LogEvent.of("peer-refused").with("reason", known.getMessage()).message());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/platform/BoxRole.java
@@ -0,0 +1,15 @@
+package org.martenwell.platform;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/** What runs on a box. */
+public enum BoxRole {
+
+    /** A router. */
+    @JsonProperty("router")
+    ROUTER,
+
+    /** A target. */
+    @JsonProperty("target")
+    TARGET
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/settings/SettingsReader.java
@@ -0,0 +1,126 @@
+package org.martenwell.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.json.InvalidDocuments;
+import org.martenwell.json.Json;
+import org.martenwell.json.Problem;
+import org.martenwell.json.SchemaChecker;
+import org.martenwell.service.IpAddress;
+
+/**
+ * Reads settings of one kind of process and checks them whole.
+ *
+ * @param <T> The type of the settings.
+ */
+public final class SettingsReader<T> {
+
+    /** Checks the shape of the document. */
+    private final SchemaChecker schema;
+
+    /** The type of the settings. */
+    private final Class<T> type;
+
+    /**
+     * Creates a reader.
+     *
+     * @param schema Checks the shape of the document.
+     * @param type The type of the settings.
+     */
+    private SettingsReader(SchemaChecker schema, Class<T> type) {
+        this.schema = schema;
+        this.type = type;
+    }
+
+    /**
+     * Creates a reader.
+     *
+     * @param resource The name of the schema among this program's resources.
+     * @param type The type of the settings.
+     * @param <T> The type of the settings.
+     * @return The reader.
+     */
+    public static <T> SettingsReader<T> of(String resource, Class<T> type) {
+        return new SettingsReader<>(SchemaChecker.of(resource), type);
+    }
+
+    /**
+     * Creates a reader of a router's settings.
+     *
+     * @return The reader.
+     */
+    public static SettingsReader<RouterSettings> ofRouter() {
+        return of("/schema/router.schema.json", RouterSettings.class);
+    }
+
+    /**
+     * Reads settings, or throws an exception that lists all their problems.
+     *
+     * @param path The file.
+     * @return The settings.
+     */
+    public T read(Path path) {
+        return read(path.toString(), readText(path));
+    }
+
+    /**
+     * Reads settings, or throws an exception that lists all their problems.
+     *
+     * @param file The name of the document.
+     * @param text The document, JSON with comments.
+     * @return The settings.
+     */
+    public T read(String file, String text) {
+        JsonNode root = Json.parseDocument(file, text);
+        List<Problem> problems = new ArrayList<>(schema.check(file, root));
+        checkAddresses(file, root, problems);
+        InvalidDocuments.throwIfAny(problems);
+        return Json.map(root, type);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @param path The file.
+     * @return Its text.
+     */
+    public static String readText(Path path) {
+        try {
+            return Files.readString(path);
+        } catch (IOException exception) {
+            throw MartenwellException.of(
+                    ErrorKind.INPUT_OUTPUT, path + " is not readable.", exception);
+        }
+    }
+
+    /**
+     * Checks every field whose name ends in {@code ddress}.
+     *
+     * @param file The name of the document.
+     * @param root The document.
+     * @param problems Receives the problems.
+     */
+    private static void checkAddresses(String file, JsonNode root, List<Problem> problems) {
+        Iterator<Map.Entry<String, JsonNode>> fields = root.properties().iterator();
+        while (fields.hasNext()) {
+            Map.Entry<String, JsonNode> field = fields.next();
+            boolean address = field.getKey().endsWith("ddress") && field.getValue().isTextual();
+            if (address && IpAddress.parse(field.getValue().asText()).isEmpty()) {
+                problems.add(
+                        new Problem(
+                                file,
+                                "/" + field.getKey(),
+                                field.getValue().asText() + " is no address",
+                                "an IP number and a port, such as 127.0.0.1:8080"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/standin/LoadClient.java
@@ -0,0 +1,217 @@
+package org.martenwell.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSupplier;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.http.HeaderField;
+import org.martenwell.http.HttpCalls;
+import org.martenwell.json.Json;
+
+/** Sends one request after the other to routers, as a caller, and checks the answers. */
+final class LoadClient {
+
+    /** The largest answer, in bytes. */
+    private static final int MAX_BODY_BYTES = 16 << 20;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** Sends requests. */
+    private final HttpCalls calls;
+
+    /**
+     * Creates a client.
+     *
+     * @param reactor The loop.
+     */
+    LoadClient(NioReactor reactor) {
+        this.reactor = reactor;
+        this.calls = HttpCalls.pooled(reactor, MAX_BODY_BYTES);
+    }
+
+    /**
+     * Asks a model and reads the stream.
+     *
+     * @param load Whose request it is.
+     * @param router The router's address.
+     * @param prompt The prompt.
+     * @param totals Receives what became of it.
+     * @return Completes at the end, whatever became of it.
+     */
+    Promise<Void> askModel(OrganisationLoad load, String router, String prompt, LoadTotals totals) {
+        ChatRequest chat =
+                new ChatRequest(load.model(), true, List.of(new CompletionMessage("user", prompt)));
+        long sentAt = reactor.currentTimeMillis();
+        totals.sent();
+        return calls.send(
+                        HttpCalls.request(
+                                HttpMethod.POST,
+                                "http://" + router + "/v1/chat/completions",
+                                headers(load),
+                                Json.write(chat)))
+                .then(
+                        response ->
+                                response.getCode() == 200
+                                        ? readStream(response, sentAt, totals)
+                                        : readRefusal(response, totals))
+                .then(Promise::of, exception -> failed(exception, totals));
+    }
+
+    /**
+     * Asks a plain service.
+     *
+     * @param load Whose request it is.
+     * @param router The router's address.
+     * @param service The service.
+     * @param totals Receives what became of it.
+     * @return Completes at the end, whatever became of it.
+     */
+    Promise<Void> askService(
+            OrganisationLoad load, String router, String service, LoadTotals totals) {
+        totals.sent();
+        return calls.send(
+                        HttpCalls.request(
+                                HttpMethod.GET,
+                                "http://" + router + "/services/" + service + "/status?unit=7",
+                                headers(load),
+                                new byte[0]))
+                .then(
+                        response -> {
+                            if (response.getCode() != 200) {
+                                return readRefusal(response, totals);
+                            }
+                            return response.loadBody()
+                                    .map(
+                                            body -> {
+                                                totals.completed();
+                                                return (Void) null;
+                                            });
+                        })
+                .then(Promise::of, exception -> failed(exception, totals));
+    }
+
+    /**
+     * Reads a stream to its end.
+     *
+     * @param response The response.
+     * @param sentAt When the request was sent.
+     * @param totals Receives what became of it.
+     * @return Completes at the end.
+     */
+    private Promise<Void> readStream(HttpResponse response, long sentAt, LoadTotals totals) {
+        StreamVerifier verifier = new StreamVerifier();
+        return readNext(response.takeBodyStream(), verifier, sentAt, totals, true);
+    }
+
+    /**
+     * Reads the next piece of a stream.
+     *
+     * @param body The stream.
+     * @param verifier Checks it.
+     * @param sentAt When the request was sent.
+     * @param totals Receives what became of it.
+     * @param first {@code true} until the first token arrived.
+     * @return Completes at the end.
+     */
+    private Promise<Void> readNext(
+            ChannelSupplier<ByteBuf> body,
+            StreamVerifier verifier,
+            long sentAt,
+            LoadTotals totals,
+            boolean first) {
+        return body.get()
+                .then(
+                        buffer -> {
+                            if (buffer == null) {
+                                finish(verifier, totals);
+                                return Promise.complete();
+                            }
+                            int count = verifier.receive(buffer.asArray());
+                            totals.tokens(count);
+                            if (first && count > 0) {
+                                totals.firstToken(reactor.currentTimeMillis() - sentAt);
+                            }
+                            return readNext(body, verifier, sentAt, totals, first && count == 0);
+                        });
+    }
+
+    /**
+     * Counts a stream that ended.
+     *
+     * @param verifier What was read.
+     * @param totals Receives what became of it.
+     */
+    private static void finish(StreamVerifier verifier, LoadTotals totals) {
+        if (verifier.complete()) {
+            totals.completed();
+        } else if (!verifier.error().isEmpty() && !verifier.isWrong()) {
+            totals.refused(verifier.error());
+        } else {
+            totals.wrong();
+        }
+    }
+
+    /**
+     * Reads a refusal.
+     *
+     * @param response The response.
+     * @param totals Receives what became of it.
+     * @return Completes at the end.
+     */
+    private static Promise<Void> readRefusal(HttpResponse response, LoadTotals totals) {
+        int status = response.getCode();
+        return response.loadBody()
+                .map(
+                        body -> {
+                            totals.refused(code(body.getString(StandardCharsets.UTF_8), status));
+                            return null;
+                        });
+    }
+
+    /**
+     * Reads the code of an error.
+     *
+     * @param body The error's body.
+     * @param status The status.
+     * @return The code, or the status if there is none.
+     */
+    private static String code(String body, int status) {
+        try {
+            JsonNode root = Json.read(body.getBytes(StandardCharsets.UTF_8));
+            return root.path("error").path("code").asText("status_" + status);
+        } catch (MartenwellException notJson) {
+            return "status_" + status;
+        }
+    }
+
+    /**
+     * Counts a request whose connection failed.
+     *
+     * @param exception Why.
+     * @param totals Receives what became of it.
+     * @return Completes at once.
+     */
+    private static Promise<Void> failed(Exception exception, LoadTotals totals) {
+        totals.refused("connection_" + exception.getClass().getSimpleName());
+        return Promise.complete();
+    }
+
+    /**
+     * Builds the header fields of a request.
+     *
+     * @param load Whose request it is.
+     * @return The fields.
+     */
+    private static List<HeaderField> headers(OrganisationLoad load) {
+        return List.of(
+                new HeaderField("Authorization", "Bearer " + load.key()),
+                new HeaderField("Content-Type", "application/json"));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/standin/ObjectStore.java
@@ -0,0 +1,77 @@
+package org.martenwell.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.platform.StoredObject;
+
+/** The objects of a stand-in platform, in memory. */
+final class ObjectStore {
+
+    /** The largest value, in bytes. */
+    private static final int MAX_BYTES = 1 << 20;
+
+    /** The objects by kind and name. */
+    private final Map<String, StoredObject> objects = new TreeMap<>();
+
+    /** The version of the last write. */
+    private long version;
+
+    /** Creates an empty store. */
+    ObjectStore() {}
+
+    /**
+     * Reads an object.
+     *
+     * @param kind The kind.
+     * @param name The name.
+     * @return The object.
+     */
+    Optional<StoredObject> read(String kind, String name) {
+        return Optional.ofNullable(objects.get(kind + "/" + name));
+    }
+
+    /**
+     * Writes an object, or throws an exception if its version is not the expected one.
+     *
+     * @param kind The kind.
+     * @param name The name.
+     * @param value The value.
+     * @param expected The expected version, 0 if there must be none.
+     * @return The new version.
+     */
+    StoredObject write(String kind, String name, byte[] value, long expected) {
+        long current = read(kind, name).map(StoredObject::version).orElse(0L);
+        if (current != expected) {
+            throw MartenwellException.of(ErrorKind.VERSION_CONFLICT, "Version is " + current);
+        }
+        if (value.length > MAX_BYTES) {
+            throw MartenwellException.of(ErrorKind.BODY_TOO_LARGE, "A value is too large.");
+        }
+        version++;
+        StoredObject object = new StoredObject(kind, name, version, value);
+        objects.put(kind + "/" + name, object);
+        return object;
+    }
+
+    /**
+     * Lists the objects of a kind that changed.
+     *
+     * @param kind The kind.
+     * @param after The version after which they changed.
+     * @return The objects.
+     */
+    List<StoredObject> changed(String kind, long after) {
+        List<StoredObject> changed = new ArrayList<>();
+        for (StoredObject object : objects.values()) {
+            if (object.kind().equals(kind) && object.version() > after) {
+                changed.add(object);
+            }
+        }
+        return changed;
+    }
+}
