Let policies compile: allow numeric comparisons of mixed types

Cause: the planned CEL runtime refuses options that disable comparisons of mixed numbers, so the class failed to initialise and no configuration came in force. Ruled out: the configuration and the peers; a bare call of the compiler failed too. Change: the option is on; the demo now fails if routers do not become ready.

--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import org.martenwell.daemon.RouterDaemon;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HttpCalls;
 import org.martenwell.json.Json;
 import org.martenwell.platform.Box;
@@ -222,6 +224,7 @@
             }
             sleep(50);
         }
+        throw MartenwellException.of(ErrorKind.NOT_READY, "The routers did not become ready.");
     }
 
     /**
--- a/src/main/java/org/martenwell/policy/PolicyCompiler.java
+++ b/src/main/java/org/martenwell/policy/PolicyCompiler.java
@@ -50,7 +50,7 @@
                     .maxParseExpressionNodeCount(MAX_NODES)
                     .maxParseRecursionDepth(MAX_DEPTH)
                     .maxRegexProgramSize(MAX_EXPRESSION_PROGRAM)
-                    .enableComprehension(false)
+                    .enableHeterogeneousNumericComparisons(true)
                     .build();
 
     /** Checks programs. */
