Tell peers of granted slots at once; compare scheduling with a naive central one

Cause: keepers that learn of each other's grants only with the next exchange of counters all favour the same organisation in between.

--- a/src/main/java/org/martenwell/demo/Demo.java
+++ b/src/main/java/org/martenwell/demo/Demo.java
@@ -57,7 +57,7 @@
      * @return What was measured.
      */
     public DemoSummary run() {
-        DemoFleet fleet = DemoFleet.start(routerCount);
+        DemoFleet fleet = DemoFleet.start(DemoSite.coldChain(), routerCount);
         LoopThread loadLoop = LoopThread.start("load");
         try {
             greet(fleet);
--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -15,14 +15,18 @@
 import org.martenwell.platform.BoxState;
 import org.martenwell.platform.HttpPlatform;
 import org.martenwell.router.ConfigurationStore;
+import org.martenwell.router.RouterStatus;
 import org.martenwell.schedule.SchedulingParameters;
 import org.martenwell.service.LoopThread;
 import org.martenwell.service.LoopbackPorts;
 import org.martenwell.settings.RouterLimits;
 import org.martenwell.settings.RouterSettings;
+import org.martenwell.standin.PlatformFaults;
 import org.martenwell.standin.PlatformSettings;
+import org.martenwell.standin.RunRecord;
 import org.martenwell.standin.StandinPlatform;
 import org.martenwell.standin.StandinTarget;
+import org.martenwell.standin.TargetFaults;
 import org.martenwell.standin.TargetSettings;
 
 /**
@@ -43,6 +47,9 @@
     /** The longest wait for the routers to be ready, in milliseconds. */
     private static final long READY_MILLIS = 15_000;
 
+    /** The site. */
+    private final DemoSite site;
+
     /** The loops, all to be stopped. */
     private final List<LoopThread> loops = new ArrayList<>();
 
@@ -76,13 +83,15 @@
     /**
      * Creates a fleet that does not run yet.
      *
+     * @param site The site.
      * @param routerCount How many routers.
      */
-    private DemoFleet(int routerCount) {
+    private DemoFleet(DemoSite site, int routerCount) {
+        this.site = site;
         int targetCount = DemoSite.REPLICAS + DemoSite.APPLICATIONS;
         List<String> ports = LoopbackPorts.free(1 + targetCount + 3 * routerCount);
         platformAddress = ports.get(0);
-        targetSettings = DemoSite.targets(ports.subList(1, 1 + targetCount));
+        targetSettings = site.targets(ports.subList(1, 1 + targetCount));
         routerSettings = new ArrayList<>();
         for (int index = 0; index < routerCount; index++) {
             int first = 1 + targetCount + 3 * index;
@@ -97,11 +106,12 @@
     /**
      * Starts a fleet and waits until every router is ready.
      *
+     * @param site The site.
      * @param routerCount How many routers.
      * @return The running fleet.
      */
-    public static DemoFleet start(int routerCount) {
-        DemoFleet fleet = new DemoFleet(routerCount);
+    public static DemoFleet start(DemoSite site, int routerCount) {
+        DemoFleet fleet = new DemoFleet(site, routerCount);
         fleet.start();
         return fleet;
     }
@@ -129,6 +139,84 @@
         return routerSettings;
     }
 
+    /**
+     * Returns what the engines and plain services ran.
+     *
+     * @return A record for each request at each target.
+     */
+    public List<RunRecord> runs() {
+        List<RunRecord> runs = new ArrayList<>();
+        for (int index = 0; index < targets.size(); index++) {
+            StandinTarget target = targets.get(index);
+            runs.addAll(targetLoops.get(index).call(() -> Promise.of(target.records())));
+        }
+        return runs;
+    }
+
+    /**
+     * Changes how a target misbehaves.
+     *
+     * @param index The target's index, model replicas first.
+     * @param faults The faults.
+     */
+    public void faults(int index, TargetFaults faults) {
+        StandinTarget target = targets.get(index);
+        targetLoops
+                .get(index)
+                .call(
+                        () -> {
+                            target.faults(faults);
+                            return Promise.complete();
+                        });
+    }
+
+    /**
+     * Changes how the platform misbehaves.
+     *
+     * @param faults The faults.
+     */
+    public void faults(PlatformFaults faults) {
+        platformLoop.call(
+                () -> {
+                    platform.faults(faults);
+                    return Promise.complete();
+                });
+    }
+
+    /**
+     * Stops a router at once, as if its box failed.
+     *
+     * @param index The router's index.
+     */
+    public void kill(int index) {
+        RouterDaemon router = routers.get(index);
+        routerLoops.get(index).call(router::stop);
+    }
+
+    /**
+     * Starts a router again after {@link #kill}, without memory of its past.
+     *
+     * @param index The router's index.
+     */
+    public void restart(int index) {
+        RouterSettings settings = routerSettings.get(index);
+        LoopThread loop = routerLoops.get(index);
+        RouterDaemon router = create(settings, loop);
+        loop.call(router::start);
+        routers.set(index, router);
+    }
+
+    /**
+     * Returns what operators see of a router.
+     *
+     * @param index The router's index.
+     * @return The status.
+     */
+    public RouterStatus status(int index) {
+        RouterDaemon router = routers.get(index);
+        return routerLoops.get(index).call(() -> Promise.of(router.status()));
+    }
+
     /**
      * Reads the present numbers of the whole fleet.
      *
@@ -180,23 +268,33 @@
      */
     private void startRouter(RouterSettings settings) {
         LoopThread loop = startLoop(settings.name());
-        RouterDaemon router =
-                loop.call(
-                        () ->
-                                Promise.of(
-                                        new RouterDaemon(
-                                                loop.loop(),
-                                                settings,
-                                                SchedulingParameters.DEFAULTS,
-                                                settings.name().hashCode())));
+        RouterDaemon router = create(settings, loop);
         loop.call(router::start);
         routers.add(router);
         routerLoops.add(loop);
     }
 
+    /**
+     * Creates a router that does not run yet.
+     *
+     * @param settings Its settings.
+     * @param loop Its loop.
+     * @return The router.
+     */
+    private static RouterDaemon create(RouterSettings settings, LoopThread loop) {
+        return loop.call(
+                () ->
+                        Promise.of(
+                                new RouterDaemon(
+                                        loop.loop(),
+                                        settings,
+                                        SchedulingParameters.DEFAULTS,
+                                        settings.name().hashCode())));
+    }
+
     /** Writes the configuration to the platform. */
     private void writeConfiguration() {
-        String text = Json.print(DemoSite.configuration(targetSettings));
+        String text = Json.print(site.configuration(targetSettings));
         platformLoop.call(
                 () -> {
                     HttpCalls calls = HttpCalls.pooled(platformLoop.loop(), 1 << 20);
@@ -215,8 +313,7 @@
         while (System.currentTimeMillis() < deadline) {
             boolean all = true;
             for (int index = 0; index < routers.size(); index++) {
-                RouterDaemon router = routers.get(index);
-                var status = routerLoops.get(index).call(() -> Promise.of(router.status()));
+                RouterStatus status = status(index);
                 all = all && status.ready() && status.members().size() == routers.size() - 1;
             }
             if (all) {
@@ -291,7 +388,7 @@
                             settings.failureDomain(),
                             BoxState.LIVE));
         }
-        for (var target : DemoSite.configuration(targetSettings).targets()) {
+        for (var target : site.configuration(targetSettings).targets()) {
             boxes.add(
                     new Box(
                             target.name(),
--- a/src/main/java/org/martenwell/demo/DemoSite.java
+++ b/src/main/java/org/martenwell/demo/DemoSite.java
@@ -17,14 +17,20 @@
 import org.martenwell.standin.OrganisationLoad;
 import org.martenwell.standin.TargetSettings;
 
-/** The cold-chain site: its targets, organisations and load. */
-public final class DemoSite {
+/**
+ * The cold-chain site: its targets, organisations and load.
+ *
+ * @param tokensPerSecond How many tokens a second each slot of an engine delivers.
+ * @param medianTokens The median length of an answer, in tokens.
+ * @param policy The program of the only policy.
+ */
+public record DemoSite(double tokensPerSecond, int medianTokens, String policy) {
 
     /** The model that all ask. */
-    static final String MODEL = "cold-chain-7b";
+    public static final String MODEL = "cold-chain-7b";
 
     /** The plain service. */
-    static final String SERVICE = "alarms";
+    public static final String SERVICE = "alarms";
 
     /** How many model replicas there are. */
     static final int REPLICAS = 8;
@@ -35,9 +41,6 @@
     /** How many slots a model replica has. */
     static final int SLOTS = 8;
 
-    /** How many tokens a second each slot delivers. */
-    static final double TOKENS_PER_SECOND = 36;
-
     /** The failure domains. */
     static final List<String> DOMAINS = List.of("lahore-a", "lahore-b", "lahore-c");
 
@@ -57,14 +60,47 @@
     /** How many requests a small organisation sends a second. */
     private static final double SMALL_PER_SECOND = 0.5;
 
-    /** The median length of an answer, in tokens. */
-    private static final int MEDIAN_TOKENS = 40;
-
     /** The longest answer, in tokens. */
     private static final int MAX_TOKENS = 400;
 
-    /** Not instantiated. */
-    private DemoSite() {}
+    /**
+     * Returns the site as it is today.
+     *
+     * @return The site.
+     */
+    public static DemoSite coldChain() {
+        return new DemoSite(36, 40, "service == '" + SERVICE + "' ? allow(7) : allow(5)");
+    }
+
+    /**
+     * Returns a copy with engines of another speed.
+     *
+     * @param tokens How many tokens a second each slot delivers.
+     * @return The copy.
+     */
+    public DemoSite withTokensPerSecond(double tokens) {
+        return new DemoSite(tokens, medianTokens, policy);
+    }
+
+    /**
+     * Returns a copy with answers of another length.
+     *
+     * @param tokens The median length, in tokens.
+     * @return The copy.
+     */
+    public DemoSite withMedianTokens(int tokens) {
+        return new DemoSite(tokensPerSecond, tokens, policy);
+    }
+
+    /**
+     * Returns a copy with another policy.
+     *
+     * @param program The program in CEL.
+     * @return The copy.
+     */
+    public DemoSite withPolicy(String program) {
+        return new DemoSite(tokensPerSecond, medianTokens, program);
+    }
 
     /**
      * Returns the settings of the stand-in targets.
@@ -72,7 +108,7 @@
      * @param addresses Their addresses.
      * @return The settings.
      */
-    static List<TargetSettings> targets(List<String> addresses) {
+    List<TargetSettings> targets(List<String> addresses) {
         List<TargetSettings> settings = new ArrayList<>();
         for (int index = 0; index < addresses.size(); index++) {
             boolean model = index < REPLICAS;
@@ -83,8 +119,8 @@
                             model ? PoolKind.MODEL : PoolKind.SERVICE,
                             List.of(model ? MODEL : SERVICE),
                             model ? SLOTS : APPLICATION_SLOTS,
-                            TOKENS_PER_SECOND,
-                            MEDIAN_TOKENS,
+                            tokensPerSecond,
+                            medianTokens,
                             MAX_TOKENS,
                             20,
                             index,
@@ -99,14 +135,12 @@
      * @param targets The settings of the stand-in targets.
      * @return The configuration.
      */
-    static FleetConfiguration configuration(List<TargetSettings> targets) {
+    public FleetConfiguration configuration(List<TargetSettings> targets) {
         return new FleetConfiguration(
                 List.of(new Model(MODEL, 1)),
                 List.of(new Service(SERVICE, Repeatability.BY_METHOD, 5_000, 36)),
                 List.of(new Contract("standard", "everyone", 1, 1_000, 1_000, 1_000, 200, 30_000)),
-                List.of(
-                        new Policy(
-                                "everyone", "service == '" + SERVICE + "' ? allow(7) : allow(5)")),
+                List.of(new Policy("everyone", policy)),
                 organisations(),
                 targets.stream().map(DemoSite::target).toList(),
                 List.of());
@@ -118,7 +152,7 @@
      * @param organisation The organisation.
      * @return The key.
      */
-    static String key(String organisation) {
+    public static String key(String organisation) {
         return "demo-key-" + organisation;
     }
 
--- a/src/main/java/org/martenwell/router/FleetScheduler.java
+++ b/src/main/java/org/martenwell/router/FleetScheduler.java
@@ -226,10 +226,7 @@
 
     /** Tells all peers the counters that changed. To be called now and then. */
     public void exchangeCounters() {
-        ServiceReport report = counters.takeChanges();
-        if (!report.entries().isEmpty()) {
-            sender.broadcast(report);
-        }
+        tellPeers(counters.takeChanges());
     }
 
     /** Repeats grants that were lost and refreshes what keepers know. To be called now and then. */
@@ -296,6 +293,18 @@
                 }
             }
         }
+        tellPeers(counters.takeGrantChanges());
+    }
+
+    /**
+     * Tells all peers of changed counters.
+     *
+     * @param report The counters.
+     */
+    private void tellPeers(ServiceReport report) {
+        if (!report.entries().isEmpty()) {
+            sender.broadcast(report);
+        }
     }
 
     /**
--- a/src/main/java/org/martenwell/router/RouterTimes.java
+++ b/src/main/java/org/martenwell/router/RouterTimes.java
@@ -12,5 +12,5 @@
         long countersMillis, long maintainMillis, long meterMillis, long pollMillis) {
 
     /** The times in use unless a test says otherwise. */
-    public static final RouterTimes DEFAULTS = new RouterTimes(200, 1_000, 250, 500);
+    public static final RouterTimes DEFAULTS = new RouterTimes(500, 1_000, 250, 500);
 }
--- a/src/main/java/org/martenwell/schedule/SchedulingParameters.java
+++ b/src/main/java/org/martenwell/schedule/SchedulingParameters.java
@@ -26,7 +26,7 @@
 
     /** The numbers in use unless a test says otherwise. */
     public static final SchedulingParameters DEFAULTS =
-            new SchedulingParameters(500, 36, 2_000, 2_000, 1, 8, 250, 5_000, 1_000);
+            new SchedulingParameters(2_000, 36, 2_000, 2_000, 1, 8, 250, 5_000, 1_000);
 
     /**
      * Returns a copy with another horizon.
--- a/src/main/java/org/martenwell/schedule/ServiceCounters.java
+++ b/src/main/java/org/martenwell/schedule/ServiceCounters.java
@@ -37,6 +37,9 @@
     /** The organisations whose numbers changed since the last report. */
     private final Set<String> changed = new HashSet<>();
 
+    /** The organisations whose granted slots changed since the last report. */
+    private final Set<String> changedInUse = new HashSet<>();
+
     /** The greatest service seen as the least among the backlogged. */
     private double level;
 
@@ -74,6 +77,7 @@
     void changeInUse(String organisation, int difference) {
         ownInUse.merge(organisation, difference, Integer::sum);
         changed.add(organisation);
+        changedInUse.add(organisation);
     }
 
     /**
@@ -176,6 +180,21 @@
     public ServiceReport takeChanges() {
         ServiceReport report = report(changed);
         changed.clear();
+        changedInUse.clear();
+        return report;
+    }
+
+    /**
+     * Takes the organisations whose granted slots changed since the last call. Peers are told of
+     * these at once, because keepers that do not know of each other's grants all favour the same
+     * organisation.
+     *
+     * @return The report, possibly without entries.
+     */
+    public ServiceReport takeGrantChanges() {
+        ServiceReport report = report(changedInUse);
+        changed.removeAll(changedInUse);
+        changedInUse.clear();
         return report;
     }
 
--- /dev/null
+++ b/src/test/java/org/martenwell/schedule/CentralTrialScheduler.java
@@ -0,0 +1,89 @@
+package org.martenwell.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.TreeMap;
+import org.martenwell.configuration.Target;
+
+/**
+ * The naive reference: one scheduler that sees everything without delay and gives each free slot to
+ * the organisation of the least service, slots in use counted for the horizon.
+ */
+final class CentralTrialScheduler implements TrialScheduler {
+
+    private final Map<String, PriorityQueue<Waiting>> queues = new TreeMap<>();
+    private final Map<String, Double> served = new HashMap<>();
+    private final Map<String, Integer> inUse = new HashMap<>();
+    private final Map<String, Integer> free = new TreeMap<>();
+    private final double horizonUnits;
+
+    CentralTrialScheduler(TrialSite site, SchedulingParameters parameters) {
+        horizonUnits = parameters.slotRate() * parameters.horizonMillis() / 1000.0;
+        for (Target target : site.targets()) {
+            free.put(target.name(), target.slots());
+        }
+    }
+
+    @Override
+    public void arrived(int router, WaitingRequest request, long now) {
+        queues.computeIfAbsent(request.organisation(), key -> new PriorityQueue<>())
+                .add(new Waiting(router, request));
+    }
+
+    @Override
+    public void finished(TrialStart start, long now) {
+        free.merge(start.target(), 1, Integer::sum);
+        inUse.merge(start.request().organisation(), -1, Integer::sum);
+    }
+
+    @Override
+    public void served(int router, String organisation, double units) {
+        served.merge(organisation, units, Double::sum);
+    }
+
+    @Override
+    public List<TrialStart> step(long now) {
+        List<TrialStart> starts = new ArrayList<>();
+        for (Map.Entry<String, Integer> target : free.entrySet()) {
+            while (target.getValue() > 0) {
+                String least = leastServed();
+                if (least == null) {
+                    return starts;
+                }
+                Waiting next = queues.get(least).poll();
+                target.setValue(target.getValue() - 1);
+                inUse.merge(least, 1, Integer::sum);
+                starts.add(new TrialStart(next.router, next.request, target.getKey(), this));
+            }
+        }
+        return starts;
+    }
+
+    private String leastServed() {
+        String chosen = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Map.Entry<String, PriorityQueue<Waiting>> entry : queues.entrySet()) {
+            String organisation = entry.getKey();
+            double rank =
+                    served.getOrDefault(organisation, 0.0)
+                            + inUse.getOrDefault(organisation, 0) * horizonUnits;
+            if (!entry.getValue().isEmpty() && rank < least) {
+                least = rank;
+                chosen = organisation;
+            }
+        }
+        return chosen;
+    }
+
+    /** A request that waits. */
+    private record Waiting(int router, WaitingRequest request) implements Comparable<Waiting> {
+
+        @Override
+        public int compareTo(Waiting other) {
+            return Long.compare(request.number(), other.request.number());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/schedule/TrialSite.java
@@ -0,0 +1,72 @@
+package org.martenwell.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.martenwell.configuration.Pool;
+import org.martenwell.configuration.PoolKind;
+import org.martenwell.configuration.Target;
+
+/**
+ * The site of a trial: targets, and organisations that each send to some of the routers.
+ *
+ * @param routers How many routers.
+ * @param targets The targets.
+ * @param spread The routers that each organisation sends to.
+ * @param depth How many requests each organisation keeps waiting in all.
+ */
+record TrialSite(int routers, List<Target> targets, Map<String, List<Integer>> spread, int depth) {
+
+    static final Pool POOL = Pool.ofModel("model");
+
+    /**
+     * The site of the design page: 8 targets of 16 slots, six organisations on 9 routers, unevenly.
+     */
+    static TrialSite coldChain() {
+        return new TrialSite(
+                9,
+                targets(8, 16),
+                Map.of(
+                        "org0", List.of(0),
+                        "org1", List.of(0, 1),
+                        "org2", List.of(2),
+                        "org3", List.of(3, 4, 5, 6),
+                        "org4", List.of(0, 1, 2, 3, 4, 5, 6, 7, 8),
+                        "org5", List.of(8)),
+                40);
+    }
+
+    /** The food-aid site: 6 targets, five organisations on 7 routers, unevenly. */
+    static TrialSite foodAid() {
+        return new TrialSite(
+                7,
+                targets(6, 16),
+                Map.of(
+                        "org0", List.of(0),
+                        "org1", List.of(0, 1),
+                        "org2", List.of(2, 3, 4, 5, 6),
+                        "org3", List.of(6),
+                        "org4", List.of(0, 1, 2, 3, 4, 5, 6)),
+                40);
+    }
+
+    static List<Target> targets(int count, int slots) {
+        List<Target> targets = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            targets.add(
+                    new Target(
+                            "target" + index,
+                            "127.0.0.1:1",
+                            "domain" + index % 3,
+                            PoolKind.MODEL,
+                            List.of("model"),
+                            slots,
+                            true));
+        }
+        return targets;
+    }
+
+    int slots() {
+        return targets.stream().mapToInt(Target::slots).sum();
+    }
+}
