Count tokens when they arrive, peer bytes by kind, and put what waits in one frame

Cause: the demo's gap counted tokens by when their request was sent, so requests begun during the warm-up distorted it; estimates from fewer than five starts refused requests that would have started in time; every message paid for a frame. Change: tokens count on arrival; at least five starts before an estimate counts; one frame carries all messages of one turn of the loop; releases wait for the regular exchange, only grants are told at once.

--- a/src/main/java/org/martenwell/admission/DrainRate.java
+++ b/src/main/java/org/martenwell/admission/DrainRate.java
@@ -3,6 +3,9 @@
 /** Measures how fast an organisation's waiting requests start while it is backlogged. */
 final class DrainRate {
 
+    /** How many requests must have started before the measure counts. */
+    private static final double MIN_STARTED = 5;
+
     /** How long a backlog must last before the measure counts, in milliseconds. */
     private static final long MIN_MILLIS = 2_000;
 
@@ -57,9 +60,9 @@
      */
     long estimateMillis(int ahead, long now) {
         long elapsed = now - since;
-        if (since < 0 || elapsed < MIN_MILLIS) {
+        if (since < 0 || elapsed < MIN_MILLIS || started < MIN_STARTED) {
             return 0;
         }
-        return (long) ((ahead + 1) * elapsed / Math.max(started, 0.5));
+        return (long) ((ahead + 1) * elapsed / started);
     }
 }
--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -45,6 +45,7 @@
 import org.martenwell.peer.ConfigurationRequest;
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
+import org.martenwell.peer.PeerTraffic;
 import org.martenwell.peer.TargetNotice;
 import org.martenwell.platform.Box;
 import org.martenwell.platform.BoxRole;
@@ -281,12 +282,12 @@
     }
 
     /**
-     * Returns the bytes sent to peers.
+     * Returns the counters of traffic with peers.
      *
-     * @return The number since the start.
+     * @return The counters.
      */
-    public long peerBytesSent() {
-        return network.traffic().bytesSent();
+    public PeerTraffic traffic() {
+        return network.traffic();
     }
 
     @Override
--- a/src/main/java/org/martenwell/demo/Demo.java
+++ b/src/main/java/org/martenwell/demo/Demo.java
@@ -73,7 +73,7 @@
             watch(loadLoop, generator);
             FleetSample after = fleet.sample();
             sent.join();
-            return summary(before, after, generator.totals());
+            return summary(before, after, generator);
         } finally {
             loadLoop.stop();
             fleet.stop();
@@ -110,7 +110,7 @@
         long end = System.currentTimeMillis() + (long) (seconds * 1000);
         for (int look = 1; System.currentTimeMillis() < end; look++) {
             DemoFleet.sleep(Math.min(LOOK_MILLIS, Math.max(1, end - System.currentTimeMillis())));
-            Map<String, Long> tokens = loadLoop.call(() -> Promise.of(tokens(generator.totals())));
+            Map<String, Long> tokens = loadLoop.call(() -> Promise.of(generator.delivered()));
             long gap = gap(tokens);
             largestGap = Math.max(largestGap, gap);
             if (look % SHOW_EVERY == 0) {
@@ -123,18 +123,6 @@
         }
     }
 
-    /**
-     * Returns the tokens delivered.
-     *
-     * @param totals The totals.
-     * @return The tokens by organisation.
-     */
-    private static Map<String, Long> tokens(Map<String, LoadTotals> totals) {
-        Map<String, Long> tokens = new LinkedHashMap<>();
-        totals.forEach((name, each) -> tokens.put(name, each.tokens()));
-        return tokens;
-    }
-
     /**
      * Returns the gap between the organisations that always have work waiting.
      *
@@ -151,11 +139,11 @@
      *
      * @param before The numbers after the warm-up.
      * @param after The numbers at the end of the load.
-     * @param totals What callers saw.
+     * @param generator What sent the load.
      * @return The summary.
      */
-    private DemoSummary summary(
-            FleetSample before, FleetSample after, Map<String, LoadTotals> totals) {
+    private DemoSummary summary(FleetSample before, FleetSample after, LoadGenerator generator) {
+        Map<String, LoadTotals> totals = generator.totals();
         double elapsed = (after.atMillis() - before.atMillis()) / 1000.0;
         Map<String, Long> refusals = new TreeMap<>();
         for (LoadTotals each : totals.values()) {
@@ -172,6 +160,7 @@
                         / (double) (after.possible() - before.possible()),
                 largestGap,
                 (after.peerBytes() - before.peerBytes()) / elapsed / routerCount,
+                difference(before.peerBytesByKind(), after.peerBytesByKind()),
                 (after.platformCalls() - before.platformCalls()) / elapsed,
                 percentiles(
                         totals.entrySet().stream()
@@ -179,7 +168,20 @@
                                 .map(Map.Entry::getValue)
                                 .toList()),
                 percentiles(DemoSite.backlogged().stream().map(totals::get).toList()),
-                tokens(totals));
+                new TreeMap<>(generator.delivered()));
+    }
+
+    /**
+     * Subtracts counts.
+     *
+     * @param before The counts before.
+     * @param after The counts after.
+     * @return The differences.
+     */
+    private static Map<String, Long> difference(Map<String, Long> before, Map<String, Long> after) {
+        Map<String, Long> difference = new TreeMap<>();
+        after.forEach((key, count) -> difference.put(key, count - before.getOrDefault(key, 0L)));
+        return difference;
     }
 
     /**
--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -4,12 +4,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.martenwell.daemon.RouterDaemon;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HttpCalls;
 import org.martenwell.json.Json;
+import org.martenwell.peer.PeerTraffic;
 import org.martenwell.platform.Box;
 import org.martenwell.platform.BoxRole;
 import org.martenwell.platform.BoxState;
@@ -224,9 +227,15 @@
      */
     public FleetSample sample() {
         long bytes = 0;
+        Map<String, Long> bytesByKind = new TreeMap<>();
         for (int index = 0; index < routers.size(); index++) {
             RouterDaemon router = routers.get(index);
-            bytes += routerLoops.get(index).call(() -> Promise.of(router.peerBytesSent()));
+            PeerTraffic traffic = router.traffic();
+            bytes += routerLoops.get(index).call(() -> Promise.of(traffic.bytesSent()));
+            routerLoops
+                    .get(index)
+                    .call(() -> Promise.of(traffic.bytesByKind()))
+                    .forEach((kind, sent) -> bytesByKind.merge(kind, sent, Long::sum));
         }
         long produced = 0;
         long possible = 0;
@@ -238,7 +247,8 @@
             possible += model ? use.possible() : 0;
         }
         long calls = platformLoop.call(() -> Promise.of(platform.counts())).total();
-        return new FleetSample(System.currentTimeMillis(), bytes, produced, possible, calls);
+        return new FleetSample(
+                System.currentTimeMillis(), bytes, bytesByKind, produced, possible, calls);
     }
 
     /** Starts all parts. */
--- a/src/main/java/org/martenwell/demo/DemoSummary.java
+++ b/src/main/java/org/martenwell/demo/DemoSummary.java
@@ -15,6 +15,8 @@
  * @param fairnessGapTokens The largest difference in tokens delivered since the warm-up between two
  *     organisations that always had work waiting, over all moments looked at.
  * @param controlBytesPerRouterSecond The bytes that a router sent to peers a second.
+ * @param controlBytesByKind The bytes that all routers sent to peers, by kind of message, without
+ *     what frames add.
  * @param platformCallsPerSecond The calls to the platform a second.
  * @param firstTokenMillis The times to the first token of organisations without backlog, by
  *     percentile, in milliseconds.
@@ -31,6 +33,7 @@
         double utilisation,
         long fairnessGapTokens,
         double controlBytesPerRouterSecond,
+        Map<String, Long> controlBytesByKind,
         double platformCallsPerSecond,
         Map<String, Long> firstTokenMillis,
         Map<String, Long> backloggedFirstTokenMillis,
--- a/src/main/java/org/martenwell/peer/FrameCodec.java
+++ b/src/main/java/org/martenwell/peer/FrameCodec.java
@@ -22,7 +22,7 @@
     static final int NONCE_BYTES = 16;
 
     /** The size of a signature, in bytes. */
-    private static final int SIGNATURE_BYTES = 16;
+    static final int SIGNATURE_BYTES = 16;
 
     /** Computes signatures. */
     private final HmacUtils signer;
--- a/src/main/java/org/martenwell/peer/MessageCodec.java
+++ b/src/main/java/org/martenwell/peer/MessageCodec.java
@@ -1,6 +1,8 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.message.PeerMessage;
@@ -37,22 +39,23 @@
     }
 
     /**
-     * Reads a message, or throws an exception of the kind {@link ErrorKind#BAD_FRAME}.
+     * Reads messages that follow each other, or throws an exception of the kind {@link
+     * ErrorKind#BAD_FRAME}.
      *
-     * @param bytes Its form.
-     * @return The message.
+     * @param bytes Their forms.
+     * @return The messages.
      */
-    public PeerMessage decode(byte[] bytes) {
+    public List<PeerMessage> decode(byte[] bytes) {
+        List<PeerMessage> messages = new ArrayList<>();
         try (MessageUnpacker unpacker = UNPACKER.newUnpacker(bytes)) {
-            int number = unpacker.unpackInt();
-            PeerMessage message =
-                    MessageType.of(number)
-                            .orElseThrow(() -> badFrame("Unknown message " + number, null))
-                            .read(unpacker);
-            if (unpacker.hasNext()) {
-                throw badFrame("The message is too long.", null);
+            while (unpacker.hasNext()) {
+                int number = unpacker.unpackInt();
+                messages.add(
+                        MessageType.of(number)
+                                .orElseThrow(() -> badFrame("Unknown message " + number, null))
+                                .read(unpacker));
             }
-            return message;
+            return messages;
         } catch (IOException | MessagePackException | IllegalArgumentException exception) {
             throw badFrame("The message can't be read.", exception);
         }
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -1,6 +1,7 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
+import java.util.Locale;
 import java.util.Optional;
 import org.martenwell.member.Heartbeat;
 import org.martenwell.message.PeerMessage;
@@ -130,6 +131,15 @@
         return number;
     }
 
+    /**
+     * Returns the word used in metrics.
+     *
+     * @return The constant's name in lower case.
+     */
+    String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
     /**
      * Finds the kind of a message.
      *
--- a/src/main/java/org/martenwell/peer/PeerLink.java
+++ b/src/main/java/org/martenwell/peer/PeerLink.java
@@ -62,6 +62,9 @@
     /** Signs frames, or {@code null} if there is no connection. */
     private FrameCodec codec;
 
+    /** {@code true} while a write is due in the loop. */
+    private boolean writeDue;
+
     /** {@code true} while bytes are being written. */
     private boolean writing;
 
@@ -126,9 +129,10 @@
     /**
      * Sends a payload, or drops it if there is no connection.
      *
+     * @param type The kind of message.
      * @param payload The payload.
      */
-    void send(byte[] payload) {
+    void send(MessageType type, byte[] payload) {
         if (codec == null) {
             return;
         }
@@ -136,12 +140,12 @@
             socket.close();
             return;
         }
-        byte[] frame = codec.seal(payload);
-        traffic.sent(frame.length + LENGTH_BYTES);
-        byte[] length = ByteBuffer.allocate(LENGTH_BYTES).putInt(frame.length).array();
-        pending.writeBytes(length);
-        pending.writeBytes(frame);
-        write();
+        pending.writeBytes(payload);
+        traffic.sent(type, payload.length);
+        if (!writeDue) {
+            writeDue = true;
+            reactor.postLast(this::writeDue);
+        }
     }
 
     /**
@@ -197,14 +201,26 @@
         }
     }
 
-    /** Writes what waits, all at once, if nothing is being written. */
+    /**
+     * Writes what waits once the loop has done what was due, so that one frame carries all of it.
+     */
+    private void writeDue() {
+        writeDue = false;
+        write();
+    }
+
+    /** Writes what waits, in one frame, if nothing is being written. */
     private void write() {
-        if (writing || pending.size() == 0) {
+        if (writing || codec == null || pending.size() == 0) {
             return;
         }
         TcpSocket current = socket;
-        ByteBuf buffer = ByteBuf.wrapForReading(pending.toByteArray());
+        byte[] frame = codec.seal(pending.toByteArray());
         pending.reset();
+        ByteBuffer bytes =
+                ByteBuffer.allocate(LENGTH_BYTES + frame.length).putInt(frame.length).put(frame);
+        ByteBuf buffer = ByteBuf.wrapForReading(bytes.array());
+        traffic.framed(LENGTH_BYTES + FrameCodec.SIGNATURE_BYTES);
         writing = true;
         current.write(buffer)
                 .whenResult(
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -18,7 +18,6 @@
 import org.apache.logging.log4j.Logger;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
-import org.martenwell.message.PeerMessage;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.service.ManagedService;
 
@@ -128,8 +127,7 @@
      */
     private void receive(FrameCodec codec, byte[] frame) {
         traffic.received(frame.length);
-        PeerMessage message = MessageCodec.INSTANCE.decode(codec.open(frame));
-        listener.received(message);
+        MessageCodec.INSTANCE.decode(codec.open(frame)).forEach(listener::received);
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/PeerTraffic.java
+++ b/src/main/java/org/martenwell/peer/PeerTraffic.java
@@ -1,8 +1,14 @@
 package org.martenwell.peer;
 
+import java.util.Map;
+import java.util.TreeMap;
+
 /** Counts what is sent to peers and received from them. */
 public final class PeerTraffic {
 
+    /** The bytes of messages sent, by kind of message. */
+    private final Map<String, Long> bytesByKind = new TreeMap<>();
+
     /** The bytes sent. */
     private long bytesSent;
 
@@ -19,13 +25,33 @@
     public PeerTraffic() {}
 
     /**
-     * Counts a frame sent.
+     * Counts what a frame adds to its messages.
      *
+     * @param bytes The size of its length and signature.
+     */
+    void framed(int bytes) {
+        bytesSent += bytes;
+    }
+
+    /**
+     * Counts a message sent.
+     *
+     * @param type Its kind.
      * @param bytes Its size.
      */
-    void sent(int bytes) {
+    void sent(MessageType type, int bytes) {
         bytesSent += bytes;
         messagesSent++;
+        bytesByKind.merge(type.word(), (long) bytes, Long::sum);
+    }
+
+    /**
+     * Returns the bytes of messages sent, without what frames add.
+     *
+     * @return The numbers since the start, by kind of message.
+     */
+    public Map<String, Long> bytesByKind() {
+        return new TreeMap<>(bytesByKind);
     }
 
     /**
--- a/src/main/java/org/martenwell/schedule/ServiceCounters.java
+++ b/src/main/java/org/martenwell/schedule/ServiceCounters.java
@@ -37,8 +37,8 @@
     /** The organisations whose numbers changed since the last report. */
     private final Set<String> changed = new HashSet<>();
 
-    /** The organisations whose granted slots changed since the last report. */
-    private final Set<String> changedInUse = new HashSet<>();
+    /** The organisations that were granted slots since the last report. */
+    private final Set<String> granted = new HashSet<>();
 
     /** The greatest service seen as the least among the backlogged. */
     private double level;
@@ -77,7 +77,9 @@
     void changeInUse(String organisation, int difference) {
         ownInUse.merge(organisation, difference, Integer::sum);
         changed.add(organisation);
-        changedInUse.add(organisation);
+        if (difference > 0) {
+            granted.add(organisation);
+        }
     }
 
     /**
@@ -180,7 +182,7 @@
     public ServiceReport takeChanges() {
         ServiceReport report = report(changed);
         changed.clear();
-        changedInUse.clear();
+        granted.clear();
         return report;
     }
 
@@ -192,9 +194,9 @@
      * @return The report, possibly without entries.
      */
     public ServiceReport takeGrantChanges() {
-        ServiceReport report = report(changedInUse);
-        changed.removeAll(changedInUse);
-        changedInUse.clear();
+        ServiceReport report = report(granted);
+        changed.removeAll(granted);
+        granted.clear();
         return report;
     }
 
--- a/src/main/java/org/martenwell/standin/LoadClient.java
+++ b/src/main/java/org/martenwell/standin/LoadClient.java
@@ -9,6 +9,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.function.IntConsumer;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HeaderField;
 import org.martenwell.http.HttpCalls;
@@ -43,9 +44,15 @@
      * @param router The router's address.
      * @param prompt The prompt.
      * @param totals Receives what became of it.
+     * @param delivered Receives the number of tokens whenever some arrive.
      * @return Completes at the end, whatever became of it.
      */
-    Promise<Void> askModel(OrganisationLoad load, String router, String prompt, LoadTotals totals) {
+    Promise<Void> askModel(
+            OrganisationLoad load,
+            String router,
+            String prompt,
+            LoadTotals totals,
+            IntConsumer delivered) {
         ChatRequest chat =
                 new ChatRequest(load.model(), true, List.of(new CompletionMessage("user", prompt)));
         long sentAt = reactor.currentTimeMillis();
@@ -59,7 +66,7 @@
                 .then(
                         response ->
                                 response.getCode() == 200
-                                        ? readStream(response, sentAt, totals)
+                                        ? readStream(response, sentAt, totals, delivered)
                                         : readRefusal(response, totals))
                 .then(Promise::of, exception -> failed(exception, totals));
     }
@@ -103,11 +110,13 @@
      * @param response The response.
      * @param sentAt When the request was sent.
      * @param totals Receives what became of it.
+     * @param delivered Receives the number of tokens whenever some arrive.
      * @return Completes at the end.
      */
-    private Promise<Void> readStream(HttpResponse response, long sentAt, LoadTotals totals) {
+    private Promise<Void> readStream(
+            HttpResponse response, long sentAt, LoadTotals totals, IntConsumer delivered) {
         StreamVerifier verifier = new StreamVerifier();
-        return readNext(response.takeBodyStream(), verifier, sentAt, totals, true);
+        return readNext(response.takeBodyStream(), verifier, sentAt, totals, delivered, true);
     }
 
     /**
@@ -117,6 +126,7 @@
      * @param verifier Checks it.
      * @param sentAt When the request was sent.
      * @param totals Receives what became of it.
+     * @param delivered Receives the number of tokens whenever some arrive.
      * @param first {@code true} until the first token arrived.
      * @return Completes at the end.
      */
@@ -125,6 +135,7 @@
             StreamVerifier verifier,
             long sentAt,
             LoadTotals totals,
+            IntConsumer delivered,
             boolean first) {
         return body.get()
                 .then(
@@ -135,10 +146,12 @@
                             }
                             int count = verifier.receive(buffer.asArray());
                             totals.tokens(count);
+                            delivered.accept(count);
                             if (first && count > 0) {
                                 totals.firstToken(reactor.currentTimeMillis() - sentAt);
                             }
-                            return readNext(body, verifier, sentAt, totals, first && count == 0);
+                            return readNext(
+                                    body, verifier, sentAt, totals, delivered, first && count == 0);
                         });
     }
 
--- a/src/main/java/org/martenwell/standin/LoadGenerator.java
+++ b/src/main/java/org/martenwell/standin/LoadGenerator.java
@@ -29,6 +29,9 @@
     /** What became of it since the warm-up, by organisation. */
     private final Map<String, LoadTotals> totals = new LinkedHashMap<>();
 
+    /** The tokens that arrived since the warm-up, whenever their request was sent. */
+    private final Map<String, Long> delivered = new LinkedHashMap<>();
+
     /** What became of it before. */
     private final LoadTotals warmUp = new LoadTotals();
 
@@ -52,7 +55,10 @@
         this.settings = settings;
         this.client = new LoadClient(reactor);
         this.random = new Random(settings.seed());
-        settings.organisations().forEach(each -> totals.put(each.organisation(), new LoadTotals()));
+        for (OrganisationLoad each : settings.organisations()) {
+            totals.put(each.organisation(), new LoadTotals());
+            delivered.put(each.organisation(), 0L);
+        }
     }
 
     /**
@@ -76,6 +82,27 @@
         return totals;
     }
 
+    /**
+     * Returns the tokens that arrived since the warm-up, whenever their request was sent.
+     *
+     * @return The tokens by organisation.
+     */
+    public Map<String, Long> delivered() {
+        return Map.copyOf(delivered);
+    }
+
+    /**
+     * Counts tokens that arrived.
+     *
+     * @param organisation Whose they are.
+     * @param count How many.
+     */
+    private void deliver(String organisation, int count) {
+        if (reactor.currentTimeMillis() >= countFrom) {
+            delivered.merge(organisation, (long) count, Long::sum);
+        }
+    }
+
     /**
      * Sends the load of one organisation.
      *
@@ -149,6 +176,7 @@
             return client.askService(load, router, load.service().get(), into);
         }
         String prompt = "request " + number + " " + "x".repeat(load.promptBytes());
-        return client.askModel(load, router, prompt, into);
+        return client.askModel(
+                load, router, prompt, into, count -> deliver(load.organisation(), count));
     }
 }
