Write names once over a connection and sign frames with 8 bytes

Cause: of 6,916 control bytes a router and second, names and frames were most. Change: a name is written out once over a connection, then as a number; a frame's length is a variable-length number and its signature 8 bytes.

--- a/src/main/java/org/martenwell/peer/FrameCodec.java
+++ b/src/main/java/org/martenwell/peer/FrameCodec.java
@@ -21,8 +21,11 @@
     /** The size of a connection's nonce, in bytes. */
     static final int NONCE_BYTES = 16;
 
-    /** The size of a signature, in bytes. */
-    static final int SIGNATURE_BYTES = 16;
+    /**
+     * The size of a signature, in bytes. A forger has one guess in 2^64 for each connection,
+     * because a wrong one costs the connection and the nonce changes with it.
+     */
+    static final int SIGNATURE_BYTES = 8;
 
     /** Computes signatures. */
     private final HmacUtils signer;
--- a/src/main/java/org/martenwell/peer/MembershipForms.java
+++ b/src/main/java/org/martenwell/peer/MembershipForms.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import org.martenwell.member.Heartbeat;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /** The forms of messages about membership and configuration. */
 final class MembershipForms {
@@ -15,105 +13,103 @@
      * Writes a heartbeat.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(Heartbeat message, MessagePacker packer) throws IOException {
-        packer.packString(message.router());
-        packer.packLong(message.incarnation());
-        packer.packLong(message.sequence());
-        packer.packString(message.address());
-        packer.packString(message.failureDomain());
-        packer.packBoolean(message.ready());
-        packer.packLong(message.configurationVersion());
+    static void write(Heartbeat message, FieldWriter writer) throws IOException {
+        writer.name(message.router());
+        writer.number(message.incarnation());
+        writer.number(message.sequence());
+        writer.name(message.address());
+        writer.name(message.failureDomain());
+        writer.flag(message.ready());
+        writer.number(message.configurationVersion());
     }
 
     /**
      * Reads a heartbeat.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static Heartbeat readHeartbeat(MessageUnpacker unpacker) throws IOException {
+    static Heartbeat readHeartbeat(FieldReader reader) throws IOException {
         return new Heartbeat(
-                unpacker.unpackString(),
-                unpacker.unpackLong(),
-                unpacker.unpackLong(),
-                unpacker.unpackString(),
-                unpacker.unpackString(),
-                unpacker.unpackBoolean(),
-                unpacker.unpackLong());
+                reader.name(),
+                reader.number(),
+                reader.number(),
+                reader.name(),
+                reader.name(),
+                reader.flag(),
+                reader.number());
     }
 
     /**
      * Writes a request for a configuration.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(ConfigurationRequest message, MessagePacker packer) throws IOException {
-        packer.packString(message.router());
-        packer.packLong(message.above());
+    static void write(ConfigurationRequest message, FieldWriter writer) throws IOException {
+        writer.name(message.router());
+        writer.number(message.above());
     }
 
     /**
      * Reads a request for a configuration.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static ConfigurationRequest readConfigurationRequest(MessageUnpacker unpacker)
-            throws IOException {
-        return new ConfigurationRequest(unpacker.unpackString(), unpacker.unpackLong());
+    static ConfigurationRequest readConfigurationRequest(FieldReader reader) throws IOException {
+        return new ConfigurationRequest(reader.name(), reader.number());
     }
 
     /**
      * Writes a configuration.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(ConfigurationAnswer message, MessagePacker packer) throws IOException {
-        packer.packLong(message.version());
-        packer.packString(message.text());
+    static void write(ConfigurationAnswer message, FieldWriter writer) throws IOException {
+        writer.number(message.version());
+        writer.text(message.text());
     }
 
     /**
      * Reads a configuration.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static ConfigurationAnswer readConfigurationAnswer(MessageUnpacker unpacker)
-            throws IOException {
-        return new ConfigurationAnswer(unpacker.unpackLong(), unpacker.unpackString());
+    static ConfigurationAnswer readConfigurationAnswer(FieldReader reader) throws IOException {
+        return new ConfigurationAnswer(reader.number(), reader.text());
     }
 
     /**
      * Writes a notice of a target.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(TargetNotice message, MessagePacker packer) throws IOException {
-        packer.packString(message.target());
-        packer.packBoolean(message.open());
+    static void write(TargetNotice message, FieldWriter writer) throws IOException {
+        writer.name(message.target());
+        writer.flag(message.open());
     }
 
     /**
      * Reads a notice of a target.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static TargetNotice readTargetNotice(MessageUnpacker unpacker) throws IOException {
-        return new TargetNotice(unpacker.unpackString(), unpacker.unpackBoolean());
+    static TargetNotice readTargetNotice(FieldReader reader) throws IOException {
+        return new TargetNotice(reader.name(), reader.flag());
     }
 }
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -8,8 +8,6 @@
 import org.martenwell.schedule.ServiceReport;
 import org.martenwell.schedule.SlotGrants;
 import org.martenwell.schedule.SlotReport;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /** The kinds of messages between routers, each with its form in MessagePack. */
 enum MessageType {
@@ -17,91 +15,91 @@
     /** A {@link Heartbeat}. */
     HEARTBEAT(1, Heartbeat.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            MembershipForms.write((Heartbeat) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            MembershipForms.write((Heartbeat) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return MembershipForms.readHeartbeat(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return MembershipForms.readHeartbeat(reader);
         }
     },
 
     /** A {@link ServiceReport}. */
     SERVICE_REPORT(2, ServiceReport.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            ScheduleForms.write((ServiceReport) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            ScheduleForms.write((ServiceReport) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return ScheduleForms.readServiceReport(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return ScheduleForms.readServiceReport(reader);
         }
     },
 
     /** A {@link SlotReport}. */
     SLOT_REPORT(3, SlotReport.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            ScheduleForms.write((SlotReport) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            ScheduleForms.write((SlotReport) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return ScheduleForms.readSlotReport(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return ScheduleForms.readSlotReport(reader);
         }
     },
 
     /** A {@link SlotGrants}. */
     SLOT_GRANTS(4, SlotGrants.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            ScheduleForms.write((SlotGrants) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            ScheduleForms.write((SlotGrants) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return ScheduleForms.readSlotGrants(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return ScheduleForms.readSlotGrants(reader);
         }
     },
 
     /** A {@link ConfigurationRequest}. */
     CONFIGURATION_REQUEST(5, ConfigurationRequest.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            MembershipForms.write((ConfigurationRequest) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            MembershipForms.write((ConfigurationRequest) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return MembershipForms.readConfigurationRequest(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return MembershipForms.readConfigurationRequest(reader);
         }
     },
 
     /** A {@link ConfigurationAnswer}. */
     CONFIGURATION_ANSWER(6, ConfigurationAnswer.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            MembershipForms.write((ConfigurationAnswer) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            MembershipForms.write((ConfigurationAnswer) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return MembershipForms.readConfigurationAnswer(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return MembershipForms.readConfigurationAnswer(reader);
         }
     },
 
     /** A {@link TargetNotice}. */
     TARGET_NOTICE(7, TargetNotice.class) {
         @Override
-        void write(PeerMessage message, MessagePacker packer) throws IOException {
-            MembershipForms.write((TargetNotice) message, packer);
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            MembershipForms.write((TargetNotice) message, writer);
         }
 
         @Override
-        PeerMessage read(MessageUnpacker unpacker) throws IOException {
-            return MembershipForms.readTargetNotice(unpacker);
+        PeerMessage read(FieldReader reader) throws IOException {
+            return MembershipForms.readTargetNotice(reader);
         }
     };
 
@@ -174,17 +172,17 @@
      * Writes a message of this kind.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    abstract void write(PeerMessage message, MessagePacker packer) throws IOException;
+    abstract void write(PeerMessage message, FieldWriter writer) throws IOException;
 
     /**
      * Reads a message of this kind.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    abstract PeerMessage read(MessageUnpacker unpacker) throws IOException;
+    abstract PeerMessage read(FieldReader reader) throws IOException;
 }
--- a/src/main/java/org/martenwell/peer/PeerLink.java
+++ b/src/main/java/org/martenwell/peer/PeerLink.java
@@ -1,15 +1,16 @@
 package org.martenwell.peer;
 
 import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufPool;
 import io.activej.csp.binary.BinaryChannelSupplier;
 import io.activej.csp.binary.decoder.ByteBufsDecoders;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.nio.NioReactor;
 import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Random;
+import org.martenwell.message.PeerMessage;
 import org.martenwell.service.IpAddress;
 
 /**
@@ -29,8 +30,8 @@
     /** The most bytes that wait to be sent; a peer that takes none loses its connection. */
     private static final int MAX_PENDING_BYTES = 4 << 20;
 
-    /** The size of a frame's length field, in bytes. */
-    private static final int LENGTH_BYTES = 4;
+    /** The largest size of a frame's length field, in bytes. */
+    private static final int MAX_LENGTH_BYTES = 5;
 
     /** The loop. */
     private final NioReactor reactor;
@@ -59,6 +60,9 @@
     /** The connection or {@code null} if there is none. */
     private TcpSocket socket;
 
+    /** Writes messages, or {@code null} if there is no connection. */
+    private MessageWriter messages;
+
     /** Signs frames, or {@code null} if there is no connection. */
     private FrameCodec codec;
 
@@ -127,12 +131,11 @@
     }
 
     /**
-     * Sends a payload, or drops it if there is no connection.
+     * Sends a message, or drops it if there is no connection.
      *
-     * @param type The kind of message.
-     * @param payload The payload.
+     * @param message The message.
      */
-    void send(MessageType type, byte[] payload) {
+    void send(PeerMessage message) {
         if (codec == null) {
             return;
         }
@@ -140,8 +143,9 @@
             socket.close();
             return;
         }
-        pending.writeBytes(payload);
-        traffic.sent(type, payload.length);
+        byte[] form = messages.write(message);
+        pending.writeBytes(form);
+        traffic.sent(MessageType.of(message), form.length);
         if (!writeDue) {
             writeDue = true;
             reactor.postLast(this::writeDue);
@@ -174,6 +178,7 @@
     private void greeted(TcpSocket opened, byte[] nonce) {
         socket = opened;
         codec = new FrameCodec(key, nonce);
+        messages = new MessageWriter();
         delayMillis = FIRST_DELAY_MILLIS;
         listener.connected(name);
     }
@@ -217,10 +222,10 @@
         TcpSocket current = socket;
         byte[] frame = codec.seal(pending.toByteArray());
         pending.reset();
-        ByteBuffer bytes =
-                ByteBuffer.allocate(LENGTH_BYTES + frame.length).putInt(frame.length).put(frame);
-        ByteBuf buffer = ByteBuf.wrapForReading(bytes.array());
-        traffic.framed(LENGTH_BYTES + FrameCodec.SIGNATURE_BYTES);
+        ByteBuf buffer = ByteBufPool.allocate(frame.length + MAX_LENGTH_BYTES);
+        buffer.writeVarInt(frame.length);
+        buffer.write(frame);
+        traffic.framed(buffer.readRemaining() - frame.length + FrameCodec.SIGNATURE_BYTES);
         writing = true;
         current.write(buffer)
                 .whenResult(
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -92,7 +92,7 @@
     public void send(String peer, PeerMessage message) {
         PeerLink link = links.get(peer);
         if (link != null) {
-            link.send(MessageType.of(message), MessageCodec.INSTANCE.encode(message));
+            link.send(message);
         }
     }
 
@@ -102,9 +102,7 @@
      * @param message The message.
      */
     public void broadcast(PeerMessage message) {
-        MessageType type = MessageType.of(message);
-        byte[] payload = MessageCodec.INSTANCE.encode(message);
-        links.values().forEach(link -> link.send(type, payload));
+        links.values().forEach(link -> link.send(message));
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -114,20 +114,25 @@
      * @return Completes when the connection ends.
      */
     private Promise<Void> read(ITcpSocket socket, FrameCodec codec) {
+        MessageReader messages = new MessageReader();
         return BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket))
-                .decodeStream(ByteBufsDecoders.ofIntSizePrefixedBytes(FrameCodec.MAX_FRAME_BYTES))
-                .streamTo(ChannelConsumers.ofConsumer(frame -> receive(codec, frame.asArray())));
+                .decodeStream(
+                        ByteBufsDecoders.ofVarIntSizePrefixedBytes(FrameCodec.MAX_FRAME_BYTES))
+                .streamTo(
+                        ChannelConsumers.ofConsumer(
+                                frame -> receive(codec, messages, frame.asArray())));
     }
 
     /**
      * Takes in one frame.
      *
      * @param codec Checks frames.
+     * @param messages Reads messages.
      * @param frame The frame.
      */
-    private void receive(FrameCodec codec, byte[] frame) {
+    private void receive(FrameCodec codec, MessageReader messages, byte[] frame) {
         traffic.received(frame.length);
-        MessageCodec.INSTANCE.decode(codec.open(frame)).forEach(listener::received);
+        messages.read(codec.open(frame)).forEach(listener::received);
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/ScheduleForms.java
+++ b/src/main/java/org/martenwell/peer/ScheduleForms.java
@@ -1,7 +1,6 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import org.martenwell.configuration.Pool;
 import org.martenwell.configuration.PoolKind;
@@ -13,8 +12,6 @@
 import org.martenwell.schedule.SlotGrant;
 import org.martenwell.schedule.SlotGrants;
 import org.martenwell.schedule.SlotReport;
-import org.msgpack.core.MessagePacker;
-import org.msgpack.core.MessageUnpacker;
 
 /** The forms of messages about scheduling. */
 final class ScheduleForms {
@@ -23,48 +20,39 @@
     private ScheduleForms() {}
 
     /**
-     * Writes a service report. Service is rounded down to whole thousandths of a unit.
+     * Writes a service report.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(ServiceReport message, MessagePacker packer) throws IOException {
-        packer.packString(message.router());
-        packer.packLong(message.incarnation());
-        packer.packLong(message.sequence());
-        packService(packer, message.level());
-        packer.packArrayHeader(message.entries().size());
+    static void write(ServiceReport message, FieldWriter writer) throws IOException {
+        writer.name(message.router());
+        writer.number(message.incarnation());
+        writer.number(message.sequence());
+        writer.service(message.level());
+        writer.count(message.entries().size());
         for (ServiceEntry entry : message.entries()) {
-            packer.packString(entry.organisation());
-            packService(packer, entry.served());
-            packService(packer, entry.lift());
-            packer.packInt(entry.inUse());
+            writer.name(entry.organisation());
+            writer.service(entry.served());
+            writer.service(entry.lift());
+            writer.number(entry.inUse());
         }
     }
 
     /**
      * Reads a service report.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static ServiceReport readServiceReport(MessageUnpacker unpacker) throws IOException {
-        String router = unpacker.unpackString();
-        long incarnation = unpacker.unpackLong();
-        long sequence = unpacker.unpackLong();
-        double level = unpackService(unpacker);
-        List<ServiceEntry> entries = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int index = 0; index < count; index++) {
-            entries.add(
-                    new ServiceEntry(
-                            unpacker.unpackString(),
-                            unpackService(unpacker),
-                            unpackService(unpacker),
-                            unpacker.unpackInt()));
-        }
+    static ServiceReport readServiceReport(FieldReader reader) throws IOException {
+        String router = reader.name();
+        long incarnation = reader.number();
+        long sequence = reader.number();
+        double level = reader.service();
+        List<ServiceEntry> entries = reader.list(ScheduleForms::readServiceEntry);
         return new ServiceReport(router, incarnation, sequence, level, entries);
     }
 
@@ -72,189 +60,161 @@
      * Writes a slot report.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(SlotReport message, MessagePacker packer) throws IOException {
-        packer.packString(message.router());
-        packer.packLong(message.incarnation());
-        packer.packLong(message.keeperIncarnation());
-        packer.packLong(message.sequence());
-        packer.packBoolean(message.complete());
-        packer.packArrayHeader(message.demands().size());
+    static void write(SlotReport message, FieldWriter writer) throws IOException {
+        writer.name(message.router());
+        writer.number(message.incarnation());
+        writer.number(message.keeperIncarnation());
+        writer.number(message.sequence());
+        writer.flag(message.complete());
+        writer.count(message.demands().size());
         for (Demand demand : message.demands()) {
-            packer.packBoolean(demand.pool().kind() == PoolKind.MODEL);
-            packer.packString(demand.pool().name());
-            packer.packString(demand.organisation());
-            packer.packInt(demand.waiting());
-            packer.packLong(demand.urgency());
+            writer.flag(demand.pool().kind() == PoolKind.MODEL);
+            writer.name(demand.pool().name());
+            writer.name(demand.organisation());
+            writer.number(demand.waiting());
+            writer.number(demand.urgency());
         }
-        packer.packArrayHeader(message.holdings().size());
+        writer.count(message.holdings().size());
         for (Holding holding : message.holdings()) {
-            packer.packString(holding.target());
-            packer.packString(holding.slotClass());
-            packer.packLong(holding.seen());
-            packer.packLong(holding.released());
-            packer.packInt(holding.running());
-            packer.packInt(holding.carried());
+            writer.name(holding.target());
+            writer.name(holding.slotClass());
+            writer.number(holding.seen());
+            writer.number(holding.released());
+            writer.number(holding.running());
+            writer.number(holding.carried());
         }
-        packer.packArrayHeader(message.failures().size());
+        writer.count(message.failures().size());
         for (FailureCount failure : message.failures()) {
-            packer.packString(failure.target());
-            packer.packLong(failure.total());
+            writer.name(failure.target());
+            writer.number(failure.total());
         }
     }
 
     /**
      * Reads a slot report.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static SlotReport readSlotReport(MessageUnpacker unpacker) throws IOException {
-        String router = unpacker.unpackString();
-        long incarnation = unpacker.unpackLong();
-        long keeperIncarnation = unpacker.unpackLong();
-        long sequence = unpacker.unpackLong();
-        boolean complete = unpacker.unpackBoolean();
+    static SlotReport readSlotReport(FieldReader reader) throws IOException {
+        String router = reader.name();
+        long incarnation = reader.number();
+        long keeperIncarnation = reader.number();
+        long sequence = reader.number();
+        boolean complete = reader.flag();
         return new SlotReport(
                 router,
                 incarnation,
                 keeperIncarnation,
                 sequence,
                 complete,
-                readDemands(unpacker),
-                readHoldings(unpacker),
-                readFailures(unpacker));
+                reader.list(ScheduleForms::readDemand),
+                reader.list(ScheduleForms::readHolding),
+                reader.list(ScheduleForms::readFailure));
     }
 
     /**
      * Writes slot grants.
      *
      * @param message The message.
-     * @param packer Receives it.
+     * @param writer Receives it.
      * @throws IOException Never for a buffer in memory.
      */
-    static void write(SlotGrants message, MessagePacker packer) throws IOException {
-        packer.packString(message.keeper());
-        packer.packLong(message.incarnation());
-        packer.packLong(message.routerIncarnation());
-        packer.packBoolean(message.completeWanted());
-        packer.packArrayHeader(message.grants().size());
+    static void write(SlotGrants message, FieldWriter writer) throws IOException {
+        writer.name(message.keeper());
+        writer.number(message.incarnation());
+        writer.number(message.routerIncarnation());
+        writer.flag(message.completeWanted());
+        writer.count(message.grants().size());
         for (SlotGrant grant : message.grants()) {
-            packer.packString(grant.target());
-            packer.packString(grant.slotClass());
-            packer.packLong(grant.total());
-            packer.packBoolean(grant.recalled());
+            writer.name(grant.target());
+            writer.name(grant.slotClass());
+            writer.number(grant.total());
+            writer.flag(grant.recalled());
         }
     }
 
     /**
      * Reads slot grants.
      *
-     * @param unpacker Gives it.
+     * @param reader Gives it.
      * @return The message.
      * @throws IOException If it ends early.
      */
-    static SlotGrants readSlotGrants(MessageUnpacker unpacker) throws IOException {
-        String keeper = unpacker.unpackString();
-        long incarnation = unpacker.unpackLong();
-        long routerIncarnation = unpacker.unpackLong();
-        boolean completeWanted = unpacker.unpackBoolean();
-        List<SlotGrant> grants = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int index = 0; index < count; index++) {
-            grants.add(
-                    new SlotGrant(
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackLong(),
-                            unpacker.unpackBoolean()));
-        }
+    static SlotGrants readSlotGrants(FieldReader reader) throws IOException {
+        String keeper = reader.name();
+        long incarnation = reader.number();
+        long routerIncarnation = reader.number();
+        boolean completeWanted = reader.flag();
+        List<SlotGrant> grants = reader.list(ScheduleForms::readSlotGrant);
         return new SlotGrants(keeper, incarnation, routerIncarnation, completeWanted, grants);
     }
 
     /**
-     * Reads queues.
+     * Reads an organisation's counters.
      *
-     * @param unpacker Gives them.
-     * @return The queues.
-     * @throws IOException If they end early.
+     * @param reader Gives it.
+     * @return The item.
+     * @throws IOException If it ends early.
      */
-    private static List<Demand> readDemands(MessageUnpacker unpacker) throws IOException {
-        List<Demand> demands = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int index = 0; index < count; index++) {
-            PoolKind kind = unpacker.unpackBoolean() ? PoolKind.MODEL : PoolKind.SERVICE;
-            demands.add(
-                    new Demand(
-                            new Pool(kind, unpacker.unpackString()),
-                            unpacker.unpackString(),
-                            unpacker.unpackInt(),
-                            unpacker.unpackLong()));
-        }
-        return demands;
+    private static ServiceEntry readServiceEntry(FieldReader reader) throws IOException {
+        return new ServiceEntry(
+                reader.name(), reader.service(), reader.service(), reader.smallNumber());
     }
 
     /**
-     * Reads slots.
+     * Reads a total of grants.
      *
-     * @param unpacker Gives them.
-     * @return The slots.
-     * @throws IOException If they end early.
+     * @param reader Gives it.
+     * @return The item.
+     * @throws IOException If it ends early.
      */
-    private static List<Holding> readHoldings(MessageUnpacker unpacker) throws IOException {
-        List<Holding> holdings = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int index = 0; index < count; index++) {
-            holdings.add(
-                    new Holding(
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackLong(),
-                            unpacker.unpackLong(),
-                            unpacker.unpackInt(),
-                            unpacker.unpackInt()));
-        }
-        return holdings;
+    private static SlotGrant readSlotGrant(FieldReader reader) throws IOException {
+        return new SlotGrant(reader.name(), reader.name(), reader.number(), reader.flag());
     }
 
     /**
-     * Reads failures.
+     * Reads a queue.
      *
-     * @param unpacker Gives them.
-     * @return The failures.
-     * @throws IOException If they end early.
+     * @param reader Gives it.
+     * @return The item.
+     * @throws IOException If it ends early.
      */
-    private static List<FailureCount> readFailures(MessageUnpacker unpacker) throws IOException {
-        List<FailureCount> failures = new ArrayList<>();
-        int count = unpacker.unpackArrayHeader();
-        for (int index = 0; index < count; index++) {
-            failures.add(new FailureCount(unpacker.unpackString(), unpacker.unpackLong()));
-        }
-        return failures;
+    private static Demand readDemand(FieldReader reader) throws IOException {
+        PoolKind kind = reader.flag() ? PoolKind.MODEL : PoolKind.SERVICE;
+        Pool pool = new Pool(kind, reader.name());
+        return new Demand(pool, reader.name(), reader.smallNumber(), reader.number());
     }
 
     /**
-     * Writes an amount of service in thousandths of a unit.
+     * Reads slots of one class.
      *
-     * @param packer Receives it.
-     * @param units The amount.
-     * @throws IOException Never for a buffer in memory.
+     * @param reader Gives it.
+     * @return The item.
+     * @throws IOException If it ends early.
      */
-    private static void packService(MessagePacker packer, double units) throws IOException {
-        packer.packLong((long) (units * 1000));
+    private static Holding readHolding(FieldReader reader) throws IOException {
+        return new Holding(
+                reader.name(),
+                reader.name(),
+                reader.number(),
+                reader.number(),
+                reader.smallNumber(),
+                reader.smallNumber());
     }
 
     /**
-     * Reads an amount of service.
+     * Reads a target's failures.
      *
-     * @param unpacker Gives it.
-     * @return The amount in units.
+     * @param reader Gives it.
+     * @return The item.
      * @throws IOException If it ends early.
      */
-    private static double unpackService(MessageUnpacker unpacker) throws IOException {
-        return unpacker.unpackLong() / 1000.0;
+    private static FailureCount readFailure(FieldReader reader) throws IOException {
+        return new FailureCount(reader.name(), reader.number());
     }
 }
