Test messages, policies, configuration, settings, admission, membership and layers

Cause: decisions had no unit tests; two package cycles had crept in. Rendezvous hashing has a package of its own and policies no longer know pools, which ends the cycles. Found and mended: an amount of service of 1.001 units arrived as 1.000, because it was cut instead of rounded.

--- a/src/main/java/org/martenwell/caller/RequestAdmission.java
+++ b/src/main/java/org/martenwell/caller/RequestAdmission.java
@@ -17,6 +17,7 @@
 import org.martenwell.configuration.Contract;
 import org.martenwell.configuration.Organisation;
 import org.martenwell.configuration.Pool;
+import org.martenwell.configuration.PoolKind;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.observe.LogEvent;
@@ -158,7 +159,8 @@
         return new PolicyInput(
                 organisation.name(),
                 organisation.labels(),
-                pool,
+                pool.kind() == PoolKind.MODEL ? pool.name() : "",
+                pool.kind() == PoolKind.SERVICE ? pool.name() : "",
                 request.getMethod().name(),
                 bodyBytes,
                 now.getHour() * 60 + now.getMinute(),
--- a/src/main/java/org/martenwell/member/RendezvousHash.java
+++ b/src/main/java/org/martenwell/hash/RendezvousHash.java
@@ -1,4 +1,4 @@
-package org.martenwell.member;
+package org.martenwell.hash;
 
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
--- /dev/null
+++ b/src/main/java/org/martenwell/hash/package-info.java
@@ -0,0 +1,2 @@
+/** Hashing that all routers agree on. */
+package org.martenwell.hash;
--- a/src/main/java/org/martenwell/member/KeeperAssignment.java
+++ b/src/main/java/org/martenwell/member/KeeperAssignment.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.martenwell.configuration.Target;
+import org.martenwell.hash.RendezvousHash;
 import org.martenwell.schedule.KeeperReference;
 
 /**
--- a/src/main/java/org/martenwell/member/WatcherSelection.java
+++ b/src/main/java/org/martenwell/member/WatcherSelection.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import org.martenwell.hash.RendezvousHash;
 
 /** Selects the few routers of a failure domain that watch the platform for the others. */
 public enum WatcherSelection {
--- a/src/main/java/org/martenwell/peer/FieldWriter.java
+++ b/src/main/java/org/martenwell/peer/FieldWriter.java
@@ -76,13 +76,13 @@
     }
 
     /**
-     * Writes an amount of service, rounded down to whole thousandths of a unit.
+     * Writes an amount of service, rounded to whole thousandths of a unit.
      *
      * @param units The amount in units.
      * @throws IOException Never for a buffer in memory.
      */
     void service(double units) throws IOException {
-        packer.packLong((long) (units * FieldReader.THOUSANDTHS));
+        packer.packLong(Math.round(units * FieldReader.THOUSANDTHS));
     }
 
     /**
--- a/src/main/java/org/martenwell/policy/PolicyInput.java
+++ b/src/main/java/org/martenwell/policy/PolicyInput.java
@@ -1,15 +1,14 @@
 package org.martenwell.policy;
 
 import java.util.Map;
-import org.martenwell.configuration.Pool;
-import org.martenwell.configuration.PoolKind;
 
 /**
  * What a policy may look at.
  *
  * @param organisation The organisation's name.
  * @param labels The organisation's labels.
- * @param pool The model or plain service asked for.
+ * @param model The model asked for or an empty string.
+ * @param service The plain service asked for or an empty string.
  * @param method The HTTP method.
  * @param promptBytes The size of the request's body, in bytes.
  * @param minuteOfDay The time of day in UTC, in minutes since midnight.
@@ -19,7 +18,8 @@
 public record PolicyInput(
         String organisation,
         Map<String, String> labels,
-        Pool pool,
+        String model,
+        String service,
         String method,
         long promptBytes,
         int minuteOfDay,
@@ -32,12 +32,11 @@
      * @return The value of each variable of {@link PolicyVariable}.
      */
     Map<String, Object> variables() {
-        boolean model = pool.kind() == PoolKind.MODEL;
         return Map.of(
                 PolicyVariable.ORGANISATION.variable(), organisation,
                 PolicyVariable.LABELS.variable(), labels,
-                PolicyVariable.MODEL.variable(), model ? pool.name() : "",
-                PolicyVariable.SERVICE.variable(), model ? "" : pool.name(),
+                PolicyVariable.MODEL.variable(), model,
+                PolicyVariable.SERVICE.variable(), service,
                 PolicyVariable.METHOD.variable(), method,
                 PolicyVariable.PROMPT_BYTES.variable(), promptBytes,
                 PolicyVariable.MINUTE_OF_DAY.variable(), (long) minuteOfDay,
--- a/src/main/java/org/martenwell/schedule/PrefixThenLeastLoaded.java
+++ b/src/main/java/org/martenwell/schedule/PrefixThenLeastLoaded.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.martenwell.configuration.Target;
-import org.martenwell.member.RendezvousHash;
+import org.martenwell.hash.RendezvousHash;
 
 /**
  * Prefers the targets that rendezvous hashing gives for the prompt's prefix unless they are loaded
--- /dev/null
+++ b/src/test/java/org/martenwell/ArchitectureTest.java
@@ -0,0 +1,57 @@
+package org.martenwell;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+@AnalyzeClasses(packages = "org.martenwell", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+    @ArchTest
+    static final ArchRule DECISIONS_HOLD_NO_SOCKET_AND_NO_THREAD =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(
+                            "org.martenwell.schedule..",
+                            "org.martenwell.admission..",
+                            "org.martenwell.member..",
+                            "org.martenwell.policy..",
+                            "org.martenwell.configuration..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "io.activej..", "java.net.http..", "java.util.concurrent..");
+
+    @ArchTest
+    static final ArchRule DECISIONS_HOLD_NO_CLOCK =
+            noClasses()
+                    .that()
+                    .resideInAnyPackage(
+                            "org.martenwell.schedule..",
+                            "org.martenwell.admission..",
+                            "org.martenwell.member..")
+                    .should()
+                    .callMethod(System.class, "currentTimeMillis")
+                    .orShould()
+                    .callMethod(System.class, "nanoTime");
+
+    @ArchTest
+    static final ArchRule ROUTERS_KNOW_NO_STAND_IN =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackages(
+                            "org.martenwell.standin..",
+                            "org.martenwell.demo..",
+                            "org.martenwell.command..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage("org.martenwell.standin..", "org.martenwell.demo..");
+
+    @ArchTest
+    static final ArchRule PACKAGES_FORM_NO_CYCLE =
+            slices().matching("org.martenwell.(*)..").should().beFreeOfCycles();
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/admission/AdmissionControlTest.java
@@ -0,0 +1,101 @@
+package org.martenwell.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import org.assertj.core.api.ThrowableAssert.ThrowingCallable;
+import org.junit.jupiter.api.Test;
+import org.martenwell.configuration.Contract;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.error.Outcome;
+
+class AdmissionControlTest {
+
+    private static final Contract CONTRACT = new Contract("c", "p", 1, 10, 2, 3, 4, 1_000);
+
+    private final AdmissionControl control = new AdmissionControl(6, 1_000);
+
+    @Test
+    void testRateAllowsABurstAndThenRefusesWithATime() {
+        for (int index = 0; index < 3; index++) {
+            control.admitRate("a", CONTRACT, 0);
+        }
+        MartenwellException refused = refusal(() -> control.admitRate("a", CONTRACT, 0));
+        assertThat(refused.kind()).isEqualTo(ErrorKind.RATE_EXCEEDED);
+        assertThat(refused.retryAfterMillis()).hasValue(500);
+        control.admitRate("a", CONTRACT, 500);
+    }
+
+    @Test
+    void testRateOfOneOrganisationDoesNotTouchAnother() {
+        for (int index = 0; index < 3; index++) {
+            control.admitRate("a", CONTRACT, 0);
+        }
+        control.admitRate("b", CONTRACT, 0);
+    }
+
+    @Test
+    void testFloodFillsOnlyItsOwnQueue() {
+        for (int index = 0; index < 4; index++) {
+            control.admitWaiting("a", CONTRACT, 10, 0);
+        }
+        MartenwellException refused = refusal(() -> control.admitWaiting("a", CONTRACT, 10, 0));
+        assertThat(refused.kind()).isEqualTo(ErrorKind.QUEUE_FULL);
+        assertThat(refused.outcome()).isEqualTo(Outcome.NOT_RUN);
+        control.admitWaiting("b", CONTRACT, 10, 0);
+    }
+
+    @Test
+    void testMemoryOfWaitingRequestsIsBounded() {
+        control.admitWaiting("a", CONTRACT, 900, 0);
+        assertThat(refusal(() -> control.admitWaiting("b", CONTRACT, 101, 0)).kind())
+                .isEqualTo(ErrorKind.ROUTER_FULL);
+        control.endWaiting("a", 900, true, 0);
+        control.admitWaiting("b", CONTRACT, 101, 0);
+    }
+
+    @Test
+    void testRequestThatCannotStartInTimeIsRefusedAtOnce() {
+        control.admitWaiting("a", CONTRACT, 1, 0);
+        for (int index = 1; index <= 10; index++) {
+            control.admitWaiting("a", CONTRACT, 1, index * 400L);
+            control.endWaiting("a", 1, true, index * 400L);
+        }
+        control.admitWaiting("a", CONTRACT, 1, 4_000);
+        MartenwellException refused = refusal(() -> control.admitWaiting("a", CONTRACT, 1, 4_000));
+        assertThat(refused.kind()).isEqualTo(ErrorKind.WAIT_TOO_LONG);
+        assertThat(refused.retryAfterMillis().getAsLong()).isBetween(100L, 2_000L);
+    }
+
+    @Test
+    void testNothingIsRefusedOnAnUnprovenEstimate() {
+        control.admitWaiting("a", CONTRACT, 1, 0);
+        control.endWaiting("a", 1, true, 3_000);
+        control.admitWaiting("a", CONTRACT, 1, 3_000);
+        control.admitWaiting("a", CONTRACT, 1, 9_000);
+    }
+
+    @Test
+    void testRetriesAreAShareOfFreshRequests() {
+        RetryBudget budget = new RetryBudget();
+        int allowed = 0;
+        for (int index = 0; index < 1_000; index++) {
+            budget.countFresh();
+            allowed += budget.takeRetry() ? 1 : 0;
+        }
+        assertThat(allowed).isBetween(100, 121);
+    }
+
+    private static MartenwellException refusal(ThrowingCallable action) {
+        assertThatThrownBy(action).isInstanceOf(MartenwellException.class);
+        try {
+            action.call();
+            return null;
+        } catch (MartenwellException refused) {
+            return refused;
+        } catch (Throwable other) {
+            throw new AssertionError(other);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/member/KeeperAssignmentTest.java
@@ -0,0 +1,81 @@
+package org.martenwell.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.martenwell.configuration.PoolKind;
+import org.martenwell.configuration.Target;
+import org.martenwell.schedule.KeeperReference;
+
+class KeeperAssignmentTest {
+
+    @Test
+    void testKeeperIsOfTheTargetsFailureDomain() {
+        Map<String, KeeperReference> keepers = assign(9);
+        for (Target target : targets()) {
+            int router = Integer.parseInt(keepers.get(target.name()).name().substring(1));
+            assertThat("domain" + router % 3).isEqualTo(target.failureDomain());
+        }
+    }
+
+    @Test
+    void testOtherDomainsKeepTheTargetsOfAnEmptyOne() {
+        List<KeeperCandidate> one = List.of(new KeeperCandidate("r0", 1, "domain0"));
+        assertThat(KeeperAssignment.INSTANCE.assign(targets(), one)).hasSize(200);
+    }
+
+    @Test
+    void testNobodyKeepsWithoutCandidates() {
+        assertThat(KeeperAssignment.INSTANCE.assign(targets(), List.of())).isEmpty();
+    }
+
+    @Property(tries = 30, seed = "1")
+    void testOnlyTargetsOfTheLeaverChangeTheirKeeper(
+            @ForAll @IntRange(min = 6, max = 40) int routers,
+            @ForAll @IntRange(max = 5) int leaver) {
+        Map<String, KeeperReference> before = assign(routers);
+        List<KeeperCandidate> rest = candidates(routers);
+        rest.remove(leaver);
+        Map<String, KeeperReference> after = KeeperAssignment.INSTANCE.assign(targets(), rest);
+        before.forEach(
+                (target, keeper) -> {
+                    if (!keeper.name().equals("r" + leaver)) {
+                        assertThat(after.get(target)).isEqualTo(keeper);
+                    }
+                });
+    }
+
+    private static Map<String, KeeperReference> assign(int routers) {
+        return KeeperAssignment.INSTANCE.assign(targets(), candidates(routers));
+    }
+
+    private static List<KeeperCandidate> candidates(int routers) {
+        List<KeeperCandidate> candidates = new ArrayList<>();
+        for (int index = 0; index < routers; index++) {
+            candidates.add(new KeeperCandidate("r" + index, 1, "domain" + index % 3));
+        }
+        return candidates;
+    }
+
+    private static List<Target> targets() {
+        List<Target> targets = new ArrayList<>();
+        for (int index = 0; index < 200; index++) {
+            targets.add(
+                    new Target(
+                            "t" + index,
+                            "127.0.0.1:1",
+                            "domain" + index % 3,
+                            PoolKind.MODEL,
+                            List.of("m"),
+                            1,
+                            true));
+        }
+        return targets;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/peer/MessageFormsTest.java
@@ -0,0 +1,125 @@
+package org.martenwell.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.martenwell.configuration.Pool;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.member.Heartbeat;
+import org.martenwell.message.PeerMessage;
+import org.martenwell.schedule.Demand;
+import org.martenwell.schedule.FailureCount;
+import org.martenwell.schedule.Holding;
+import org.martenwell.schedule.ServiceEntry;
+import org.martenwell.schedule.ServiceReport;
+import org.martenwell.schedule.SlotGrant;
+import org.martenwell.schedule.SlotGrants;
+import org.martenwell.schedule.SlotReport;
+
+class MessageFormsTest {
+
+    @Property(tries = 500, seed = "1")
+    void testMessagesArriveAsSent(@ForAll("messages") List<PeerMessage> messages) {
+        MessageWriter writer = new MessageWriter();
+        MessageReader reader = new MessageReader();
+        for (PeerMessage message : messages) {
+            assertThat(reader.read(writer.write(message))).containsExactly(message);
+        }
+    }
+
+    @Property(tries = 2_000, seed = "2")
+    void testAnyBytesAreReadOrRefused(@ForAll byte[] bytes) {
+        try {
+            new MessageReader().read(bytes);
+        } catch (MartenwellException refused) {
+            assertThat(refused.kind()).isEqualTo(ErrorKind.BAD_FRAME);
+        }
+    }
+
+    @Property(tries = 500, seed = "3")
+    void testDamagedMessagesAreReadOrRefused(
+            @ForAll("messages") List<PeerMessage> messages, @ForAll int place, @ForAll byte value) {
+        for (PeerMessage message : messages) {
+            byte[] form = new MessageWriter().write(message);
+            form[Math.floorMod(place, form.length)] = value;
+            testAnyBytesAreReadOrRefused(form);
+        }
+    }
+
+    @Property(tries = 300, seed = "4")
+    void testDamagedFramesAreRefused(
+            @ForAll byte[] payload, @ForAll int place, @ForAll byte difference) {
+        byte[] nonce = new byte[FrameCodec.NONCE_BYTES];
+        byte[] frame = new FrameCodec("key", nonce).seal(payload);
+        assertThat(new FrameCodec("key", nonce).open(frame)).isEqualTo(payload);
+        frame[Math.floorMod(place, frame.length)] ^= (byte) (difference | 1);
+        assertThatThrownBy(() -> new FrameCodec("key", nonce).open(frame))
+                .isInstanceOf(MartenwellException.class);
+    }
+
+    @Property(tries = 50, seed = "5")
+    void testFramesCannotBeSentAgain(@ForAll byte[] payload) {
+        byte[] nonce = new byte[FrameCodec.NONCE_BYTES];
+        byte[] frame = new FrameCodec("key", nonce).seal(payload);
+        FrameCodec receiver = new FrameCodec("key", nonce);
+        receiver.open(frame);
+        assertThatThrownBy(() -> receiver.open(frame)).isInstanceOf(MartenwellException.class);
+    }
+
+    @Provide
+    Arbitrary<List<PeerMessage>> messages() {
+        Arbitrary<String> names = Arbitraries.strings().alpha().numeric().ofMaxLength(200);
+        Arbitrary<Long> numbers = Arbitraries.longs().greaterOrEqual(0);
+        Arbitrary<Integer> counts = Arbitraries.integers().greaterOrEqual(0);
+        Arbitrary<Double> services = Arbitraries.longs().between(0, 1L << 40).map(l -> l / 1000.0);
+        Arbitrary<Boolean> flags = Arbitraries.of(true, false);
+        Arbitrary<PeerMessage> heartbeats =
+                Combinators.combine(names, numbers, numbers, names, names, flags, numbers)
+                        .as(Heartbeat::new);
+        Arbitrary<ServiceEntry> entries =
+                Combinators.combine(names, services, services, counts).as(ServiceEntry::new);
+        Arbitrary<PeerMessage> serviceReports =
+                Combinators.combine(names, numbers, numbers, services, entries.list().ofMaxSize(5))
+                        .as(ServiceReport::new);
+        Arbitrary<Demand> demands =
+                Combinators.combine(names, names, counts, Arbitraries.longs())
+                        .as((pool, name, n, u) -> new Demand(Pool.ofService(pool), name, n, u));
+        Arbitrary<Holding> holdings =
+                Combinators.combine(names, names, numbers, numbers, counts, counts)
+                        .as(Holding::new);
+        Arbitrary<FailureCount> failures =
+                Combinators.combine(names, numbers).as(FailureCount::new);
+        Arbitrary<PeerMessage> slotReports =
+                Combinators.combine(
+                                names,
+                                numbers,
+                                numbers,
+                                numbers,
+                                flags,
+                                demands.list().ofMaxSize(3),
+                                holdings.list().ofMaxSize(3),
+                                failures.list().ofMaxSize(3))
+                        .as(SlotReport::new);
+        Arbitrary<SlotGrant> grants =
+                Combinators.combine(names, names, numbers, flags).as(SlotGrant::new);
+        Arbitrary<PeerMessage> slotGrants =
+                Combinators.combine(names, numbers, numbers, flags, grants.list().ofMaxSize(4))
+                        .as(SlotGrants::new);
+        Arbitrary<PeerMessage> answers =
+                Combinators.combine(numbers, names).as(ConfigurationAnswer::new);
+        Arbitrary<PeerMessage> notices = Combinators.combine(names, flags).as(TargetNotice::new);
+        return Arbitraries.oneOf(
+                        heartbeats, serviceReports, slotReports, slotGrants, answers, notices)
+                .list()
+                .ofMinSize(1)
+                .ofMaxSize(6);
+    }
+}
