--- a/src/main/java/org/martenwell/service/LoopThread.java
+++ b/src/main/java/org/martenwell/service/LoopThread.java
@@ -22,7 +22,7 @@
      * @param name The thread's name.
      */
     private LoopThread(String name) {
-        loop = Eventloop.builder().withThreadName(name).build();
+        loop = Loops.named(name);
         thread = new Thread(loop, name);
         thread.setDaemon(true);
     }
