--- a/src/main/java/org/martenwell/command/CheckCommand.java
+++ b/src/main/java/org/martenwell/command/CheckCommand.java
@@ -12,6 +12,7 @@
 import org.martenwell.error.MartenwellException;
 import org.martenwell.json.Json;
 import org.martenwell.settings.SettingsReader;
+import org.martenwell.standin.LoadSettings;
 import org.martenwell.standin.PlatformSettings;
 import org.martenwell.standin.TargetSettings;
 
@@ -66,6 +67,10 @@
     private static String check(String file) {
         String text = SettingsReader.readText(Path.of(file));
         JsonNode root = Json.parseDocument(file, text);
+        if (root.has("warmUpSeconds")) {
+            SettingsReader.of(LoadCommand.SCHEMA, LoadSettings.class).read(file, text);
+            return "settings of a load";
+        }
         if (root.has("organisations")) {
             FleetConfigurationReader.INSTANCE.read(file, text);
             return "fleet configuration";
--- a/src/main/java/org/martenwell/command/CommandTable.java
+++ b/src/main/java/org/martenwell/command/CommandTable.java
@@ -17,7 +17,8 @@
                     new NamedCommand("status", StatusCommand.INSTANCE),
                     new NamedCommand("drain", DrainCommand.INSTANCE),
                     new NamedCommand("demo", DemoCommand.INSTANCE),
-                    new NamedCommand("standin", StandinCommand.INSTANCE));
+                    new NamedCommand("standin", StandinCommand.INSTANCE),
+                    new NamedCommand("load", LoadCommand.INSTANCE));
 
     /** Not instantiated. */
     private CommandTable() {}
--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -86,6 +86,9 @@
     /** The longest that a caller's connection takes for one message, in minutes. */
     private static final long MESSAGE_MINUTES = 15;
 
+    /** How often a draining router looks whether it is done. */
+    private static final Duration IDLE_CHECK = Duration.ofMillis(50);
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -536,12 +539,23 @@
      * @return What was still there.
      */
     private Promise<DrainReport> awaitIdle(long deadline) {
-        int running = scheduler.slots().running();
-        int waiting = scheduler.slots().waiting();
-        if ((running == 0 && waiting == 0) || reactor.currentTimeMillis() >= deadline) {
-            return Promise.of(new DrainReport(running, waiting));
-        }
-        return Promises.delay(Duration.ofMillis(50)).then(() -> awaitIdle(deadline));
+        return Promises.repeat(
+                        () -> {
+                            boolean late = reactor.currentTimeMillis() >= deadline;
+                            return present().clean() || late
+                                    ? Promise.of(false)
+                                    : Promises.delay(IDLE_CHECK).map(any -> true);
+                        })
+                .map(any -> present());
+    }
+
+    /**
+     * Returns what is still there.
+     *
+     * @return The requests that run and wait.
+     */
+    private DrainReport present() {
+        return new DrainReport(scheduler.slots().running(), scheduler.slots().waiting());
     }
 
     /** Registers the numbers that are read when asked for. */
--- a/src/main/java/org/martenwell/demo/Demo.java
+++ b/src/main/java/org/martenwell/demo/Demo.java
@@ -3,7 +3,6 @@
 import io.activej.promise.Promise;
 import java.io.PrintStream;
 import java.util.Collection;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,6 +11,7 @@
 import org.martenwell.service.LoopThread;
 import org.martenwell.standin.LoadGenerator;
 import org.martenwell.standin.LoadSettings;
+import org.martenwell.standin.LoadSummary;
 import org.martenwell.standin.LoadTotals;
 
 /** Runs a site on loopback under uneven load and measures it. */
@@ -192,11 +192,9 @@
      */
     private static Map<String, Long> percentiles(Collection<LoadTotals> totals) {
         Histogram all = new Histogram(3);
-        totals.forEach(each -> all.add(each.firstToken()));
-        Map<String, Long> percentiles = new LinkedHashMap<>();
-        for (int percentile : new int[] {50, 95, 99}) {
-            percentiles.put("p" + percentile, all.getValueAtPercentile(percentile));
-        }
+        totals.forEach(each -> all.add(each.firstTokenMicros()));
+        Map<String, Long> percentiles = LoadSummary.percentiles(all);
+        percentiles.replaceAll((name, micros) -> micros / 1_000);
         return percentiles;
     }
 }
--- a/src/main/java/org/martenwell/standin/LoadClient.java
+++ b/src/main/java/org/martenwell/standin/LoadClient.java
@@ -1,8 +1,7 @@
 package org.martenwell.standin;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import io.activej.bytebuf.ByteBuf;
-import io.activej.csp.supplier.ChannelSupplier;
+import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -21,8 +20,8 @@
     /** The largest answer, in bytes. */
     private static final int MAX_BODY_BYTES = 16 << 20;
 
-    /** The loop. */
-    private final NioReactor reactor;
+    /** How many nanoseconds make a microsecond. */
+    private static final long NANOS_PER_MICRO = 1_000;
 
     /** Sends requests. */
     private final HttpCalls calls;
@@ -33,7 +32,6 @@
      * @param reactor The loop.
      */
     LoadClient(NioReactor reactor) {
-        this.reactor = reactor;
         this.calls = HttpCalls.pooled(reactor, MAX_BODY_BYTES);
     }
 
@@ -55,7 +53,7 @@
             IntConsumer delivered) {
         ChatRequest chat =
                 new ChatRequest(load.model(), true, List.of(new CompletionMessage("user", prompt)));
-        long sentAt = reactor.currentTimeMillis();
+        long sentAt = System.nanoTime();
         totals.sent();
         return calls.send(
                         HttpCalls.request(
@@ -108,7 +106,7 @@
      * Reads a stream to its end.
      *
      * @param response The response.
-     * @param sentAt When the request was sent.
+     * @param sentAt When the request was sent, in nanoseconds of the system's timer.
      * @param totals Receives what became of it.
      * @param delivered Receives the number of tokens whenever some arrive.
      * @return Completes at the end.
@@ -116,43 +114,20 @@
     private Promise<Void> readStream(
             HttpResponse response, long sentAt, LoadTotals totals, IntConsumer delivered) {
         StreamVerifier verifier = new StreamVerifier();
-        return readNext(response.takeBodyStream(), verifier, sentAt, totals, delivered, true);
-    }
-
-    /**
-     * Reads the next piece of a stream.
-     *
-     * @param body The stream.
-     * @param verifier Checks it.
-     * @param sentAt When the request was sent.
-     * @param totals Receives what became of it.
-     * @param delivered Receives the number of tokens whenever some arrive.
-     * @param first {@code true} until the first token arrived.
-     * @return Completes at the end.
-     */
-    private Promise<Void> readNext(
-            ChannelSupplier<ByteBuf> body,
-            StreamVerifier verifier,
-            long sentAt,
-            LoadTotals totals,
-            IntConsumer delivered,
-            boolean first) {
-        return body.get()
-                .then(
-                        buffer -> {
-                            if (buffer == null) {
-                                finish(verifier, totals);
-                                return Promise.complete();
-                            }
-                            int count = verifier.receive(buffer.asArray());
-                            totals.tokens(count);
-                            delivered.accept(count);
-                            if (first && count > 0) {
-                                totals.firstToken(reactor.currentTimeMillis() - sentAt);
-                            }
-                            return readNext(
-                                    body, verifier, sentAt, totals, delivered, first && count == 0);
-                        });
+        return response.takeBodyStream()
+                .streamTo(
+                        ChannelConsumers.ofConsumer(
+                                buffer -> {
+                                    boolean first = verifier.text().isEmpty();
+                                    int count = verifier.receive(buffer.asArray());
+                                    totals.tokens(count);
+                                    delivered.accept(count);
+                                    if (first && count > 0) {
+                                        long nanos = System.nanoTime() - sentAt;
+                                        totals.firstToken(nanos / NANOS_PER_MICRO);
+                                    }
+                                }))
+                .whenResult(() -> finish(verifier, totals));
     }
 
     /**
--- a/src/main/java/org/martenwell/standin/LoadGenerator.java
+++ b/src/main/java/org/martenwell/standin/LoadGenerator.java
@@ -4,7 +4,9 @@
 import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 
@@ -127,10 +129,13 @@
      * @return Completes once all is sent and answered.
      */
     private Promise<Void> sendOneByOne(OrganisationLoad load) {
-        if (reactor.currentTimeMillis() >= endAt) {
-            return Promise.complete();
-        }
-        return send(load, false).then(() -> pause().then(() -> sendOneByOne(load)));
+        return Promises.repeat(
+                () -> {
+                    if (reactor.currentTimeMillis() >= endAt) {
+                        return Promise.of(false);
+                    }
+                    return send(load, false).then(this::pause).map(any -> true);
+                });
     }
 
     /**
@@ -149,15 +154,27 @@
      * @return Completes once all is sent and answered.
      */
     private Promise<Void> sendAtRate(OrganisationLoad load) {
-        if (reactor.currentTimeMillis() >= endAt) {
-            return Promise.complete();
-        }
-        double gap = -Math.log(1 - random.nextDouble()) * 1000 / load.perSecond();
-        Promise<Void> answered = send(load, true);
-        Promise<Void> others =
-                Promises.delay(Duration.ofMillis(Math.max(1, (long) gap)))
-                        .then(() -> sendAtRate(load));
-        return Promises.all(answered, others);
+        List<Promise<Void>> sent = new ArrayList<>();
+        return Promises.repeat(
+                        () -> {
+                            if (reactor.currentTimeMillis() >= endAt) {
+                                return Promise.of(false);
+                            }
+                            sent.add(send(load, true));
+                            return Promises.delay(gap(load)).map(any -> true);
+                        })
+                .then(() -> Promises.all(sent));
+    }
+
+    /**
+     * Draws an exponential gap between two requests.
+     *
+     * @param load The load.
+     * @return The gap.
+     */
+    private Duration gap(OrganisationLoad load) {
+        double millis = -Math.log(1 - random.nextDouble()) * 1000 / load.perSecond();
+        return Duration.ofMillis(Math.max(1, (long) millis));
     }
 
     /**
--- a/src/main/java/org/martenwell/standin/LoadTotals.java
+++ b/src/main/java/org/martenwell/standin/LoadTotals.java
@@ -7,11 +7,11 @@
 /** What became of one organisation's load. */
 public final class LoadTotals {
 
-    /** The largest time recorded, in milliseconds. */
-    private static final long MAX_MILLIS = 3_600_000;
+    /** The largest time recorded, in microseconds. */
+    private static final long MAX_MICROS = 3_600_000_000L;
 
     /** The digits of times that are kept. */
-    private static final int DIGITS = 3;
+    static final int DIGITS = 3;
 
     /** The requests sent. */
     private long requests;
@@ -28,8 +28,8 @@
     /** The refusals and failures by code. */
     private final Map<String, Long> refusals = new TreeMap<>();
 
-    /** The times to the first token, in milliseconds. */
-    private final Histogram firstToken = new Histogram(MAX_MILLIS, DIGITS);
+    /** The times to the first token, in microseconds. */
+    private final Histogram firstToken = new Histogram(MAX_MICROS, DIGITS);
 
     /** Creates totals at zero. */
     LoadTotals() {}
@@ -70,10 +70,10 @@
     /**
      * Records the time to a first token.
      *
-     * @param millis The time in milliseconds.
+     * @param micros The time in microseconds.
      */
-    void firstToken(long millis) {
-        firstToken.recordValue(Math.min(MAX_MILLIS, millis));
+    void firstToken(long micros) {
+        firstToken.recordValue(Math.min(MAX_MICROS, micros));
     }
 
     /**
@@ -124,9 +124,9 @@
     /**
      * Returns the times to the first token.
      *
-     * @return The times in milliseconds.
+     * @return The times in microseconds.
      */
-    public Histogram firstToken() {
+    public Histogram firstTokenMicros() {
         return firstToken;
     }
 }
