--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -146,6 +146,9 @@
     /** Changes the configuration. */
     private final ConfigurationApplier applier;
 
+    /** What keepers were last assigned from, or {@code null} if none were. */
+    private AssignmentInput assigned;
+
     /** The number of the last heartbeat. */
     private long heartbeats;
 
@@ -481,7 +484,7 @@
         beat();
     }
 
-    /** Assigns keepers to targets anew. */
+    /** Assigns keepers to targets anew, if targets or members changed. */
     private void reassign() {
         if (store.active().isEmpty()) {
             return;
@@ -500,6 +503,11 @@
                                 member.name(), heartbeat.incarnation(), heartbeat.failureDomain()));
             }
         }
+        AssignmentInput input = new AssignmentInput(targets, candidates, membership.names());
+        if (input.equals(assigned)) {
+            return;
+        }
+        assigned = input;
         Map<String, KeeperReference> keepers =
                 KeeperAssignment.INSTANCE.assign(targets, candidates);
         scheduler.assign(targets, keepers, membership.names());
--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -150,12 +150,22 @@
     public List<RunRecord> runs() {
         List<RunRecord> runs = new ArrayList<>();
         for (int index = 0; index < targets.size(); index++) {
-            StandinTarget target = targets.get(index);
-            runs.addAll(targetLoops.get(index).call(() -> Promise.of(target.records())));
+            runs.addAll(runsAt(index));
         }
         return runs;
     }
 
+    /**
+     * Returns what one target ran.
+     *
+     * @param index The target's index, model replicas first.
+     * @return A record for each request.
+     */
+    public List<RunRecord> runsAt(int index) {
+        StandinTarget target = targets.get(index);
+        return targetLoops.get(index).call(() -> Promise.of(target.records()));
+    }
+
     /**
      * Changes how a target misbehaves.
      *
--- a/src/main/java/org/martenwell/member/Membership.java
+++ b/src/main/java/org/martenwell/member/Membership.java
@@ -109,7 +109,7 @@
      * @return The members by name.
      */
     public Map<String, Member> others() {
-        return Map.copyOf(members);
+        return new TreeMap<>(members);
     }
 
     /**
