Number reports over all keepers and give each keeping of a target a term

A router numbered its reports anew for a keeper that came back, the keeper took them for old ones, and after the settling time counted unknown slots as free. Reading on, totals of one keeping of a target could be mixed up with those of a later one by the same keeper, which loses slots for good. Ruled out: grants in flight from the former keeper, which routers ignore. Change: reports are numbered over the router's whole life; grants and holdings carry the keeper's term, and what runs from another term is carried over.

--- a/src/main/java/org/martenwell/peer/ScheduleForms.java
+++ b/src/main/java/org/martenwell/peer/ScheduleForms.java
@@ -80,6 +80,7 @@
         writer.count(message.holdings().size());
         for (Holding holding : message.holdings()) {
             writer.name(holding.target());
+            writer.number(holding.term());
             writer.name(holding.slotClass());
             writer.number(holding.seen());
             writer.number(holding.released());
@@ -132,6 +133,7 @@
         writer.count(message.grants().size());
         for (SlotGrant grant : message.grants()) {
             writer.name(grant.target());
+            writer.number(grant.term());
             writer.name(grant.slotClass());
             writer.number(grant.total());
             writer.flag(grant.recalled());
@@ -174,7 +176,8 @@
      * @throws IOException If it ends early.
      */
     private static SlotGrant readSlotGrant(FieldReader reader) throws IOException {
-        return new SlotGrant(reader.name(), reader.name(), reader.number(), reader.flag());
+        return new SlotGrant(
+                reader.name(), reader.number(), reader.name(), reader.number(), reader.flag());
     }
 
     /**
@@ -200,6 +203,7 @@
     private static Holding readHolding(FieldReader reader) throws IOException {
         return new Holding(
                 reader.name(),
+                reader.number(),
                 reader.name(),
                 reader.number(),
                 reader.number(),
--- a/src/main/java/org/martenwell/schedule/ClassTotals.java
+++ b/src/main/java/org/martenwell/schedule/ClassTotals.java
@@ -49,11 +49,12 @@
      * Returns what a router tells that has no request running and saw nothing new.
      *
      * @param target The target.
+     * @param term The keeper's term.
      * @param slotClass The class.
      * @return The holding.
      */
-    Holding idle(String target, String slotClass) {
-        return new Holding(target, slotClass, seen, released, 0, 0);
+    Holding idle(String target, long term, String slotClass) {
+        return new Holding(target, term, slotClass, seen, released, 0, 0);
     }
 
     /**
--- a/src/main/java/org/martenwell/schedule/HeldShare.java
+++ b/src/main/java/org/martenwell/schedule/HeldShare.java
@@ -19,6 +19,9 @@
     /** The requests that run in these slots, by organisation. */
     private final Map<String, Integer> running = new HashMap<>();
 
+    /** The keeper's term that the totals belong to, 0 until the keeper told it. */
+    private long term;
+
     /** {@code true} while lent slots are to be given back at once. */
     private boolean recalled;
 
@@ -51,6 +54,39 @@
         return keeper;
     }
 
+    /**
+     * Returns the keeper's term that the totals belong to.
+     *
+     * @return The term, 0 until the keeper told it.
+     */
+    long term() {
+        return term;
+    }
+
+    /**
+     * Starts anew in a later term of the keeper. Requests that run go on and are carried over.
+     *
+     * @param later The term.
+     */
+    void restart(long later) {
+        term = later;
+        classes.clear();
+        running.clear();
+        recalled = false;
+    }
+
+    /**
+     * Takes back the slot of a request that ended.
+     *
+     * @param slot The slot.
+     */
+    void finish(Slot slot) {
+        if (slot.term() == term) {
+            addRunning(slot.organisation(), -1);
+            totals(slot.slotClass()).release();
+        }
+    }
+
     /**
      * Returns the totals of a class.
      *
--- a/src/main/java/org/martenwell/schedule/Keeper.java
+++ b/src/main/java/org/martenwell/schedule/Keeper.java
@@ -59,7 +59,10 @@
     private final Map<String, Map<GrantKey, SlotGrant>> outgoing = new LinkedHashMap<>();
 
     /** The terms of contracts. */
-    private OrganisationTerms terms = EqualTerms.INSTANCE;
+    private OrganisationTerms contracts = EqualTerms.INSTANCE;
+
+    /** How often this keeper has begun to keep a target. */
+    private long terms;
 
     /** The routers that are members, this one included. */
     private Set<String> members = Set.of();
@@ -92,7 +95,7 @@
      * @param changed The terms.
      */
     public void terms(OrganisationTerms changed) {
-        terms = changed;
+        contracts = changed;
     }
 
     /**
@@ -108,7 +111,9 @@
             names.add(target.name());
             KeptTarget known = targets.get(target.name());
             if (known == null) {
-                targets.put(target.name(), new KeptTarget(target, now + parameters.settleMillis()));
+                targets.put(
+                        target.name(),
+                        new KeptTarget(target, nextTerm(), now + parameters.settleMillis()));
                 asked.addAll(routers);
             } else {
                 known.reconfigure(target);
@@ -127,6 +132,16 @@
         members = Set.copyOf(routers);
     }
 
+    /**
+     * Begins a term.
+     *
+     * @return The term's number.
+     */
+    private long nextTerm() {
+        terms++;
+        return terms;
+    }
+
     /**
      * Says whether a target takes new work.
      *
@@ -329,7 +344,7 @@
         }
         for (String slotClass : List.copyOf(share.classes().keySet())) {
             if (!listed.contains(slotClass)) {
-                Holding idle = share.totals(slotClass).idle(target, slotClass);
+                Holding idle = share.totals(slotClass).idle(target, kept.term(), slotClass);
                 receiveHolding(kept, report, idle);
             }
         }
@@ -341,10 +356,11 @@
      *
      * @param kept The target.
      * @param report The report.
-     * @param holding What the router told.
+     * @param told What the router told.
      * @return How many slots came back.
      */
-    private int receiveHolding(KeptTarget kept, SlotReport report, Holding holding) {
+    private int receiveHolding(KeptTarget kept, SlotReport report, Holding told) {
+        Holding holding = told.term() == kept.term() ? told : told.carriedOver();
         RouterShare share = kept.share(report.router(), report.incarnation());
         ClassTotals totals = share.totals(holding.slotClass());
         int unseenBefore = totals.unseen();
@@ -392,7 +408,7 @@
         List<QueueKey> contenders = new ArrayList<>();
         for (QueueKey key : demands.backlogged(kept.target().pools())) {
             String organisation = key.organisation();
-            boolean allowed = counters.inUse(organisation) < terms.maxConcurrent(organisation);
+            boolean allowed = counters.inUse(organisation) < contracts.maxConcurrent(organisation);
             if (allowed && demands.mostUrgent(key, this::unseen).isPresent()) {
                 contenders.add(key);
             }
@@ -443,7 +459,7 @@
                         * parameters.slotRate()
                         * parameters.horizonMillis()
                         / 1000.0;
-        return counters.total(organisation) + soon / terms.weight(organisation);
+        return counters.total(organisation) + soon / contracts.weight(organisation);
     }
 
     /**
@@ -563,7 +579,7 @@
         outgoing.computeIfAbsent(router, key -> new LinkedHashMap<>())
                 .put(
                         new GrantKey(target, slotClass),
-                        new SlotGrant(target, slotClass, totals.granted(), recalled));
+                        new SlotGrant(target, kept.term(), slotClass, totals.granted(), recalled));
     }
 
     /**
--- a/src/main/java/org/martenwell/schedule/KeeperLink.java
+++ b/src/main/java/org/martenwell/schedule/KeeperLink.java
@@ -26,9 +26,6 @@
     /** When the last complete report was made. */
     private long completedAt;
 
-    /** The number of the last report. */
-    private long sequence;
-
     /** Creates a link over which nothing was told. */
     KeeperLink() {}
 
@@ -141,14 +138,4 @@
     void tell(QueueKey key, ToldDemand demand) {
         told.put(key, demand);
     }
-
-    /**
-     * Returns the number of the next report.
-     *
-     * @return The number.
-     */
-    long nextSequence() {
-        sequence++;
-        return sequence;
-    }
 }
--- a/src/main/java/org/martenwell/schedule/KeptTarget.java
+++ b/src/main/java/org/martenwell/schedule/KeptTarget.java
@@ -17,6 +17,9 @@
     /** The target's configuration. */
     private Target target;
 
+    /** The keeper's term for this target. */
+    private final long term;
+
     /** Until when slots of routers that have not told theirs count as taken. */
     private final long settleUntil;
 
@@ -36,13 +39,24 @@
      * Creates an account.
      *
      * @param target The target's configuration.
+     * @param term The keeper's term for this target.
      * @param settleUntil Until when slots of routers that have not told theirs count as taken.
      */
-    KeptTarget(Target target, long settleUntil) {
+    KeptTarget(Target target, long term, long settleUntil) {
         this.target = target;
+        this.term = term;
         this.settleUntil = settleUntil;
     }
 
+    /**
+     * Returns the keeper's term for this target.
+     *
+     * @return The term.
+     */
+    long term() {
+        return term;
+    }
+
     /**
      * Returns the target's configuration.
      *
--- a/src/main/java/org/martenwell/schedule/RouterSlots.java
+++ b/src/main/java/org/martenwell/schedule/RouterSlots.java
@@ -57,6 +57,11 @@
     /** The targets of each pool. */
     private Map<Pool, List<Target>> pools = Map.of();
 
+    /**
+     * The number of the last report, to whichever keeper, so that it grows whoever keeps a target.
+     */
+    private long sequence;
+
     /** The number of requests that wait. */
     private int waiting;
 
@@ -229,8 +234,7 @@
         GrantKey use = new GrantKey(target, slot.organisation());
         running.merge(use, -1, Integer::sum);
         runningAt.merge(target, -1, Integer::sum);
-        share.addRunning(slot.organisation(), -1);
-        share.totals(slot.slotClass()).release();
+        share.finish(slot);
         if (failed) {
             failures.merge(target, 1L, Long::sum);
         }
@@ -333,6 +337,12 @@
      * @param assignments Receives the requests that got slots.
      */
     private void receive(HeldShare share, SlotGrant grant, List<Assignment> assignments) {
+        if (grant.term() > share.term()) {
+            share.restart(grant.term());
+        }
+        if (grant.term() < share.term()) {
+            return;
+        }
         HeldTotals totals = share.totals(grant.slotClass());
         int fresh = totals.receive(grant.total());
         if (closed.contains(grant.target())) {
@@ -450,7 +460,8 @@
         running.merge(new GrantKey(target, organisation), 1, Integer::sum);
         runningAt.merge(target, 1, Integer::sum);
         slotChanged(share, organisation);
-        return new Assignment(request, new Slot(share, slotClass, organisation), reason);
+        return new Assignment(
+                request, new Slot(share, share.term(), slotClass, organisation), reason);
     }
 
     /**
@@ -532,7 +543,7 @@
                 }
             }
         }
-        return report(keeper, link, true, demands, holdings, counts);
+        return report(keeper, true, demands, holdings, counts);
     }
 
     /**
@@ -583,14 +594,13 @@
         if (demands.isEmpty() && holdings.isEmpty() && counts.isEmpty()) {
             return Optional.empty();
         }
-        return Optional.of(report(keeper, link, false, demands, holdings, counts));
+        return Optional.of(report(keeper, false, demands, holdings, counts));
     }
 
     /**
      * Builds a report.
      *
      * @param keeper The keeper.
-     * @param link What it was told.
      * @param complete {@code true} if the report lists everything.
      * @param demands The queues.
      * @param holdings The slots.
@@ -599,16 +609,16 @@
      */
     private SlotReport report(
             KeeperReference keeper,
-            KeeperLink link,
             boolean complete,
             List<Demand> demands,
             List<Holding> holdings,
             List<FailureCount> counts) {
+        sequence++;
         return new SlotReport(
                 name,
                 incarnation,
                 keeper.incarnation(),
-                link.nextSequence(),
+                sequence,
                 complete,
                 demands,
                 holdings,
@@ -665,11 +675,17 @@
         HeldShare share = shares.get(key.target());
         int runs = running.getOrDefault(key, 0);
         if (share == null) {
-            return new Holding(key.target(), key.slotClass(), 0, 0, runs, runs);
+            return new Holding(key.target(), 0, key.slotClass(), 0, 0, runs, runs);
         }
         HeldTotals totals = share.classes().getOrDefault(key.slotClass(), new HeldTotals());
         int carried = runs - share.running(key.slotClass());
         return new Holding(
-                key.target(), key.slotClass(), totals.seen(), totals.released(), runs, carried);
+                key.target(),
+                share.term(),
+                key.slotClass(),
+                totals.seen(),
+                totals.released(),
+                runs,
+                carried);
     }
 }
--- a/src/main/java/org/martenwell/schedule/Slot.java
+++ b/src/main/java/org/martenwell/schedule/Slot.java
@@ -8,6 +8,9 @@
     /** The account that the slot belongs to. */
     private final HeldShare share;
 
+    /** The keeper's term in which it was granted. */
+    private final long term;
+
     /** The class of the slot. */
     private final String slotClass;
 
@@ -21,11 +24,13 @@
      * Creates a slot in use.
      *
      * @param share The account that the slot belongs to.
+     * @param term The keeper's term in which it was granted.
      * @param slotClass The class of the slot.
      * @param organisation The organisation that uses it.
      */
-    Slot(HeldShare share, String slotClass, String organisation) {
+    Slot(HeldShare share, long term, String slotClass, String organisation) {
         this.share = share;
+        this.term = term;
         this.slotClass = slotClass;
         this.organisation = organisation;
     }
@@ -66,6 +71,15 @@
         return share;
     }
 
+    /**
+     * Returns the keeper's term in which it was granted.
+     *
+     * @return The term.
+     */
+    long term() {
+        return term;
+    }
+
     /**
      * Returns the class of the slot.
      *
--- a/src/test/java/org/martenwell/measure/SlopeMeasurement.java
+++ b/src/test/java/org/martenwell/measure/SlopeMeasurement.java
@@ -77,7 +77,7 @@
         List<Holding> holdings = new ArrayList<>();
         for (int index = 0; index < organisations / 10; index++) {
             demands.add(new Demand(Pool.ofModel("model"), name(index), 8, 4_000));
-            holdings.add(new Holding("target-1", name(index), 70_000, 69_000, 9, 0));
+            holdings.add(new Holding("target-1", 1, name(index), 70_000, 69_000, 9, 0));
         }
         message(
                 "slot report",
@@ -99,7 +99,7 @@
                         1L << 40,
                         1L << 40,
                         false,
-                        List.of(new SlotGrant("target-1", name(1), 70_000, false))));
+                        List.of(new SlotGrant("target-1", 1, name(1), 70_000, false))));
         message(
                 "heartbeat",
                 organisations,
@@ -175,7 +175,15 @@
                     Map.Entry<String, Long> any = totals.entrySet().iterator().next();
                     List<Holding> back = new ArrayList<>();
                     String[] parts = any.getKey().split("/", -1);
-                    back.add(new Holding(parts[0], parts[1], any.getValue(), any.getValue(), 0, 0));
+                    back.add(
+                            new Holding(
+                                    parts[0],
+                                    Long.parseLong(parts[1]),
+                                    parts[2],
+                                    any.getValue(),
+                                    any.getValue(),
+                                    0,
+                                    0));
                     keeper.receive(
                             new SlotReport(
                                     "router-1", 1, 1, sequence[0], false, demands, back, List.of()),
@@ -187,7 +195,9 @@
     private static void keep(Map<String, Long> totals, Map<String, SlotGrants> messages) {
         for (SlotGrants message : messages.values()) {
             for (SlotGrant grant : message.grants()) {
-                totals.put(grant.target() + "/" + grant.slotClass(), grant.total());
+                totals.put(
+                        grant.target() + "/" + grant.term() + "/" + grant.slotClass(),
+                        grant.total());
             }
         }
     }
--- a/src/test/java/org/martenwell/peer/MessageFormsTest.java
+++ b/src/test/java/org/martenwell/peer/MessageFormsTest.java
@@ -93,7 +93,7 @@
                 Combinators.combine(names, names, counts, Arbitraries.longs())
                         .as((pool, name, n, u) -> new Demand(Pool.ofService(pool), name, n, u));
         Arbitrary<Holding> holdings =
-                Combinators.combine(names, names, numbers, numbers, counts, counts)
+                Combinators.combine(names, numbers, names, numbers, numbers, counts, counts)
                         .as(Holding::new);
         Arbitrary<FailureCount> failures =
                 Combinators.combine(names, numbers).as(FailureCount::new);
@@ -109,7 +109,7 @@
                                 failures.list().ofMaxSize(3))
                         .as(SlotReport::new);
         Arbitrary<SlotGrant> grants =
-                Combinators.combine(names, names, numbers, flags).as(SlotGrant::new);
+                Combinators.combine(names, numbers, names, numbers, flags).as(SlotGrant::new);
         Arbitrary<PeerMessage> slotGrants =
                 Combinators.combine(names, numbers, numbers, flags, grants.list().ofMaxSize(4))
                         .as(SlotGrants::new);
--- a/src/test/java/org/martenwell/schedule/FleetTrialScheduler.java
+++ b/src/test/java/org/martenwell/schedule/FleetTrialScheduler.java
@@ -29,6 +29,7 @@
                                     : Long.compare(one.at, two.at));
     private final List<Node> nodes = new ArrayList<>();
     private final SchedulingParameters parameters;
+    private final Set<Integer> dead = new HashSet<>();
     private final List<TrialStart> starts = new ArrayList<>();
     private long order;
     private long incarnation = 1;
@@ -66,6 +67,12 @@
         }
     }
 
+    /** Ends a router's process. */
+    void kill(int index) {
+        dead.add(index);
+        assign(dead);
+    }
+
     /** Restarts a router without memory; what ran through it is gone. */
     void restart(int index) {
         incarnation++;
@@ -87,6 +94,9 @@
 
     @Override
     public void arrived(int router, WaitingRequest request, long time) {
+        if (dead.contains(router)) {
+            return;
+        }
         RouterSlots slots = nodes.get(router).slots;
         slots.takeLent(request)
                 .ifPresentOrElse(
@@ -110,7 +120,9 @@
             messages.poll().action.run();
         }
         for (Node node : nodes) {
-            node.exchange();
+            if (!dead.contains(node.index)) {
+                node.exchange();
+            }
         }
         if (now % network.countersMillis() == 0) {
             nodes.forEach(Node::shareCounters);
@@ -146,7 +158,13 @@
                     new Message(
                             now + network.delayMillis() + jitter,
                             order,
-                            () -> action.accept(nodes.get(to))));
+                            () -> deliver(to, action)));
+        }
+    }
+
+    private void deliver(int to, Consumer<Node> action) {
+        if (!dead.contains(to)) {
+            action.accept(nodes.get(to));
         }
     }
 
--- a/src/test/java/org/martenwell/schedule/Trial.java
+++ b/src/test/java/org/martenwell/schedule/Trial.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.LongConsumer;
 
 /**
  * Drives one way to schedule with always-backlogged organisations whose costs are log-normal and
@@ -25,6 +26,7 @@
     private final TrialScheduler scheduler;
     private final Random random;
     private final Map<String, Integer> waiting = new HashMap<>();
+    private final Map<Integer, Map<String, Integer>> waitingAt = new HashMap<>();
     private final Map<String, Double> delivered = new TreeMap<>();
     private final List<Running> running = new ArrayList<>();
     private final Map<String, Integer> runningAt = new HashMap<>();
@@ -40,12 +42,18 @@
 
     /** Runs for some seconds after a warm-up of some seconds. */
     TrialResult run(int warmUpSeconds, int seconds) {
+        return run(warmUpSeconds, seconds, now -> {});
+    }
+
+    /** Runs and does something at the start of each step. */
+    TrialResult run(int warmUpSeconds, int seconds, LongConsumer atStep) {
         double gap = 0;
         double used = 0;
         long steps = 0;
         Map<String, Double> start = null;
         long from = warmUpSeconds * 1_000L;
         for (long now = 0; now < from + seconds * 1_000L; now += STEP_MILLIS) {
+            atStep.accept(now);
             step(now);
             if (now >= from) {
                 start = start == null ? Map.copyOf(delivered) : start;
@@ -57,6 +65,23 @@
         return new TrialResult(gap, used / steps / site.slots(), overCommitted, delivered);
     }
 
+    /** Ends what runs and waits at a router, because its process ended. */
+    void dropRouter(int router) {
+        for (Running each : List.copyOf(running)) {
+            if (each.start.router() == router) {
+                running.remove(each);
+                runningAt.merge(each.start.target(), -1, Integer::sum);
+            }
+        }
+        for (Map.Entry<Integer, Map<String, Integer>> entry : waitingAt.entrySet()) {
+            if (entry.getKey() == router) {
+                entry.getValue()
+                        .forEach((name, count) -> waiting.merge(name, -count, Integer::sum));
+                entry.getValue().clear();
+            }
+        }
+    }
+
     private double gapSince(Map<String, Double> start) {
         double least = Double.POSITIVE_INFINITY;
         double most = Double.NEGATIVE_INFINITY;
@@ -72,6 +97,7 @@
         arrive(now);
         for (TrialStart start : scheduler.step(now)) {
             waiting.merge(start.request().organisation(), -1, Integer::sum);
+            waitingAt.get(start.router()).merge(start.request().organisation(), -1, Integer::sum);
             running.add(new Running(start, cost()));
             int count = runningAt.merge(start.target(), 1, Integer::sum);
             overCommitted = Math.max(overCommitted, count - site.targets().get(0).slots());
@@ -99,7 +125,11 @@
                 waiting.merge(organisation, 1, Integer::sum);
                 WaitingRequest request =
                         new WaitingRequest(number, TrialSite.POOL, organisation, 0, 0, now, 1);
-                scheduler.arrived(routers.get((int) (number % routers.size())), request, now);
+                int router = routers.get((int) (number % routers.size()));
+                waitingAt
+                        .computeIfAbsent(router, key -> new HashMap<>())
+                        .merge(organisation, 1, Integer::sum);
+                scheduler.arrived(router, request, now);
             }
         }
     }
