--- a/src/main/java/org/martenwell/router/StreamRelay.java
+++ b/src/main/java/org/martenwell/router/StreamRelay.java
@@ -53,7 +53,7 @@
     /** The id of the last whole event passed on. */
     private Optional<String> lastId = Optional.empty();
 
-    /** How often the stream was resumed since the last whole event. */
+    /** How often the stream was resumed since the last event that carried data. */
     private int resumes;
 
     /** {@code true} once the end marker or an error event was passed on. */
@@ -114,7 +114,7 @@
         if (batch.bytes().isEmpty()) {
             return doGet();
         }
-        resumes = 0;
+        resumes = batch.count() > 0 ? 0 : resumes;
         lastId = batch.lastId().or(() -> lastId);
         listener.events(batch.count());
         if (batch.ended()) {
