Run requests with an idempotency key at most once over the fleet

Cause: a caller that repeated a doorstep confirmation after an unknown outcome could have it run twice, through another router. Change: claims in ledger objects on the platform, in conditional updates that carry all claims waiting at a router; whatever fails is settled by reading; answers are kept for repeats; keys are UUIDs of version 7 with a window of two minutes. Conclusion: at most once holds; at 500 claims a second one router has to commit for all, which is not built yet.

--- a/src/main/java/org/martenwell/caller/ServiceEndpoint.java
+++ b/src/main/java/org/martenwell/caller/ServiceEndpoint.java
@@ -3,6 +3,8 @@
 import io.activej.bytebuf.ByteBuf;
 import io.activej.http.HttpRequest;
 import io.activej.promise.Promise;
+import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.martenwell.configuration.ActiveConfiguration;
 import org.martenwell.configuration.Organisation;
 import org.martenwell.configuration.Pool;
@@ -10,6 +12,8 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HeaderFields;
+import org.martenwell.once.IdempotencyKey;
+import org.martenwell.router.OnceGuard;
 import org.martenwell.router.RequestDispatcher;
 import org.martenwell.router.RoutedAnswer;
 import org.martenwell.router.RoutedRequest;
@@ -24,9 +28,18 @@
     /** Decides who may send what. */
     private final RequestAdmission admission;
 
+    /** Names the caller's key of a request that must not run twice. */
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+
     /** Brings requests to targets. */
     private final RequestDispatcher dispatcher;
 
+    /** Lets requests with a key run at most once. */
+    private final OnceGuard guard;
+
+    /** Gives the time. */
+    private final LongSupplier clock;
+
     /** The largest body, in bytes. */
     private final int maxBodyBytes;
 
@@ -35,10 +48,18 @@
      *
      * @param admission Decides who may send what.
      * @param dispatcher Brings requests to targets.
+     * @param guard Lets requests with a key run at most once.
+     * @param clock Gives the time.
      * @param maxBodyBytes The largest body, in bytes.
      */
     public ServiceEndpoint(
-            RequestAdmission admission, RequestDispatcher dispatcher, int maxBodyBytes) {
+            RequestAdmission admission,
+            RequestDispatcher dispatcher,
+            OnceGuard guard,
+            LongSupplier clock,
+            int maxBodyBytes) {
+        this.guard = guard;
+        this.clock = clock;
         this.admission = admission;
         this.dispatcher = dispatcher;
         this.maxBodyBytes = maxBodyBytes;
@@ -119,7 +140,7 @@
                         priority,
                         service.repeatability().allows(method),
                         service.timeoutMillis());
-        return dispatcher.dispatch(
+        RoutedRequest routed =
                 new RoutedRequest(
                         message,
                         organisation,
@@ -128,6 +149,11 @@
                         0,
                         false,
                         0,
-                        service.costPerSecond()));
+                        service.costPerSecond());
+        Optional<IdempotencyKey> key =
+                HeaderFields.find(request, IDEMPOTENCY_KEY)
+                        .filter(any -> !message.repeatable())
+                        .map(text -> IdempotencyKey.of(text, clock.getAsLong()));
+        return key.isPresent() ? guard.dispatch(routed, key.get()) : dispatcher.dispatch(routed);
     }
 }
--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -39,6 +39,7 @@
 import org.martenwell.member.WatcherSelection;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.observe.LogEvent;
+import org.martenwell.once.ClaimLedger;
 import org.martenwell.operator.OperatedRouter;
 import org.martenwell.operator.OperatorServlet;
 import org.martenwell.peer.ConfigurationAnswer;
@@ -57,6 +58,7 @@
 import org.martenwell.router.DrainReport;
 import org.martenwell.router.FleetScheduler;
 import org.martenwell.router.MessageSender;
+import org.martenwell.router.OnceGuard;
 import org.martenwell.router.PlatformFollower;
 import org.martenwell.router.Readiness;
 import org.martenwell.router.RequestDispatcher;
@@ -128,6 +130,9 @@
     /** Brings requests to targets. */
     private final RequestDispatcher dispatcher;
 
+    /** The claims of requests that must not run twice. */
+    private final ClaimLedger ledger;
+
     /** Decides whether requests are taken. */
     private final Readiness readiness;
 
@@ -192,6 +197,7 @@
         dispatcher =
                 new RequestDispatcher(
                         reactor, settings.name(), scheduler, connector, control, monitor, metrics);
+        ledger = new ClaimLedger(platform, reactor::currentTimeMillis, random);
         applier = new ConfigurationApplier(reactor, settings.name(), platform, store, membership);
         callerServer = callerServer(limits, control);
         operatorServer =
@@ -371,7 +377,12 @@
                 new CallerServlet(
                         new RequestChecker(limits.maxBodyBytes()),
                         new ModelEndpoint(admission, dispatcher, limits.maxBodyBytes()),
-                        new ServiceEndpoint(admission, dispatcher, limits.maxBodyBytes()),
+                        new ServiceEndpoint(
+                                admission,
+                                dispatcher,
+                                new OnceGuard(ledger, dispatcher),
+                                reactor::currentTimeMillis,
+                                limits.maxBodyBytes()),
                         metrics);
         return HttpServer.builder(reactor, servlet)
                 .withListenAddress(IpAddress.of(settings.callerAddress()))
--- a/src/main/java/org/martenwell/demo/DemoSite.java
+++ b/src/main/java/org/martenwell/demo/DemoSite.java
@@ -32,6 +32,9 @@
     /** The plain service. */
     public static final String SERVICE = "alarms";
 
+    /** The plain service whose requests must not run twice. */
+    public static final String LOCK = "batch-lock";
+
     /** How many model replicas there are. */
     static final int REPLICAS = 8;
 
@@ -117,7 +120,7 @@
                             (model ? "engine-" : "application-") + index,
                             addresses.get(index),
                             model ? PoolKind.MODEL : PoolKind.SERVICE,
-                            List.of(model ? MODEL : SERVICE),
+                            model ? List.of(MODEL) : List.of(SERVICE, LOCK),
                             model ? SLOTS : APPLICATION_SLOTS,
                             tokensPerSecond,
                             medianTokens,
@@ -138,7 +141,9 @@
     public FleetConfiguration configuration(List<TargetSettings> targets) {
         return new FleetConfiguration(
                 List.of(new Model(MODEL, 1)),
-                List.of(new Service(SERVICE, Repeatability.BY_METHOD, 5_000, 36)),
+                List.of(
+                        new Service(SERVICE, Repeatability.BY_METHOD, 5_000, 36),
+                        new Service(LOCK, Repeatability.NEVER, 5_000, 36)),
                 List.of(new Contract("standard", "everyone", 1, 1_000, 1_000, 1_000, 200, 30_000)),
                 List.of(new Policy("everyone", policy)),
                 organisations(),
--- a/src/main/java/org/martenwell/error/ErrorKind.java
+++ b/src/main/java/org/martenwell/error/ErrorKind.java
@@ -81,6 +81,18 @@
     /** The object changed since the version that the update was based on. */
     VERSION_CONFLICT(409, Outcome.NOT_RUN, Repeat.NEVER, 73),
 
+    /** The idempotency key is too old, so whether a request with it ran is not known any more. */
+    KEY_EXPIRED(400, Outcome.UNKNOWN, Repeat.NEVER, 65),
+
+    /** The platform did not take the claim of a request that must not be repeated. */
+    CLAIM_UNAVAILABLE(503, Outcome.NOT_RUN, Repeat.LATER, 69),
+
+    /** An earlier request with the same key runs now or was cut off. */
+    CLAIM_IN_FLIGHT(409, Outcome.UNKNOWN, Repeat.LATER, 75),
+
+    /** An earlier request with the same key ran. */
+    ALREADY_RAN(409, Outcome.RAN, Repeat.NEVER, 73),
+
     /** A settings or configuration file has problems. */
     INVALID_DOCUMENT(422, Outcome.NOT_RUN, Repeat.NEVER, 78),
 
--- /dev/null
+++ b/src/main/java/org/martenwell/once/AnswerOperation.java
@@ -0,0 +1,27 @@
+package org.martenwell.once;
+
+import java.util.Optional;
+
+/**
+ * Records that a claimed request ran.
+ *
+ * @param key The key.
+ * @param requestId The request that claimed it.
+ * @param answer The answer.
+ */
+record AnswerOperation(String key, String requestId, KeptAnswer answer) implements LedgerOperation {
+
+    @Override
+    public void apply(LedgerPage page) {
+        page.findOf(key, requestId)
+                .ifPresent(
+                        claim ->
+                                page.put(
+                                        new Claim(
+                                                key,
+                                                requestId,
+                                                claim.keyMillis(),
+                                                ClaimState.RAN,
+                                                Optional.of(answer).filter(KeptAnswer::fits))));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/once/FakePlatform.java
@@ -0,0 +1,94 @@
+package org.martenwell.once;
+
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.platform.Box;
+import org.martenwell.platform.Platform;
+import org.martenwell.platform.StoredObject;
+
+/** Objects in memory behind calls that take time, fail, and lose replies after they took effect. */
+final class FakePlatform implements Platform {
+
+    private final Map<String, StoredObject> objects = new HashMap<>();
+    private final Random random;
+    private final double failing;
+    private final double losing;
+    private final boolean fenced;
+    private long version;
+    private long writes;
+
+    /** Calls fail and replies get lost with these shares; without a fence, versions are ignored. */
+    FakePlatform(long seed, double failing, double losing, boolean fenced) {
+        this.random = new Random(seed);
+        this.failing = failing;
+        this.losing = losing;
+        this.fenced = fenced;
+    }
+
+    @Override
+    public Promise<Optional<StoredObject>> read(String kind, String name) {
+        return later().map(any -> Optional.ofNullable(objects.get(name)));
+    }
+
+    @Override
+    public Promise<StoredObject> create(String kind, String name, byte[] value) {
+        return write(kind, name, value, 0);
+    }
+
+    @Override
+    public Promise<StoredObject> update(String kind, String name, byte[] value, long expected) {
+        return write(kind, name, value, expected);
+    }
+
+    private Promise<StoredObject> write(String kind, String name, byte[] value, long expected) {
+        return later().map(
+                        any -> {
+                            long current =
+                                    Optional.ofNullable(objects.get(name))
+                                            .map(StoredObject::version)
+                                            .orElse(0L);
+                            if (fenced && current != expected) {
+                                throw MartenwellException.of(ErrorKind.VERSION_CONFLICT, "");
+                            }
+                            version++;
+                            writes++;
+                            StoredObject stored = new StoredObject(kind, name, version, value);
+                            objects.put(name, stored);
+                            return stored;
+                        })
+                .then(stored -> random.nextDouble() < losing ? failed() : Promise.of(stored));
+    }
+
+    private Promise<Void> later() {
+        return Promises.delay(Duration.ofMillis(random.nextInt(4)))
+                .then(() -> random.nextDouble() < failing ? failed() : Promise.complete());
+    }
+
+    private static <T> Promise<T> failed() {
+        return Promise.ofException(
+                MartenwellException.of(ErrorKind.PLATFORM_UNAVAILABLE, "No reply."));
+    }
+
+    @Override
+    public Promise<List<StoredObject>> watch(String kind, long after, long waitMillis) {
+        return failed();
+    }
+
+    @Override
+    public Promise<List<Box>> boxes() {
+        return failed();
+    }
+
+    @Override
+    public long calls() {
+        return writes;
+    }
+}
