Keep the package for targets, which the ignore file hid; split the router's slots

Queues, held slots and reports to keepers are types of their own; what RouterSlots does is unchanged.

--- a/src/main/java/org/martenwell/schedule/QueueKey.java
+++ b/src/main/java/org/martenwell/schedule/QueueKey.java
@@ -8,4 +8,15 @@
  * @param pool The pool that its requests wait for.
  * @param organisation The organisation that they belong to.
  */
-record QueueKey(Pool pool, String organisation) {}
+record QueueKey(Pool pool, String organisation) {
+
+    /**
+     * Returns the queue of a request.
+     *
+     * @param request The request.
+     * @return The queue.
+     */
+    static QueueKey of(WaitingRequest request) {
+        return new QueueKey(request.pool(), request.organisation());
+    }
+}
--- a/src/main/java/org/martenwell/schedule/ToldDemand.java
+++ b/src/main/java/org/martenwell/schedule/ToldDemand.java
@@ -22,4 +22,16 @@
         boolean moved = Math.abs(current.urgentSince - urgentSince) > headChangeMillis;
         return waiting != current.waiting || (current.waiting > 0 && moved);
     }
+
+    /**
+     * Builds the message about a queue.
+     *
+     * @param key The queue.
+     * @param now The time.
+     * @return The message.
+     */
+    Demand message(QueueKey key, long now) {
+        long urgency = waiting == 0 ? 0 : now - urgentSince;
+        return new Demand(key.pool(), key.organisation(), waiting, urgency);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/martenwell/target/package-info.java
@@ -0,0 +1,2 @@
+/** Targets, behind an interface that hides their wire form. */
+package org.martenwell.target;
