Pass over targets without a free slot, and do not look twice at contenders

Cause: each report made a keeper rank the contenders of all its targets, twice for each grant, although most have no free slot. Change: a full target with nothing lent is passed over; a router's slots are counted as they change instead of summed up.

--- a/src/main/java/org/martenwell/schedule/Keeper.java
+++ b/src/main/java/org/martenwell/schedule/Keeper.java
@@ -379,7 +379,9 @@
      */
     private void decide(KeptTarget kept, long now) {
         int offered = kept.offered(now);
-        if (!kept.settled(members, now)) {
+        boolean full = offered > 0 && kept.taken() >= offered + parameters.grantsAhead();
+        boolean nothingToDo = full && kept.lent() == 0;
+        if (nothingToDo || !kept.settled(members, now)) {
             return;
         }
         List<QueueKey> contenders = contenders(kept);
@@ -389,8 +391,8 @@
         int ahead = contenders.isEmpty() || kept.onTrial() ? 0 : parameters.grantsAhead();
         int free = offered == 0 ? 0 : offered + ahead - kept.taken();
         while (free > 0 && !contenders.isEmpty()) {
-            grantLeastServed(kept, contenders, now);
-            contenders = contenders(kept);
+            String organisation = grantLeastServed(kept, contenders, now).organisation();
+            contenders.removeIf(key -> key.organisation().equals(organisation) && !contends(key));
             free--;
         }
         if (contenders.isEmpty() && !kept.onTrial()) {
@@ -407,23 +409,34 @@
     private List<QueueKey> contenders(KeptTarget kept) {
         List<QueueKey> contenders = new ArrayList<>();
         for (QueueKey key : demands.backlogged(kept.target().pools())) {
-            String organisation = key.organisation();
-            boolean allowed = counters.inUse(organisation) < contracts.maxConcurrent(organisation);
-            if (allowed && demands.mostUrgent(key, this::unseen).isPresent()) {
+            if (contends(key)) {
                 contenders.add(key);
             }
         }
         return contenders;
     }
 
+    /**
+     * Returns whether a queue has a request for which no grant is under way, within its ceiling.
+     *
+     * @param key The queue.
+     * @return {@code true} if it has.
+     */
+    private boolean contends(QueueKey key) {
+        String organisation = key.organisation();
+        return counters.inUse(organisation) < contracts.maxConcurrent(organisation)
+                && demands.mostUrgent(key, this::unseen).isPresent();
+    }
+
     /**
      * Grants a slot to the organisation of the least rank.
      *
      * @param kept The target.
      * @param contenders The queues to choose from.
      * @param now The time.
+     * @return The queue that was granted the slot.
      */
-    private void grantLeastServed(KeptTarget kept, List<QueueKey> contenders, long now) {
+    private QueueKey grantLeastServed(KeptTarget kept, List<QueueKey> contenders, long now) {
         QueueKey chosen = null;
         double leastRank = Double.POSITIVE_INFINITY;
         double leastService = Double.POSITIVE_INFINITY;
@@ -445,6 +458,7 @@
                         router,
                         leastRank,
                         contenders.size()));
+        return chosen;
     }
 
     /**
@@ -473,7 +487,7 @@
     private void grant(KeptTarget kept, String router, String slotClass, long now) {
         RouterShare share = kept.share(router, incarnations.getOrDefault(router, 0L));
         ClassTotals totals = share.totals(slotClass);
-        totals.grant();
+        share.grant(totals);
         totals.sent(now);
         addUnseen(router, slotClass, 1);
         changeInUse(slotClass, 1);
--- a/src/main/java/org/martenwell/schedule/KeptTarget.java
+++ b/src/main/java/org/martenwell/schedule/KeptTarget.java
@@ -202,15 +202,14 @@
     }
 
     /**
-     * Returns how many slots an organisation takes.
+     * Returns how many slots are lent to routers.
      *
-     * @param organisation The organisation.
      * @return The number of slots.
      */
-    int taken(String organisation) {
+    int lent() {
         int sum = 0;
         for (RouterShare share : shares.values()) {
-            sum += share.taken(organisation);
+            sum += share.totals(SlotClass.ANY).outstanding();
         }
         return sum;
     }
--- a/src/main/java/org/martenwell/schedule/RouterShare.java
+++ b/src/main/java/org/martenwell/schedule/RouterShare.java
@@ -18,6 +18,9 @@
     /** The requests that run in slots of an earlier keeper, by organisation. */
     private final Map<String, Integer> carried = new HashMap<>();
 
+    /** How many of the target's slots the router takes, over all classes. */
+    private int taken;
+
     /** How many slots the router gave back lately; it falls by half now and then. */
     private double recentUse;
 
@@ -75,6 +78,8 @@
         int before = totals.outstanding();
         totals.receive(holding);
         int back = before - totals.outstanding();
+        int carriedBefore = carried.getOrDefault(holding.slotClass(), 0);
+        taken += holding.carried() - carriedBefore - back;
         recentUse += back;
         running.put(holding.slotClass(), holding.running());
         carried.put(holding.slotClass(), holding.carried());
@@ -107,20 +112,23 @@
         return known;
     }
 
+    /**
+     * Grants one slot.
+     *
+     * @param totals The totals of its class.
+     */
+    void grant(ClassTotals totals) {
+        totals.grant();
+        taken++;
+    }
+
     /**
      * Returns how many of the target's slots this router takes.
      *
      * @return The number of slots.
      */
     int taken() {
-        int sum = 0;
-        for (ClassTotals totals : classes.values()) {
-            sum += totals.outstanding();
-        }
-        for (int count : carried.values()) {
-            sum += count;
-        }
-        return sum;
+        return taken;
     }
 
     /**
