Freeze a router past its removal and let it go on, in a test

Change: a router's loop stops for 5 s, is removed by its peers, and rejoins. Figures: the request caught in the pause and one after it arrived equal to what the engines ran, each started once; others served meanwhile. Conclusion: a woken router does nothing twice.

--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -206,6 +206,16 @@
         routerLoops.get(index).call(router::stop);
     }
 
+    /**
+     * Freezes a router's loop for a while, as if its box had stopped and gone on.
+     *
+     * @param index The router's index.
+     * @param millis How long, in milliseconds.
+     */
+    public void pause(int index, long millis) {
+        routerLoops.get(index).loop().execute(() -> sleep(millis));
+    }
+
     /**
      * Starts a router again after {@link #kill}, without memory of its past.
      *
--- a/src/test/java/org/martenwell/daemon/FailureTest.java
+++ b/src/test/java/org/martenwell/daemon/FailureTest.java
@@ -120,6 +120,26 @@
         }
     }
 
+    @Test
+    void testRouterPausedPastItsRemovalRejoinsAndAnswers() {
+        CompletableFuture<HttpResponse<String>> caught =
+                TestCaller.of("clinic-2").chatLater(routers.get(1), true, "caught in the pause");
+        fleet.pause(1, 5_000);
+        await(() -> !fleet.status(0).members().containsKey("router-1"));
+        assertThat(TestCaller.of("clinic-1").chat(routers.get(0), true, "x").statusCode())
+                .isEqualTo(200);
+        await(() -> fleet.status(0).members().containsKey("router-1"));
+        await(() -> fleet.status(1).members().size() == 2);
+        HttpResponse<String> late = caught.join();
+        HttpResponse<String> after = TestCaller.of("clinic-2").chat(routers.get(1), true, "after");
+        Map<String, RunRecord> ran = runsById();
+        for (HttpResponse<String> answer : List.of(late, after)) {
+            RunRecord run = ran.get(TestCaller.requestId(answer));
+            assertThat(TestCaller.streamedText(answer.body())).isEqualTo(run.answer());
+            assertThat(run.runs()).isEqualTo(1);
+        }
+    }
+
     private List<HttpResponse<String>> ask(int count) {
         List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
         for (int index = 0; index < count; index++) {
