--- /dev/null
+++ b/src/test/java/org/martenwell/measure/FloodMain.java
@@ -0,0 +1,84 @@
+package org.martenwell.measure;
+
+import io.activej.promise.Promise;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.HdrHistogram.Histogram;
+import org.martenwell.demo.DemoFleet;
+import org.martenwell.demo.DemoSite;
+import org.martenwell.service.LoopThread;
+import org.martenwell.standin.LoadGenerator;
+import org.martenwell.standin.LoadSettings;
+import org.martenwell.standin.LoadTotals;
+import org.martenwell.standin.OrganisationLoad;
+
+/** Measures what a flood by one organisation does to the first tokens of small ones. */
+final class FloodMain {
+
+    private static final int SECONDS = 20;
+    private static final int FLOOD = 400;
+
+    private FloodMain() {}
+
+    /** Runs the same load without and with the flood, through real routers. */
+    public static void main(String[] arguments) {
+        run("calm", 48);
+        run("flood", FLOOD);
+    }
+
+    private static void run(String name, int concurrency) {
+        DemoFleet fleet = DemoFleet.start(DemoSite.coldChain(), 9);
+        LoopThread loop = LoopThread.start("load");
+        try {
+            List<String> routers = fleet.callerAddresses();
+            List<OrganisationLoad> loads = new ArrayList<>();
+            loads.add(load("district-east", routers.subList(0, 1), 48, 0));
+            loads.add(load("district-west", routers.subList(3, 6), 48, 0));
+            loads.add(load("vaccine-store", routers.subList(6, 9), concurrency, 0));
+            for (int index = 0; index < 7; index++) {
+                loads.add(load("clinic-" + index, routers, 0, 1));
+            }
+            LoadSettings settings = new LoadSettings(7, SECONDS, 5, loads);
+            LoadGenerator generator =
+                    loop.call(() -> Promise.of(new LoadGenerator(loop.loop(), settings)));
+            loop.call(generator::run);
+            Histogram small = new Histogram(3);
+            generator
+                    .totals()
+                    .forEach(
+                            (organisation, totals) -> {
+                                if (organisation.startsWith("clinic")) {
+                                    small.add(totals.firstTokenMicros());
+                                }
+                            });
+            LoadTotals flooding = generator.totals().get("vaccine-store");
+            System.out.printf(
+                    "%s: small organisations, first token p50 %d p95 %d p99 %d us of %d;"
+                            + " the large one sent %d, refused %s%n",
+                    name,
+                    small.getValueAtPercentile(50),
+                    small.getValueAtPercentile(95),
+                    small.getValueAtPercentile(99),
+                    small.getTotalCount(),
+                    flooding.requests(),
+                    flooding.refusals());
+        } finally {
+            loop.stop();
+            fleet.stop();
+        }
+    }
+
+    private static OrganisationLoad load(
+            String organisation, List<String> routers, int concurrency, double perSecond) {
+        return new OrganisationLoad(
+                organisation,
+                DemoSite.key(organisation),
+                routers,
+                concurrency,
+                perSecond,
+                DemoSite.MODEL,
+                Optional.empty(),
+                200);
+    }
+}
