Give lending and listening types of their own

Cause: four servers opened their ports with the same lines, lending made the keeper longer, and plain services asked the model endpoint whether a target serves them. Change: Listening, Lending, and the check for targets beside the policy. Conclusion: one place for each of the three.

--- a/src/main/java/org/martenwell/caller/ModelEndpoint.java
+++ b/src/main/java/org/martenwell/caller/ModelEndpoint.java
@@ -119,7 +119,6 @@
                                                 "No model is named '" + name + "'."));
         Pool pool = Pool.ofModel(name);
         int priority = admission.admit(active, organisation, pool, request, body.length, id);
-        requireTargets(active, pool);
         TargetRequest message =
                 new TargetRequest(
                         id,
@@ -142,18 +141,6 @@
                         model.costPerToken() * SchedulingParameters.DEFAULTS.slotRate()));
     }
 
-    /**
-     * Throws an exception if no target serves a pool.
-     *
-     * @param active The configuration in force.
-     * @param pool The pool.
-     */
-    static void requireTargets(ActiveConfiguration active, Pool pool) {
-        if (active.targets(pool).isEmpty()) {
-            throw MartenwellException.of(ErrorKind.NO_TARGET, "No target serves " + pool + " now.");
-        }
-    }
-
     /**
      * Hashes the organisation and the leading block of the prompt.
      *
--- a/src/main/java/org/martenwell/caller/RequestAdmission.java
+++ b/src/main/java/org/martenwell/caller/RequestAdmission.java
@@ -89,7 +89,8 @@
     }
 
     /**
-     * Asks the policy and the rate limit, or throws an exception that refuses the request.
+     * Asks the policy, the rate limit and whether any target serves the pool, or throws an
+     * exception that refuses the request.
      *
      * @param active The configuration in force.
      * @param organisation The organisation.
@@ -116,6 +117,7 @@
                         ErrorKind.POLICY_REFUSED, verdict.refusal().orElseThrow());
             }
             control.admitRate(organisation.name(), contract, reactor.currentTimeMillis());
+            requireTargets(active, pool);
             return verdict.priority();
         } catch (MartenwellException refusal) {
             LOGGER.info(
@@ -131,6 +133,18 @@
         }
     }
 
+    /**
+     * Throws an exception if no target serves a pool.
+     *
+     * @param active The configuration in force.
+     * @param pool The pool.
+     */
+    private static void requireTargets(ActiveConfiguration active, Pool pool) {
+        if (active.targets(pool).isEmpty()) {
+            throw MartenwellException.of(ErrorKind.NO_TARGET, "No target serves " + pool + " now.");
+        }
+    }
+
     /**
      * Collects what the policy may look at.
      *
--- a/src/main/java/org/martenwell/caller/ServiceEndpoint.java
+++ b/src/main/java/org/martenwell/caller/ServiceEndpoint.java
@@ -128,7 +128,6 @@
             String id) {
         Pool pool = Pool.ofService(service.name());
         int priority = admission.admit(active, organisation, pool, request, body.length, id);
-        ModelEndpoint.requireTargets(active, pool);
         String method = request.getMethod().name();
         TargetRequest message =
                 new TargetRequest(
--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -4,7 +4,6 @@
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -26,8 +25,6 @@
 import org.martenwell.caller.ServiceEndpoint;
 import org.martenwell.configuration.ActiveConfiguration;
 import org.martenwell.configuration.Target;
-import org.martenwell.error.ErrorKind;
-import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HttpCalls;
 import org.martenwell.member.Heartbeat;
 import org.martenwell.member.KeeperAssignment;
@@ -73,6 +70,7 @@
 import org.martenwell.schedule.SlotGrants;
 import org.martenwell.schedule.SlotReport;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.RouterLimits;
 import org.martenwell.settings.RouterSettings;
@@ -211,7 +209,8 @@
     @Override
     public Promise<Void> start() {
         return network.start()
-                .whenResult(this::listen)
+                .then(() -> Listening.start(operatorServer))
+                .then(() -> Listening.start(callerServer))
                 .then(follower::start)
                 .whenResult(this::startTicking);
     }
@@ -396,17 +395,6 @@
                 .build();
     }
 
-    /** Opens the ports for callers and operators. */
-    private void listen() {
-        try {
-            operatorServer.listen();
-            callerServer.listen();
-        } catch (IOException exception) {
-            throw MartenwellException.of(
-                    ErrorKind.INPUT_OUTPUT, "An address can't be used.", exception);
-        }
-    }
-
     /** Starts what is done now and then. */
     private void startTicking() {
         RouterTimes times = RouterTimes.DEFAULTS;
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -9,7 +9,6 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.util.HashSet;
@@ -19,6 +18,7 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.observe.LogEvent;
+import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
 
 /** Takes connections from peers. A frame that can't be accepted costs its sender the connection. */
@@ -68,16 +68,7 @@
 
     @Override
     public Promise<Void> start() {
-        try {
-            server.listen();
-            return Promise.complete();
-        } catch (IOException exception) {
-            return Promise.ofException(
-                    MartenwellException.of(
-                            ErrorKind.INPUT_OUTPUT,
-                            "The address for peers can't be used.",
-                            exception));
-        }
+        return Listening.start(server);
     }
 
     @Override
--- a/src/main/java/org/martenwell/schedule/Keeper.java
+++ b/src/main/java/org/martenwell/schedule/Keeper.java
@@ -495,51 +495,24 @@
     }
 
     /**
-     * Lends free slots to routers by their recent use.
+     * Lends free slots to the routers that reported.
      *
      * @param kept The target.
      * @param free The number of free slots.
      * @param now The time.
      */
     private void lend(KeptTarget kept, int free, long now) {
-        Map<String, Double> wanted = new TreeMap<>();
-        double sum = 0;
-        for (String router : members) {
-            if (incarnations.containsKey(router)) {
-                double use = 1 + kept.share(router, incarnations.get(router)).recentUse();
-                wanted.put(router, use);
-                sum += use;
-            }
-        }
-        for (int slot = 0; slot < free && !wanted.isEmpty(); slot++) {
-            String neediest = null;
-            double largest = 0;
-            for (Map.Entry<String, Double> entry : wanted.entrySet()) {
-                double due = entry.getValue() * kept.target().slots() / sum;
-                double missing = due - lentTo(kept, entry.getKey());
-                if (missing > largest) {
-                    largest = missing;
-                    neediest = entry.getKey();
-                }
-            }
-            if (neediest == null) {
+        Map<String, Long> routers = new TreeMap<>(incarnations);
+        routers.keySet().retainAll(members);
+        for (int slot = 0; slot < free; slot++) {
+            Optional<String> router = Lending.neediest(kept, routers);
+            if (router.isEmpty()) {
                 return;
             }
-            grant(kept, neediest, SlotClass.ANY, now);
+            grant(kept, router.get(), SlotClass.ANY, now);
         }
     }
 
-    /**
-     * Returns how many slots of a target are lent to a router.
-     *
-     * @param kept The target.
-     * @param router The router.
-     * @return The number of slots.
-     */
-    private int lentTo(KeptTarget kept, String router) {
-        return kept.share(router, incarnations.get(router)).totals(SlotClass.ANY).outstanding();
-    }
-
     /**
      * Recalls the lent slots that routers do not use.
      *
--- a/src/main/java/org/martenwell/standin/StandinPlatform.java
+++ b/src/main/java/org/martenwell/standin/StandinPlatform.java
@@ -23,6 +23,7 @@
 import org.martenwell.platform.ObjectItem;
 import org.martenwell.platform.StoredObject;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -69,14 +70,7 @@
 
     @Override
     public Promise<Void> start() {
-        try {
-            server.listen();
-            return Promise.complete();
-        } catch (IOException exception) {
-            return Promise.ofException(
-                    MartenwellException.of(
-                            ErrorKind.INPUT_OUTPUT, "The address can't be used.", exception));
-        }
+        return Listening.start(server);
     }
 
     @Override
--- a/src/main/java/org/martenwell/standin/StandinTarget.java
+++ b/src/main/java/org/martenwell/standin/StandinTarget.java
@@ -13,7 +13,6 @@
 import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -21,11 +20,10 @@
 import java.util.Map;
 import java.util.Optional;
 import org.martenwell.configuration.PoolKind;
-import org.martenwell.error.ErrorKind;
-import org.martenwell.error.MartenwellException;
 import org.martenwell.http.HeaderFields;
 import org.martenwell.json.Json;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
 import org.martenwell.target.CacheEvent;
 import org.martenwell.target.LoadReport;
@@ -88,18 +86,15 @@
 
     @Override
     public Promise<Void> start() {
-        try {
-            server.listen();
-        } catch (IOException exception) {
-            return Promise.ofException(
-                    MartenwellException.of(
-                            ErrorKind.INPUT_OUTPUT, "The address can't be used.", exception));
-        }
+        return Listening.start(server).whenResult(this::startSteps);
+    }
+
+    /** Starts the engine's steps, if this is one. */
+    private void startSteps() {
         nextStepAt = reactor.currentTimeMillis();
         if (settings.kind() == PoolKind.MODEL) {
             step();
         }
-        return Promise.complete();
     }
 
     @Override
