Let the stand-in engine tell its cache events; test the engine's verbs

Cause: the stand-in answered every question for cache events with none, so the adapter had never read one. Change: the stand-in keeps the prefixes used last and tells what it took in and dropped; load, cache events, fenced orders and a refused connection are tested through the adapter. Figures: 4 tests; an order with an old fence is refused, a target that takes no connection is told as not-run.

--- a/src/main/java/org/martenwell/standin/StandinTarget.java
+++ b/src/main/java/org/martenwell/standin/StandinTarget.java
@@ -20,18 +20,21 @@
 import java.util.Map;
 import java.util.Optional;
 import org.martenwell.configuration.PoolKind;
+import org.martenwell.hash.RendezvousHash;
 import org.martenwell.http.HeaderFields;
 import org.martenwell.json.Json;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
-import org.martenwell.target.CacheEvent;
 import org.martenwell.target.LoadReport;
 import org.martenwell.target.TargetOrder;
 
 /** A stand-in target: a model engine or a plain service. It records what it ran. */
 public final class StandinTarget implements AsyncServlet, ManagedService {
 
+    /** How much of a prompt's start is hashed, in characters. */
+    private static final int PREFIX_CHARACTERS = 512;
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -44,6 +47,9 @@
     /** The engine. */
     private final EngineCore engine;
 
+    /** The prefixes that the engine holds. */
+    private final PrefixCache cache = new PrefixCache();
+
     /** The forms of answers, by request id, for streams that are resumed. */
     private final Map<String, CompletionForms> forms = new LinkedHashMap<>();
 
@@ -176,7 +182,7 @@
             return Promise.of(json(records()));
         }
         if (route.equals("GET /cache-events")) {
-            return Promise.of(json(List.<CacheEvent>of()));
+            return Promise.of(json(cache.events(after(request))));
         }
         if (route.equals("POST /standin/faults")) {
             return request.loadBody()
@@ -232,6 +238,7 @@
                         body -> {
                             byte[] bytes = body.getArray();
                             JsonNode root = Json.read(bytes);
+                            cache.use(prefix(root));
                             int limit = root.path("max_tokens").asInt(0);
                             Generation generation = engine.submit(id, priority, limit);
                             CompletionForms form =
@@ -250,6 +257,29 @@
                         });
     }
 
+    /**
+     * Hashes the start of a prompt.
+     *
+     * @param root The request's body.
+     * @return The hash.
+     */
+    private static long prefix(JsonNode root) {
+        String prompt = root.path("messages").toString() + root.path("prompt");
+        return RendezvousHash.hash(
+                prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARACTERS)));
+    }
+
+    /**
+     * Reads after which event a caller wants to know more.
+     *
+     * @param request The request.
+     * @return The event's number, 0 if none is named.
+     */
+    private static long after(HttpRequest request) {
+        String after = request.getQueryParameter("after");
+        return after == null ? 0 : Long.parseLong(after);
+    }
+
     /**
      * Resumes or cancels a stream.
      *
--- /dev/null
+++ b/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
@@ -0,0 +1,115 @@
+package org.martenwell.target;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.activej.promise.Promise;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.martenwell.configuration.PoolKind;
+import org.martenwell.configuration.Target;
+import org.martenwell.error.MartenwellException;
+import org.martenwell.error.Outcome;
+import org.martenwell.http.HttpCalls;
+import org.martenwell.service.LoopThread;
+import org.martenwell.service.LoopbackPorts;
+import org.martenwell.standin.StandinTarget;
+import org.martenwell.standin.TargetSettings;
+
+/** The engine's verbs against the stand-in. */
+class HttpTargetConnectorTest {
+
+    private final List<String> ports = LoopbackPorts.free(2);
+
+    private final Target target = target(ports.get(0));
+    private LoopThread loop;
+    private HttpTargetConnector connector;
+
+    @BeforeEach
+    void startTarget() {
+        loop = LoopThread.start("targets");
+        TargetSettings settings =
+                new TargetSettings(
+                        "t", ports.get(0), PoolKind.MODEL, List.of("m"), 2, 500, 5, 10, 0, 1, true);
+        loop.call(() -> new StandinTarget(loop.loop(), settings).start());
+        connector =
+                loop.call(
+                        () ->
+                                Promise.of(
+                                        new HttpTargetConnector(
+                                                HttpCalls.pooled(loop.loop(), 1 << 20),
+                                                HttpCalls.single(loop.loop(), 1 << 20))));
+    }
+
+    @AfterEach
+    void stopTarget() {
+        loop.stop();
+    }
+
+    @Test
+    void testLoadIsReported() {
+        LoadReport report = loop.call(() -> connector.load(target));
+        assertThat(report).isEqualTo(new LoadReport(2, 0, 0, false, List.of("m")));
+    }
+
+    @Test
+    void testCacheEventsTellThePrefixesOfPrompts() {
+        start("one");
+        start("one");
+        start("two");
+        List<CacheEvent> events = loop.call(() -> connector.cacheEvents(target, 0));
+        assertThat(events).hasSize(2).allMatch(CacheEvent::held);
+        assertThat(loop.call(() -> connector.cacheEvents(target, 1))).hasSize(1);
+    }
+
+    @Test
+    void testOrderWithAnOldFenceIsRefused() {
+        loop.call(() -> connector.order(target, new TargetOrder(5, "m", true)));
+        assertThatThrownBy(
+                        () ->
+                                loop.call(
+                                        () ->
+                                                connector.order(
+                                                        target, new TargetOrder(4, "m", false))))
+                .isInstanceOf(MartenwellException.class);
+    }
+
+    @Test
+    void testTargetThatTakesNoConnectionDidNotRun() {
+        assertThatThrownBy(
+                        () -> loop.call(() -> connector.start(target(ports.get(1)), request("x"))))
+                .isInstanceOfSatisfying(
+                        MartenwellException.class,
+                        failure -> assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN));
+    }
+
+    private void start(String prompt) {
+        TargetAnswer answer = loop.call(() -> connector.start(target, request(prompt)));
+        assertThat(answer.status()).isEqualTo(200);
+        loop.call(
+                () -> {
+                    answer.body().close();
+                    return Promise.complete();
+                });
+    }
+
+    private static TargetRequest request(String prompt) {
+        String body = "{\"model\":\"m\",\"stream\":true,\"prompt\":\"" + prompt + "\"}";
+        return new TargetRequest(
+                prompt,
+                "POST",
+                "/v1/completions",
+                List.of(),
+                body.getBytes(StandardCharsets.UTF_8),
+                5,
+                true,
+                2_000);
+    }
+
+    private static Target target(String address) {
+        return new Target("t", address, "d", PoolKind.MODEL, List.of("m"), 2, true);
+    }
+}
