Remove three methods that nothing calls

Cause: read again, they had no caller. Change: a setter of grants ahead and two counts of waiting requests are gone. Conclusion: nothing else changes.

--- a/src/main/java/org/martenwell/schedule/QueueTable.java
+++ b/src/main/java/org/martenwell/schedule/QueueTable.java
@@ -130,17 +130,6 @@
         return waiting;
     }
 
-    /**
-     * Returns how many requests wait in one queue.
-     *
-     * @param key The queue.
-     * @return The number of requests.
-     */
-    int waiting(QueueKey key) {
-        WaitingQueue queue = queues.get(key);
-        return queue == null ? 0 : queue.size();
-    }
-
     /**
      * Drops a queue in which nothing waits.
      *
--- a/src/main/java/org/martenwell/schedule/RouterSlots.java
+++ b/src/main/java/org/martenwell/schedule/RouterSlots.java
@@ -202,17 +202,6 @@
         return queues.waiting();
     }
 
-    /**
-     * Returns how many requests of an organisation wait for a pool at this router.
-     *
-     * @param pool The pool.
-     * @param organisation The organisation.
-     * @return The number of requests.
-     */
-    public int waiting(Pool pool, String organisation) {
-        return queues.waiting(new QueueKey(pool, organisation));
-    }
-
     /**
      * Returns how many requests of this router run.
      *
--- a/src/main/java/org/martenwell/schedule/SchedulingParameters.java
+++ b/src/main/java/org/martenwell/schedule/SchedulingParameters.java
@@ -46,23 +46,4 @@
                 refreshMillis,
                 resendMillis);
     }
-
-    /**
-     * Returns a copy with another number of grants ahead.
-     *
-     * @param slots The slots beyond a target's own.
-     * @return The copy.
-     */
-    public SchedulingParameters withGrantsAhead(int slots) {
-        return new SchedulingParameters(
-                horizonMillis,
-                slotRate,
-                idleGraceMillis,
-                settleMillis,
-                slots,
-                demandLimit,
-                headChangeMillis,
-                refreshMillis,
-                resendMillis);
-    }
 }
