--- /dev/null
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -0,0 +1,212 @@
+package org.martenwell.balance;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.martenwell.hash.RendezvousHash;
+import org.martenwell.route.EngineTerms;
+
+/**
+ * Chooses the model engine for a request: among those that have room and reach the first event in
+ * time, the one that costs least, counting its backlog, what it would have to read and how full it
+ * is.
+ */
+public final class EngineChooser {
+
+    /** The part of an engine's places that requests beyond a fair share may fill. */
+    private static final double SPARE_FILL = 0.6;
+
+    /** The part of an engine's places that requests may fill. */
+    private static final double FULL_FILL = 0.96;
+
+    /** The part of an engine's memory that requests may fill. */
+    private static final double MEMORY_FILL = 0.9;
+
+    /** The part of an objective that an engine may be busy before a request at least. */
+    private static final double LEAST_WAIT = 0.3;
+
+    /** The part of an objective that an engine may be busy before one beyond a fair share. */
+    private static final double SPARE_WAIT = 0.2;
+
+    /** The part of an objective that a first event may be planned to take. */
+    private static final double PLANNED = 0.85;
+
+    /** What an engine in another failure domain costs, in milliseconds. */
+    private static final double FAR_MILLIS = 4;
+
+    /** What a full engine costs more than an empty one, in milliseconds. */
+    private static final double FULL_MILLIS = 60;
+
+    /** What an engine that fails all requests costs, in milliseconds. */
+    private static final double FAILING_MILLIS = 2_000;
+
+    /** How long a copy of parts of a prompt takes, in milliseconds. */
+    private static final double COPY_MILLIS = 12;
+
+    /** The smallest copy that is worth asking for, in tokens. */
+    private static final long LEAST_COPY_TOKENS = 256;
+
+    /** What an engine gains by being the first by hash for a prompt, in milliseconds. */
+    private static final double PREFERRED_MILLIS = 6;
+
+    /** The failure domain of this gateway. */
+    private final String failureDomain;
+
+    /**
+     * Creates a chooser.
+     *
+     * @param failureDomain The failure domain of this gateway.
+     */
+    public EngineChooser(String failureDomain) {
+        this.failureDomain = failureDomain;
+    }
+
+    /**
+     * Chooses an engine.
+     *
+     * @param need What the request needs.
+     * @param within Whether its organisation is within its fair share.
+     * @param loads The engines that may be chosen.
+     * @param terms What they hold.
+     * @param rate How fast they read.
+     * @param now The present time, in milliseconds.
+     * @return The choice or empty if none has room.
+     */
+    public Optional<EngineChoice> choose(
+            PromptNeed need,
+            boolean within,
+            Collection<TargetLoad> loads,
+            EngineTerms terms,
+            ReadingRate rate,
+            long now) {
+        Optional<TargetLoad> keeper = bestKeeper(need.chain(), loads);
+        long keptBest = keeper.map(each -> each.memory().keptTokens(need.chain())).orElse(0L);
+        long preferred = preferred(need.chain(), loads);
+        EngineChoice best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (TargetLoad each : loads) {
+            LoadSums sums = each.all(now);
+            double backlog = rate.millis(sums.unreadTokens());
+            long kept = each.memory().keptTokens(need.chain());
+            boolean copied = terms.copies() && keptBest - kept >= LEAST_COPY_TOKENS;
+            long unread = need.promptTokens() - (copied ? keptBest : kept);
+            double reading = rate.millis(unread) + (copied ? COPY_MILLIS : 0);
+            boolean room =
+                    hasRoom(each, sums, need, within, terms)
+                            && backlog <= allowedWait(need, within, reading, rate, now);
+            if (!room) {
+                continue;
+            }
+            double cost =
+                    backlog
+                            + reading
+                            + FULL_MILLIS * sums.requests() / slots(each, terms)
+                            + FAILING_MILLIS * each.health().failureShare(now)
+                            + (each.target().failureDomain().equals(failureDomain) ? 0 : FAR_MILLIS)
+                            - (hash(each, need.chain()) == preferred ? PREFERRED_MILLIS : 0);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = new EngineChoice(each, unread, backlog, copied ? keeper : Optional.empty());
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Tells whether an engine has a place and memory for a request.
+     *
+     * @param load The engine.
+     * @param sums What all gateways put on it.
+     * @param need What the request needs.
+     * @param within Whether its organisation is within its fair share.
+     * @param terms What the engine holds.
+     * @return {@code true} if it has.
+     */
+    private static boolean hasRoom(
+            TargetLoad load, LoadSums sums, PromptNeed need, boolean within, EngineTerms terms) {
+        double fill = within ? FULL_FILL : SPARE_FILL;
+        long memory = sums.memoryTokens() + need.ownTokens() + need.answerTokens();
+        return sums.requests() < fill * slots(load, terms)
+                && (sums.requests() == 0 || memory < fill * MEMORY_FILL * terms.memoryTokens());
+    }
+
+    /**
+     * Returns how long an engine may be busy before a request.
+     *
+     * @param need What the request needs.
+     * @param within Whether its organisation is within its fair share.
+     * @param reading How long its own prompt is read, in milliseconds.
+     * @param rate How fast engines read.
+     * @param now The present time, in milliseconds.
+     * @return The time in milliseconds.
+     */
+    private static double allowedWait(
+            PromptNeed need, boolean within, double reading, ReadingRate rate, long now) {
+        if (!within) {
+            return SPARE_WAIT * need.objectiveMillis();
+        }
+        double left =
+                PLANNED * need.objectiveMillis()
+                        - (now - need.arrivedMillis())
+                        - rate.baseMillis()
+                        - reading;
+        return Math.max(left, LEAST_WAIT * need.objectiveMillis());
+    }
+
+    /**
+     * Returns how many requests an engine runs at a time.
+     *
+     * @param load The engine.
+     * @param terms What engines of its service hold.
+     * @return The number of requests.
+     */
+    private static int slots(TargetLoad load, EngineTerms terms) {
+        return load.target().slots() > 0 ? load.target().slots() : terms.slots();
+    }
+
+    /**
+     * Finds the engine that keeps most of a prompt.
+     *
+     * @param chain The shared parts.
+     * @param loads The engines.
+     * @return The engine or empty if none keeps anything.
+     */
+    private static Optional<TargetLoad> bestKeeper(
+            PromptChain chain, Collection<TargetLoad> loads) {
+        TargetLoad best = null;
+        long most = 0;
+        for (TargetLoad each : loads) {
+            long kept = each.memory().keptTokens(chain);
+            if (kept > most) {
+                most = kept;
+                best = each;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Finds the hash of the engine that comes first for a prompt.
+     *
+     * @param chain The shared parts.
+     * @param loads The engines.
+     * @return The greatest hash.
+     */
+    private static long preferred(PromptChain chain, Collection<TargetLoad> loads) {
+        long best = Long.MIN_VALUE;
+        for (TargetLoad each : loads) {
+            best = Math.max(best, hash(each, chain));
+        }
+        return best;
+    }
+
+    /**
+     * Hashes an engine for a prompt.
+     *
+     * @param load The engine.
+     * @param chain The shared parts.
+     * @return The hash.
+     */
+    private static long hash(TargetLoad load, PromptChain chain) {
+        return RendezvousHash.score(load.target().id(), chain.wholeKey());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/GatewayReport.java
@@ -0,0 +1,26 @@
+package org.martenwell.balance;
+
+import java.util.List;
+import org.martenwell.message.PeerMessage;
+
+/**
+ * What a gateway tells its peers some times a second. Loads and shares are whole, so that a lost
+ * report does no harm; placed parts are those since the last report.
+ *
+ * @param gateway The gateway's name.
+ * @param incarnation A number that is different after each start.
+ * @param configurationVersion The version in force there.
+ * @param loads What it put on targets; targets without any of its requests are left out.
+ * @param shares What organisations asked and got there.
+ * @param placed The parts of prompts that targets keep since its last report.
+ * @param leaving The ids of targets that it knows to be leaving or gone.
+ */
+public record GatewayReport(
+        String gateway,
+        long incarnation,
+        long configurationVersion,
+        List<TargetLoadReport> loads,
+        List<OrganisationReport> shares,
+        List<PlacedPart> placed,
+        List<String> leaving)
+        implements PeerMessage {}
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/PlacedPart.java
@@ -0,0 +1,10 @@
+package org.martenwell.balance;
+
+/**
+ * A part of a prompt that a target keeps from now on.
+ *
+ * @param target The target's id.
+ * @param key The part's key.
+ * @param tokens Its size in tokens.
+ */
+public record PlacedPart(String target, long key, long tokens) {}
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/PromptChain.java
@@ -0,0 +1,99 @@
+package org.martenwell.balance;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.martenwell.hash.RendezvousHash;
+
+/**
+ * The shared parts at the beginning of a prompt. Each has a key that covers all parts before it,
+ * since a kept part only counts behind the parts that it was read behind.
+ */
+public final class PromptChain {
+
+    /** A chain without parts. */
+    public static final PromptChain EMPTY = new PromptChain(List.of(), List.of());
+
+    /** The keys. */
+    private final List<Long> keys;
+
+    /** The sizes in tokens. */
+    private final List<Long> tokens;
+
+    /**
+     * Creates a chain.
+     *
+     * @param keys The keys.
+     * @param tokens The sizes in tokens.
+     */
+    private PromptChain(List<Long> keys, List<Long> tokens) {
+        this.keys = List.copyOf(keys);
+        this.tokens = List.copyOf(tokens);
+    }
+
+    /**
+     * Creates the chain of a prompt. Its last part belongs to the request alone and is left out.
+     *
+     * @param model The model.
+     * @param parts All parts of the prompt.
+     * @return The chain.
+     */
+    public static PromptChain of(String model, List<PromptPart> parts) {
+        List<Long> keys = new ArrayList<>();
+        List<Long> tokens = new ArrayList<>();
+        String before = model;
+        for (PromptPart each : parts.subList(0, Math.max(0, parts.size() - 1))) {
+            long key = RendezvousHash.hash(before + '/' + each.id());
+            keys.add(key);
+            tokens.add(each.tokens());
+            before = Long.toHexString(key);
+        }
+        return new PromptChain(keys, tokens);
+    }
+
+    /**
+     * Returns how many parts there are.
+     *
+     * @return The number of parts.
+     */
+    public int length() {
+        return keys.size();
+    }
+
+    /**
+     * Returns the key of a part.
+     *
+     * @param index The part's index.
+     * @return The key.
+     */
+    public long key(int index) {
+        return keys.get(index);
+    }
+
+    /**
+     * Returns the size of a part.
+     *
+     * @param index The part's index.
+     * @return The size in tokens.
+     */
+    public long tokens(int index) {
+        return tokens.get(index);
+    }
+
+    /**
+     * Returns the key of the whole chain.
+     *
+     * @return The last part's key or 0.
+     */
+    public long wholeKey() {
+        return keys.isEmpty() ? 0 : keys.get(keys.size() - 1);
+    }
+
+    /**
+     * Returns the size of the whole chain.
+     *
+     * @return The size in tokens.
+     */
+    public long totalTokens() {
+        return tokens.stream().mapToLong(Long::longValue).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/RunningRequest.java
@@ -0,0 +1,12 @@
+package org.martenwell.balance;
+
+/**
+ * A request at a target.
+ *
+ * @param unreadTokens How many prompt tokens the target has to read for it.
+ * @param memoryTokens How many tokens of the target's memory it needs alone.
+ * @param sentMillis When it was sent, in milliseconds.
+ * @param backlogMillis How long the target was taken to be busy before it, in milliseconds.
+ */
+public record RunningRequest(
+        long unreadTokens, long memoryTokens, long sentMillis, double backlogMillis) {}
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/TargetLoadReport.java
@@ -0,0 +1,9 @@
+package org.martenwell.balance;
+
+/**
+ * What a gateway put on a target.
+ *
+ * @param target The target's id.
+ * @param sums The sums.
+ */
+public record TargetLoadReport(String target, LoadSums sums) {}
--- a/src/main/java/org/martenwell/command/CommandTable.java
+++ b/src/main/java/org/martenwell/command/CommandTable.java
@@ -11,6 +11,7 @@
     static final List<NamedCommand> COMMANDS =
             List.of(
                     new NamedCommand("router", RouterCommand.INSTANCE),
+                    new NamedCommand("gateway", GatewayCommand.INSTANCE),
                     new NamedCommand("check", CheckCommand.INSTANCE),
                     new NamedCommand("apply", ApplyCommand.INSTANCE),
                     new NamedCommand("show", ShowCommand.INSTANCE),
--- /dev/null
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -0,0 +1,20 @@
+package org.martenwell.directory;
+
+import org.martenwell.service.ManagedService;
+
+/** Tells gateways the configuration, the targets and each other. */
+public interface FleetDirectory extends ManagedService {
+
+    /**
+     * Reads a configuration's document, which a peer passed on.
+     *
+     * @param document The document.
+     */
+    void passedOn(String document);
+
+    /** Looks at once whether there is something new, because a peer knows more. */
+    void refresh();
+
+    /** Takes this gateway out of the directory, because it stops. */
+    void leave();
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -0,0 +1,213 @@
+package org.martenwell.directory;
+
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.martenwell.service.ManagedService;
+
+/**
+ * Follows the objects of one kind: lists them, then watches them, and lists them again when the
+ * store has lost its history. While the store does not answer, what was last known stays.
+ */
+public final class KindFollower implements ManagedService {
+
+    /** How long the store may wait for a change, in milliseconds. */
+    private static final long WAIT_MILLIS = 5_000;
+
+    /** The first delay after a failure, in milliseconds. */
+    private static final long FIRST_DELAY_MILLIS = 40;
+
+    /** The longest delay after a failure, in milliseconds. */
+    private static final long LONGEST_DELAY_MILLIS = 800;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The store. */
+    private final ObjectStore store;
+
+    /** The kind. */
+    private final String kind;
+
+    /** Spreads attempts. */
+    private final Random random;
+
+    /** Is told of all objects after each change. */
+    private final Consumer<Map<String, StoredEntry>> listener;
+
+    /** The objects by name. */
+    private Map<String, StoredEntry> entries = new HashMap<>();
+
+    /** The revision from which to go on. */
+    private long revision;
+
+    /** Whether all objects have to be listed. */
+    private boolean listDue = true;
+
+    /** The next delay after a failure, in milliseconds. */
+    private long delayMillis = FIRST_DELAY_MILLIS;
+
+    /** Counts restarts; what earlier rounds bring is dropped. */
+    private int round;
+
+    /**
+     * Creates a follower.
+     *
+     * @param reactor The loop.
+     * @param store The store.
+     * @param kind The kind.
+     * @param random Spreads attempts.
+     * @param listener Is told of all objects after each change.
+     */
+    public KindFollower(
+            NioReactor reactor,
+            ObjectStore store,
+            String kind,
+            Random random,
+            Consumer<Map<String, StoredEntry>> listener) {
+        this.reactor = reactor;
+        this.store = store;
+        this.kind = kind;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    @Override
+    public Promise<Void> start() {
+        step(round);
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        round++;
+        return Promise.complete();
+    }
+
+    /** Lists all objects at once. */
+    public void refresh() {
+        round++;
+        listDue = true;
+        step(round);
+    }
+
+    /**
+     * Makes the next call.
+     *
+     * @param present The round.
+     */
+    private void step(int present) {
+        if (present != round) {
+            return;
+        }
+        if (listDue) {
+            list(present, Optional.empty(), new HashMap<>());
+        } else {
+            watch(present);
+        }
+    }
+
+    /**
+     * Lists a part of the objects.
+     *
+     * @param present The round.
+     * @param after The name behind which to go on, or empty to begin.
+     * @param listed Receives the objects.
+     */
+    private void list(int present, Optional<String> after, Map<String, StoredEntry> listed) {
+        store.list(kind, after)
+                .subscribe(
+                        (page, failure) -> {
+                            if (present != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                retryLater(present);
+                                return;
+                            }
+                            page.entries().forEach(each -> listed.put(each.name(), each));
+                            if (page.more() && !page.entries().isEmpty()) {
+                                int last = page.entries().size() - 1;
+                                list(present, Optional.of(page.entries().get(last).name()), listed);
+                            } else {
+                                listed(present, listed, page.revision());
+                            }
+                        });
+    }
+
+    /**
+     * Takes the whole list.
+     *
+     * @param present The round.
+     * @param listed The objects.
+     * @param at The store's revision.
+     */
+    private void listed(int present, Map<String, StoredEntry> listed, long at) {
+        delayMillis = FIRST_DELAY_MILLIS;
+        listDue = false;
+        entries = listed;
+        revision = at;
+        listener.accept(Map.copyOf(entries));
+        step(present);
+    }
+
+    /**
+     * Waits for changes.
+     *
+     * @param present The round.
+     */
+    private void watch(int present) {
+        store.watch(kind, revision, WAIT_MILLIS)
+                .subscribe(
+                        (changes, failure) -> {
+                            if (present != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                retryLater(present);
+                            } else if (changes.lost()) {
+                                listDue = true;
+                                step(present);
+                            } else {
+                                take(present, changes);
+                            }
+                        });
+    }
+
+    /**
+     * Takes changes in.
+     *
+     * @param present The round.
+     * @param changes The changes.
+     */
+    private void take(int present, EntryChanges changes) {
+        delayMillis = FIRST_DELAY_MILLIS;
+        for (EntryChange each : changes.changes()) {
+            if (each.gone()) {
+                entries.remove(each.entry().name());
+            } else {
+                entries.put(each.entry().name(), each.entry());
+            }
+        }
+        revision = Math.max(revision, changes.revision());
+        if (!changes.changes().isEmpty()) {
+            listener.accept(Map.copyOf(entries));
+        }
+        step(present);
+    }
+
+    /**
+     * Tries again after a delay that grows.
+     *
+     * @param present The round.
+     */
+    private void retryLater(int present) {
+        long jittered = delayMillis / 2 + random.nextLong(delayMillis);
+        delayMillis = Math.min(LONGEST_DELAY_MILLIS, delayMillis * 2);
+        reactor.delayBackground(jittered, () -> step(present));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -0,0 +1,203 @@
+package org.martenwell.directory;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Random;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.martenwell.json.Json;
+import org.martenwell.observe.LogEvent;
+import org.martenwell.route.GatewayConfiguration;
+
+/**
+ * A directory in a store of objects. The version in force never falls, whatever the store or peers
+ * tell later.
+ */
+public final class StoreDirectory implements FleetDirectory {
+
+    /** The log. */
+    private static final Logger LOGGER = LogManager.getLogger(StoreDirectory.class);
+
+    /** The field that holds a gateway's address. */
+    private static final String PEER_ADDRESS = "peerAddress";
+
+    /** How long until this gateway makes itself known again after a failure, in milliseconds. */
+    private static final long JOIN_MILLIS = 500;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The store. */
+    private final ObjectStore store;
+
+    /** Reads objects. */
+    private final EntryReader reader;
+
+    /** This gateway. */
+    private final GatewayMember self;
+
+    /** Is told of what the directory holds. */
+    private final DirectoryListener listener;
+
+    /** Follows the configuration. */
+    private final KindFollower configurations;
+
+    /** Follows targets. */
+    private final KindFollower targets;
+
+    /** Follows gateways. */
+    private final KindFollower gateways;
+
+    /** The version in force. */
+    private long version;
+
+    /** Whether this gateway stops. */
+    private boolean leaving;
+
+    /**
+     * Creates a directory.
+     *
+     * @param reactor The loop.
+     * @param store The store.
+     * @param reader Reads objects.
+     * @param self This gateway.
+     * @param listener Is told of what the directory holds.
+     */
+    public StoreDirectory(
+            NioReactor reactor,
+            ObjectStore store,
+            EntryReader reader,
+            GatewayMember self,
+            DirectoryListener listener) {
+        this.reactor = reactor;
+        this.store = store;
+        this.reader = reader;
+        this.self = self;
+        this.listener = listener;
+        Random random = new Random(self.name().hashCode());
+        this.configurations =
+                new KindFollower(
+                        reactor,
+                        store,
+                        reader.configurationKind(),
+                        random,
+                        this::takeConfigurations);
+        this.targets =
+                new KindFollower(reactor, store, reader.targetKind(), random, this::takeTargets);
+        this.gateways =
+                new KindFollower(reactor, store, reader.gatewayKind(), random, this::takeGateways);
+    }
+
+    @Override
+    public Promise<Void> start() {
+        join();
+        return configurations.start().then(targets::start).then(gateways::start);
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        return configurations
+                .stop()
+                .then(targets::stop)
+                .then(gateways::stop)
+                .whenResult(store::close);
+    }
+
+    @Override
+    public void passedOn(String document) {
+        take(Json.read(document.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Override
+    public void refresh() {
+        targets.refresh();
+    }
+
+    @Override
+    public void leave() {
+        leaving = true;
+        store.remove(reader.gatewayKind(), self.name());
+    }
+
+    /** Makes this gateway known. */
+    private void join() {
+        if (leaving) {
+            return;
+        }
+        ObjectNode value = JsonNodeFactory.instance.objectNode();
+        value.put(PEER_ADDRESS, self.peerAddress());
+        store.put(reader.gatewayKind(), self.name(), value)
+                .whenException(exception -> reactor.delayBackground(JOIN_MILLIS, this::join));
+    }
+
+    /**
+     * Takes configurations in.
+     *
+     * @param entries All objects of their kind.
+     */
+    private void takeConfigurations(Map<String, StoredEntry> entries) {
+        StoredEntry present = entries.get(reader.configurationName());
+        if (present != null) {
+            take(present.value());
+        }
+    }
+
+    /**
+     * Takes a configuration in, if it is newer.
+     *
+     * @param document The configuration's document.
+     */
+    private void take(JsonNode document) {
+        GatewayConfiguration configuration;
+        try {
+            configuration = reader.configuration(document);
+        } catch (RuntimeException exception) {
+            LOGGER.error(
+                    LogEvent.of("configuration-unreadable")
+                            .with("reason", exception.toString())
+                            .message());
+            return;
+        }
+        if (configuration.version() > version) {
+            version = configuration.version();
+            listener.configured(
+                    configuration, new String(Json.write(document), StandardCharsets.UTF_8));
+        }
+    }
+
+    /**
+     * Takes targets in.
+     *
+     * @param entries All objects of their kind.
+     */
+    private void takeTargets(Map<String, StoredEntry> entries) {
+        Map<String, DirectoryTarget> all = new HashMap<>();
+        for (StoredEntry each : entries.values()) {
+            reader.target(each.name(), each.value())
+                    .ifPresent(target -> all.put(target.id(), target));
+        }
+        listener.targets(all);
+    }
+
+    /**
+     * Takes gateways in.
+     *
+     * @param entries All objects of their kind.
+     */
+    private void takeGateways(Map<String, StoredEntry> entries) {
+        Map<String, GatewayMember> all = new HashMap<>();
+        for (StoredEntry each : entries.values()) {
+            String address = each.value().path(PEER_ADDRESS).asText("");
+            if (!address.isEmpty()) {
+                all.put(each.name(), new GatewayMember(each.name(), address));
+            }
+        }
+        listener.members(all);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/exchange/HttpCaller.java
@@ -0,0 +1,136 @@
+package org.martenwell.exchange;
+
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
+
+/** Makes calls of this program's own to one address. Each call ends within its time. */
+public final class HttpCaller {
+
+    /** How long opening a connection may take, in milliseconds. */
+    private static final long CONNECT_MILLIS = 1_000;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The connections. */
+    private final TargetConnections connections;
+
+    /**
+     * Creates a caller.
+     *
+     * @param reactor The loop.
+     * @param address The address.
+     */
+    public HttpCaller(NioReactor reactor, InetSocketAddress address) {
+        this.reactor = reactor;
+        this.connections = new TargetConnections(reactor, address, CONNECT_MILLIS);
+    }
+
+    /**
+     * Makes a call.
+     *
+     * @param request The request.
+     * @param timeoutMillis How long the call may take, in milliseconds.
+     * @return The answer, or a failure of the kind {@link ErrorKind#PLATFORM_UNAVAILABLE}, after
+     *     which the call may have been done or not.
+     */
+    public Promise<HttpReply> call(TargetRequestHead request, long timeoutMillis) {
+        PendingCall call = new PendingCall();
+        call.timer = reactor.delayBackground(timeoutMillis, call::expired);
+        connections.send(request, call, call::opened);
+        return call.result;
+    }
+
+    /** Closes idle connections. */
+    public void close() {
+        connections.close();
+    }
+
+    /** A call whose answer is due. */
+    private final class PendingCall implements AnswerListener {
+
+        /** The answer. */
+        private final SettablePromise<HttpReply> result = new SettablePromise<>();
+
+        /** The body. */
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+
+        /** Ends the call. */
+        private ScheduledRunnable timer;
+
+        /** The connection or {@code null} while it opens. */
+        private TargetConnection connection;
+
+        /** The status. */
+        private int status;
+
+        @Override
+        public boolean belongs(HttpResponse head) {
+            return true;
+        }
+
+        @Override
+        public void begun(HttpResponse head) {
+            status = head.status().code();
+        }
+
+        @Override
+        public void received(byte[] piece) {
+            body.writeBytes(piece);
+        }
+
+        @Override
+        public void ended() {
+            timer.cancel();
+            connections.keep(connection, 0);
+            if (!result.isComplete()) {
+                result.set(new HttpReply(status, Body.of(body.toByteArray())));
+            }
+        }
+
+        @Override
+        public void failed(AnswerFailure failure) {
+            timer.cancel();
+            fail("The call failed: " + failure);
+        }
+
+        /**
+         * Takes the connection.
+         *
+         * @param opened The connection.
+         */
+        private void opened(TargetConnection opened) {
+            connection = opened;
+            if (result.isComplete()) {
+                opened.cancel();
+            }
+        }
+
+        /** Ends the call because it took too long. */
+        private void expired() {
+            if (connection != null) {
+                connection.cancel();
+            }
+            fail("The call took too long.");
+        }
+
+        /**
+         * Fails the call.
+         *
+         * @param message Why.
+         */
+        private void fail(String message) {
+            if (!result.isComplete()) {
+                result.setException(
+                        MartenwellException.of(ErrorKind.PLATFORM_UNAVAILABLE, message));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -0,0 +1,121 @@
+package org.martenwell.exchange;
+
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** The connections to one target: opens them and keeps idle ones for the next request. */
+public final class TargetConnections {
+
+    /** How long a connection may rest if the target does not say, in milliseconds. */
+    private static final long DEFAULT_REST_MILLIS = 4_000;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The target's address. */
+    private final InetSocketAddress address;
+
+    /** How long opening a connection may take, in milliseconds. */
+    private final long connectMillis;
+
+    /** The idle connections, the last used one first. */
+    private final Deque<TargetConnection> idle = new ArrayDeque<>();
+
+    /** Whether no connection is kept any more. */
+    private boolean closed;
+
+    /**
+     * Creates connections to a target.
+     *
+     * @param reactor The loop.
+     * @param address The target's address.
+     * @param connectMillis How long opening a connection may take, in milliseconds.
+     */
+    public TargetConnections(NioReactor reactor, InetSocketAddress address, long connectMillis) {
+        this.reactor = reactor;
+        this.address = address;
+        this.connectMillis = connectMillis;
+    }
+
+    /**
+     * Sends a request over an idle connection or a new one.
+     *
+     * @param request The request.
+     * @param listener Is told of the answer.
+     * @param opened Is told of the connection before anything is sent.
+     */
+    public void send(
+            TargetRequestHead request, AnswerListener listener, Consumer<TargetConnection> opened) {
+        for (TargetConnection each = idle.poll(); each != null; each = idle.poll()) {
+            if (each.usable()) {
+                opened.accept(each);
+                each.send(request, listener);
+                return;
+            }
+            each.cancel();
+        }
+        TcpSocket.connect(reactor, address, Duration.ofMillis(connectMillis), settings())
+                .subscribe(
+                        (socket, failure) -> {
+                            if (failure != null) {
+                                listener.failed(AnswerFailure.NOT_CONNECTED);
+                                return;
+                            }
+                            TargetConnection connection = open(socket);
+                            opened.accept(connection);
+                            if (connection.usable()) {
+                                connection.send(request, listener);
+                            }
+                        });
+    }
+
+    /**
+     * Keeps a connection for the next request, if it can carry one.
+     *
+     * @param connection The connection.
+     * @param restMillis How long it may rest, in milliseconds, or 0 if the target did not say.
+     */
+    public void keep(TargetConnection connection, long restMillis) {
+        long rest = restMillis > 0 ? restMillis : DEFAULT_REST_MILLIS;
+        connection.useUntil(reactor.currentTimeMillis() + rest);
+        if (closed || !connection.usable()) {
+            connection.cancel();
+        } else {
+            idle.push(connection);
+        }
+    }
+
+    /** Closes idle connections and keeps none any more. */
+    public void close() {
+        closed = true;
+        List.copyOf(idle).forEach(TargetConnection::cancel);
+    }
+
+    /**
+     * Takes an open socket.
+     *
+     * @param socket The socket.
+     * @return The connection.
+     */
+    private TargetConnection open(TcpSocket socket) {
+        TargetConnection[] connection = new TargetConnection[1];
+        connection[0] = new TargetConnection(reactor, socket, () -> idle.remove(connection[0]));
+        return connection[0];
+    }
+
+    /**
+     * Returns the settings of sockets.
+     *
+     * @return The settings.
+     */
+    private static SocketSettings settings() {
+        return SocketSettings.builder().withTcpNoDelay(true).build();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -0,0 +1,299 @@
+package org.martenwell.gateway;
+
+import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.martenwell.admission.FleetRetryBudget;
+import org.martenwell.balance.EngineChooser;
+import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.PromptChain;
+import org.martenwell.balance.ServiceChooser;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.RouteTable;
+import org.martenwell.settings.GatewaySettings;
+import org.martenwell.share.FairShares;
+
+/** What all requests of a gateway share. */
+final class GatewayCore {
+
+    /** The most placed parts that wait to be told to peers. */
+    private static final int MAX_PLACED = 2_000;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The formats of callers and targets. */
+    private final RequestDialect dialect;
+
+    /** The targets. */
+    private final TargetTable targets;
+
+    /** Fair shares. */
+    private final FairShares shares;
+
+    /** The length of the window of fair shares, in milliseconds. */
+    private final long shareWindowMillis;
+
+    /** Chooses engines. */
+    private final EngineChooser engines;
+
+    /** Chooses targets of plain services. */
+    private final ServiceChooser services;
+
+    /** Bounds retries. */
+    private final FleetRetryBudget retries;
+
+    /** Spreads choices. */
+    private final Random random;
+
+    /** Requests that wait for an engine. */
+    private final EngineQueue queue;
+
+    /** Counts and logs what becomes of requests. */
+    private final GatewayLog log;
+
+    /** The configuration in force or {@code null}. */
+    private GatewayConfiguration configuration;
+
+    /** The routes in force. */
+    private RouteTable routes = new RouteTable(List.of());
+
+    /** The parts that targets keep since the last report to peers. */
+    private List<PlacedPart> placed = new ArrayList<>();
+
+    /** How many gateways the fleet has. */
+    private int members = 1;
+
+    /** How many requests are being served. */
+    private int serving;
+
+    /**
+     * Creates a core that knows no configuration.
+     *
+     * @param reactor The loop.
+     * @param dialect The formats of callers and targets.
+     * @param settings The gateway's settings.
+     * @param random Spreads choices.
+     * @param log Counts and logs what becomes of requests.
+     */
+    GatewayCore(
+            NioReactor reactor,
+            RequestDialect dialect,
+            GatewaySettings settings,
+            Random random,
+            GatewayLog log) {
+        this.reactor = reactor;
+        this.dialect = dialect;
+        this.random = random;
+        this.log = log;
+        this.targets = new TargetTable(reactor);
+        this.shareWindowMillis = settings.shareWindowMillis();
+        this.shares = new FairShares(shareWindowMillis);
+        this.engines = new EngineChooser(settings.failureDomain());
+        this.services = new ServiceChooser(settings.failureDomain());
+        this.retries =
+                new FleetRetryBudget(
+                        settings.retryShare(),
+                        settings.retryAllowance(),
+                        settings.retryWindowMillis(),
+                        reactor.currentTimeMillis());
+        this.queue = new EngineQueue(reactor);
+    }
+
+    /**
+     * Puts a configuration in force.
+     *
+     * @param changed The configuration.
+     */
+    void configure(GatewayConfiguration changed) {
+        configuration = changed;
+        routes = new RouteTable(changed.routes());
+    }
+
+    /**
+     * Returns the configuration in force.
+     *
+     * @return The configuration or empty if none is known.
+     */
+    Optional<GatewayConfiguration> configuration() {
+        return Optional.ofNullable(configuration);
+    }
+
+    /**
+     * Returns the routes in force.
+     *
+     * @return The routes.
+     */
+    RouteTable routes() {
+        return routes;
+    }
+
+    /**
+     * Returns the loop.
+     *
+     * @return The loop.
+     */
+    NioReactor reactor() {
+        return reactor;
+    }
+
+    /**
+     * Returns the present time.
+     *
+     * @return The time in milliseconds.
+     */
+    long now() {
+        return reactor.currentTimeMillis();
+    }
+
+    /**
+     * Returns the formats of callers and targets.
+     *
+     * @return The formats.
+     */
+    RequestDialect dialect() {
+        return dialect;
+    }
+
+    /**
+     * Returns the targets.
+     *
+     * @return The targets.
+     */
+    TargetTable targets() {
+        return targets;
+    }
+
+    /**
+     * Returns fair shares.
+     *
+     * @return The shares.
+     */
+    FairShares shares() {
+        return shares;
+    }
+
+    /**
+     * Returns what the fleet produces in a window of fair shares.
+     *
+     * @return The capacity in tokens; infinite if the configuration does not say.
+     */
+    double windowTokens() {
+        long tokensPerSecond = configuration == null ? 0 : configuration.tokensPerSecond();
+        return tokensPerSecond <= 0
+                ? Double.POSITIVE_INFINITY
+                : tokensPerSecond * (shareWindowMillis / 1000.0);
+    }
+
+    /**
+     * Returns the chooser of engines.
+     *
+     * @return The chooser.
+     */
+    EngineChooser engines() {
+        return engines;
+    }
+
+    /**
+     * Returns the chooser of targets of plain services.
+     *
+     * @return The chooser.
+     */
+    ServiceChooser services() {
+        return services;
+    }
+
+    /**
+     * Returns the queue of requests that wait for an engine.
+     *
+     * @return The queue.
+     */
+    EngineQueue queue() {
+        return queue;
+    }
+
+    /**
+     * Returns what counts and logs what becomes of requests.
+     *
+     * @return The log.
+     */
+    GatewayLog log() {
+        return log;
+    }
+
+    /**
+     * Returns a random number.
+     *
+     * @return The number, from 0 (inclusive) to 1 (exclusive).
+     */
+    double random() {
+        return random.nextDouble();
+    }
+
+    /** Counts a request that is sent for the first time. */
+    void countFresh() {
+        retries.countFresh(now());
+    }
+
+    /**
+     * Takes a retry from the budget.
+     *
+     * @return {@code true} if it is allowed.
+     */
+    boolean takeRetry() {
+        return retries.takeRetry(members, now());
+    }
+
+    /**
+     * Changes how many gateways the fleet has.
+     *
+     * @param count The number of gateways.
+     */
+    void members(int count) {
+        members = count;
+    }
+
+    /**
+     * Notes that a target keeps the parts of a prompt.
+     *
+     * @param target The target's id.
+     * @param chain The parts.
+     */
+    void placed(String target, PromptChain chain) {
+        for (int index = 0; index < chain.length() && placed.size() < MAX_PLACED; index++) {
+            placed.add(new PlacedPart(target, chain.key(index), chain.tokens(index)));
+        }
+    }
+
+    /**
+     * Takes the parts that targets keep since the last call.
+     *
+     * @return The parts.
+     */
+    List<PlacedPart> takePlaced() {
+        List<PlacedPart> taken = placed;
+        placed = new ArrayList<>();
+        return taken;
+    }
+
+    /** Notes that a request is being served. */
+    void begin() {
+        serving++;
+    }
+
+    /** Notes that a request is no longer served. */
+    void end() {
+        serving--;
+    }
+
+    /**
+     * Returns how many requests are being served.
+     *
+     * @return The number of requests.
+     */
+    int serving() {
+        return serving;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -0,0 +1,244 @@
+package org.martenwell.gateway;
+
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.martenwell.balance.GatewayReport;
+import org.martenwell.balance.LoadSums;
+import org.martenwell.balance.OrganisationReport;
+import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.TargetLoadReport;
+import org.martenwell.directory.FleetDirectory;
+import org.martenwell.directory.GatewayMember;
+import org.martenwell.message.PeerMessage;
+import org.martenwell.peer.ConfigurationAnswer;
+import org.martenwell.peer.ConfigurationRequest;
+import org.martenwell.peer.PeerListener;
+import org.martenwell.peer.PeerNetwork;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.route.ServiceTerms;
+import org.martenwell.service.ManagedService;
+import org.martenwell.settings.GatewaySettings;
+import org.martenwell.share.ShareSums;
+
+/** Tells peers what this gateway does and takes in what they tell. */
+final class PeerReporter implements ManagedService, PeerListener {
+
+    /** How often peers are told, in milliseconds. */
+    private static final long REPORT_MILLIS = 40;
+
+    /** How long a peer's leaving target is not asked about again, in milliseconds. */
+    private static final long REFRESH_MILLIS = 300;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The gateway's name. */
+    private final String name;
+
+    /** A number that is different after each start. */
+    private final long incarnation;
+
+    /** What the gateway does. */
+    private final GatewayCore core;
+
+    /** The connections to peers. */
+    private final PeerNetwork network;
+
+    /** What peers' configurations and targets are checked against; set at the start. */
+    private FleetDirectory directory;
+
+    /** The document of the configuration in force. */
+    private String document = "";
+
+    /** When the directory was last asked because of a peer, in milliseconds. */
+    private long refreshedMillis = Long.MIN_VALUE / 2;
+
+    /** Whether the gateway stopped. */
+    private boolean stopped;
+
+    /**
+     * Creates a reporter.
+     *
+     * @param reactor The loop.
+     * @param settings The gateway's settings.
+     * @param core What the gateway does.
+     * @param random Makes the incarnation and spreads attempts to connect.
+     */
+    PeerReporter(NioReactor reactor, GatewaySettings settings, GatewayCore core, Random random) {
+        this.reactor = reactor;
+        this.name = settings.name();
+        this.core = core;
+        this.incarnation = random.nextLong();
+        this.network =
+                new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
+    }
+
+    /**
+     * Sets the directory.
+     *
+     * @param learnt The directory.
+     */
+    void directory(FleetDirectory learnt) {
+        directory = learnt;
+    }
+
+    @Override
+    public Promise<Void> start() {
+        reactor.delayBackground(REPORT_MILLIS, this::report);
+        return network.start();
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        stopped = true;
+        return network.stop();
+    }
+
+    /**
+     * Changes the gateways of the fleet.
+     *
+     * @param members All gateways by name, this one among them.
+     */
+    void members(Map<String, GatewayMember> members) {
+        Map<String, String> addresses = new HashMap<>();
+        for (GatewayMember each : members.values()) {
+            if (!each.name().equals(name)) {
+                addresses.put(each.name(), each.peerAddress());
+            }
+        }
+        core.members(addresses.size() + 1);
+        network.peers(addresses);
+    }
+
+    /**
+     * Changes the configuration that is passed on.
+     *
+     * @param text Its document.
+     */
+    void document(String text) {
+        document = text;
+    }
+
+    @Override
+    public void received(PeerMessage message) {
+        if (message instanceof GatewayReport report) {
+            takeReport(report);
+        } else if (message instanceof ConfigurationRequest request) {
+            if (version() > request.above()) {
+                network.send(request.router(), new ConfigurationAnswer(version(), document));
+            }
+        } else if (message instanceof ConfigurationAnswer answer) {
+            if (answer.version() > version()) {
+                directory.passedOn(answer.text());
+            }
+        }
+    }
+
+    @Override
+    public void connected(String peer) {
+        network.send(peer, new ConfigurationRequest(name, version()));
+    }
+
+    /**
+     * Takes in a peer's report.
+     *
+     * @param report The report.
+     */
+    private void takeReport(GatewayReport report) {
+        long now = core.now();
+        Map<String, LoadSums> loads = new HashMap<>();
+        report.loads().forEach(each -> loads.put(each.target(), each.sums()));
+        for (KnownTarget each : core.targets().all()) {
+            String id = each.load().target().id();
+            each.load().peer(report.gateway(), loads.getOrDefault(id, LoadSums.NONE), now);
+        }
+        Map<String, ShareSums> shares = new HashMap<>();
+        report.shares().forEach(each -> shares.put(each.organisation(), each.sums()));
+        core.shares().peer(report.gateway(), shares, now);
+        report.placed().forEach(this::takePlaced);
+        boolean news = false;
+        for (String id : report.leaving()) {
+            news |= core.targets().leavingByPeer(id);
+        }
+        if (report.configurationVersion() > version()) {
+            network.send(report.gateway(), new ConfigurationRequest(name, version()));
+        }
+        if (news && now - refreshedMillis > REFRESH_MILLIS) {
+            refreshedMillis = now;
+            directory.refresh();
+        }
+    }
+
+    /**
+     * Notes that a target keeps a part of prompts.
+     *
+     * @param part The part.
+     */
+    private void takePlaced(PlacedPart part) {
+        core.targets()
+                .find(part.target())
+                .ifPresent(
+                        target ->
+                                target.load()
+                                        .memory()
+                                        .keep(part.key(), part.tokens(), memoryTokens(target)));
+    }
+
+    /**
+     * Returns how many tokens a target keeps.
+     *
+     * @param target The target.
+     * @return The tokens, 0 for a target of a plain service.
+     */
+    private long memoryTokens(KnownTarget target) {
+        return core.configuration()
+                .flatMap(each -> each.service(target.load().target().service()))
+                .flatMap(ServiceTerms::engine)
+                .map(EngineTerms::memoryTokens)
+                .orElse(0L);
+    }
+
+    /** Tells peers what this gateway does. */
+    private void report() {
+        if (stopped) {
+            return;
+        }
+        List<TargetLoadReport> loads = new ArrayList<>();
+        for (KnownTarget each : core.targets().all()) {
+            LoadSums own = each.load().own();
+            if (own.requests() > 0) {
+                loads.add(new TargetLoadReport(each.load().target().id(), own));
+            }
+        }
+        List<OrganisationReport> shares = new ArrayList<>();
+        core.shares()
+                .own(core.now())
+                .forEach(
+                        (organisation, sums) ->
+                                shares.add(new OrganisationReport(organisation, sums)));
+        network.broadcast(
+                new GatewayReport(
+                        name,
+                        incarnation,
+                        version(),
+                        loads,
+                        shares,
+                        core.takePlaced(),
+                        core.targets().leaving()));
+        reactor.delayBackground(REPORT_MILLIS, this::report);
+    }
+
+    /**
+     * Returns the version of the configuration in force.
+     *
+     * @return The version, 0 if none is known.
+     */
+    private long version() {
+        return core.configuration().map(each -> each.version()).orElse(0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -0,0 +1,676 @@
+package org.martenwell.gateway;
+
+import io.activej.reactor.schedule.ScheduledRunnable;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import org.martenwell.balance.EngineChoice;
+import org.martenwell.balance.PromptChain;
+import org.martenwell.balance.PromptNeed;
+import org.martenwell.balance.RunningRequest;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.exchange.AnswerFailure;
+import org.martenwell.exchange.CallerExchange;
+import org.martenwell.exchange.TargetRequestHead;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.OrganisationTerms;
+import org.martenwell.route.Route;
+import org.martenwell.route.RouteType;
+import org.martenwell.route.ServiceTerms;
+import org.martenwell.stream.WholeEvents;
+
+/**
+ * The life of one request: it finds its route, waits for room, is sent, perhaps again, and is
+ * answered. Only a request of which no target may have run anything is answered as not run.
+ */
+final class RequestDispatch {
+
+    /** The part of an objective for which a request waits for room. */
+    private static final double WAIT_SHARE = 0.2;
+
+    /** How often a target may be unreachable before the request is given up. */
+    private static final int MAX_UNREACHABLE = 3;
+
+    /** How long a target that says it is full gets no requests, in milliseconds. */
+    private static final long FULL_MILLIS = 150;
+
+    /** How long a target that turned out to be another one gets no requests, in milliseconds. */
+    private static final long OTHER_MILLIS = 5_000;
+
+    /** How much of an answer may wait for the caller before the target is not read on, in bytes. */
+    private static final int MAX_UNREAD_BYTES = 262_144;
+
+    /** How often a caller that reads slowly is looked at, in milliseconds. */
+    private static final long SLOW_READER_MILLIS = 20;
+
+    /** When a caller may come back after it found no room, in seconds. */
+    private static final double RETRY_SOON_SECONDS = 0.4;
+
+    /** When a caller beyond its fair share may come back, in seconds. */
+    private static final double RETRY_SHARE_SECONDS = 2;
+
+    /** The first status that says that the target failed. */
+    private static final int FIRST_FAILURE_STATUS = 500;
+
+    /** The status of a good answer. */
+    private static final int OK = 200;
+
+    /** The first status that is no success. */
+    private static final int FIRST_NO_SUCCESS = 300;
+
+    /** The statuses that promise that a request did not run. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
+    /** The status of a target that is another one than was meant. */
+    private static final int MISDIRECTED = 421;
+
+    /** What all requests share. */
+    private final GatewayCore core;
+
+    /** The request and its answer. */
+    private final CallerExchange exchange;
+
+    /** What the caller states. */
+    private final RequestFacts facts;
+
+    /** When the request arrived, in milliseconds. */
+    private final long arrivedMillis;
+
+    /** The route or {@code null} until it is found. */
+    private Route route;
+
+    /** The service that serves the request. */
+    private String service = "";
+
+    /** The caller's organisation. */
+    private Optional<String> organisation = Optional.empty();
+
+    /** What the request needs of an engine, or {@code null} for a plain service. */
+    private PromptNeed need;
+
+    /** What engines hold, or {@code null} for a plain service. */
+    private EngineTerms engine;
+
+    /** When the request is given up, in milliseconds. */
+    private long deadlineMillis;
+
+    /** Ends the request at its deadline. */
+    private ScheduledRunnable timer;
+
+    /** The ids of the targets that were tried. */
+    private final Set<String> tried = new HashSet<>();
+
+    /** To how many targets the request was sent. */
+    private int attempts;
+
+    /** How many targets were not reachable. */
+    private int unreachable;
+
+    /** Whether a target may have run the request. */
+    private boolean mayHaveRun;
+
+    /** The present attempt or {@code null}. */
+    private SendAttempt attempt;
+
+    /** The head of the answer or {@code null}. */
+    private HttpResponse head;
+
+    /** Whether the answer is handed on as it arrives. */
+    private boolean streaming;
+
+    /** The answer that is handed on whole. */
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+
+    /** Cuts a stream that may be resumed behind whole events. */
+    private final WholeEvents events = new WholeEvents();
+
+    /** Whether the request is over. */
+    private boolean over;
+
+    /**
+     * Creates a request's life.
+     *
+     * @param core What all requests share.
+     * @param exchange The request and its answer.
+     */
+    RequestDispatch(GatewayCore core, CallerExchange exchange) {
+        this.core = core;
+        this.exchange = exchange;
+        this.facts = core.dialect().read(exchange.request().headers());
+        this.arrivedMillis = exchange.request().arrivedMillis();
+    }
+
+    /** Begins to serve the request. */
+    void start() {
+        core.begin();
+        Optional<GatewayConfiguration> configuration = core.configuration();
+        if (configuration.isEmpty()) {
+            answer(ErrorKind.NOT_READY, RETRY_SOON_SECONDS);
+            return;
+        }
+        Optional<Route> found = core.routes().find(facts.host(), exchange.request().path());
+        if (found.isEmpty()) {
+            answer(ErrorKind.UNKNOWN_PATH, 0);
+            return;
+        }
+        route = found.get();
+        if (configuration.get().keyed() && !route.anonymous()) {
+            organisation =
+                    facts.key().map(configuration.get().keys()::get).map(OrganisationTerms::name);
+            if (organisation.isEmpty()) {
+                answer(ErrorKind.UNAUTHENTICATED, 0);
+                return;
+            }
+        }
+        accept(configuration.get());
+    }
+
+    /**
+     * Takes the request in.
+     *
+     * @param configuration The configuration.
+     */
+    private void accept(GatewayConfiguration configuration) {
+        long held = Math.min(route.timeoutMillis(), facts.waitMillis().orElse(Long.MAX_VALUE));
+        deadlineMillis = arrivedMillis + held;
+        exchange.onLeave(this::left);
+        timer = core.reactor().delayBackground(Math.max(1, leftMillis()), this::timedOut);
+        service = route.service(core.random());
+        engine = configuration.service(service).flatMap(ServiceTerms::engine).orElse(null);
+        if (engine != null && facts.generation().isPresent()) {
+            need = need(facts.generation().get());
+            core.shares().asked(need.organisation(), need.cost(), core.now());
+        }
+        trySend();
+    }
+
+    /**
+     * Finds out what the request needs of an engine.
+     *
+     * @param generation What the caller states.
+     * @return The need.
+     */
+    private PromptNeed need(GenerationFacts generation) {
+        return new PromptNeed(
+                organisation.orElse(""),
+                PromptChain.of(generation.model(), generation.parts()),
+                generation.promptTokens(),
+                generation.answerTokens(),
+                route.objectiveMillis(),
+                arrivedMillis);
+    }
+
+    /**
+     * Returns how much of its fair share the organisation has used.
+     *
+     * @return The part; above 1 it exceeds its share.
+     */
+    double shareUse() {
+        return core.shares().use(need.organisation(), need.cost(), core.windowTokens(), core.now());
+    }
+
+    /** Tries to send a request that waits for room. */
+    void tryAgain() {
+        trySend();
+    }
+
+    /**
+     * Tells whether an answer belongs to the request.
+     *
+     * @param answer The answer's head.
+     * @return {@code true} if it does.
+     */
+    boolean belongs(HttpResponse answer) {
+        return core.dialect().belongs(answer, facts);
+    }
+
+    /** Sends the request if there is room, else lets it wait or refuses it. */
+    private void trySend() {
+        long now = core.now();
+        List<TargetLoad> open = core.targets().open(service, tried, now);
+        if (open.isEmpty() && !tried.isEmpty() && route.repeatable()) {
+            open = core.targets().open(service, Set.of(), now);
+        }
+        if (open.isEmpty()) {
+            giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
+        } else if (need == null) {
+            core.services().choose(open, now).ifPresent(load -> send(load, 0, 0, 0, null));
+        } else {
+            sendToEngine(open, now);
+        }
+    }
+
+    /**
+     * Sends the request to an engine if one has room.
+     *
+     * @param open The engines.
+     * @param now The present time, in milliseconds.
+     */
+    private void sendToEngine(List<TargetLoad> open, long now) {
+        double use = shareUse();
+        boolean within = use <= 1;
+        Optional<EngineChoice> choice =
+                core.engines()
+                        .choose(need, within, open, engine, core.targets().rate(service), now);
+        if (choice.isPresent()) {
+            core.queue().remove(this);
+            EngineChoice chosen = choice.get();
+            send(
+                    chosen.load(),
+                    chosen.unreadTokens(),
+                    chosen.backlogMillis(),
+                    use,
+                    chosen.copyFrom().orElse(null));
+        } else if (attempts > 0) {
+            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use));
+        } else if (!within) {
+            core.queue().remove(this);
+            giveUp(ErrorKind.RATE_EXCEEDED, RETRY_SHARE_SECONDS);
+        } else if (now - arrivedMillis >= WAIT_SHARE * route.objectiveMillis()) {
+            core.queue().remove(this);
+            giveUp(ErrorKind.WAIT_TOO_LONG, RETRY_SOON_SECONDS);
+        } else {
+            core.queue().remove(this);
+            core.queue().add(this);
+        }
+    }
+
+    /**
+     * Sends a request that was sent before to the least loaded engine, since it has waited enough.
+     *
+     * @param load The engine.
+     * @param use How much of its fair share the organisation has used.
+     */
+    private void sendAnyway(TargetLoad load, double use) {
+        long kept = load.memory().keptTokens(need.chain());
+        send(load, need.promptTokens() - kept, Double.MAX_VALUE, use, null);
+    }
+
+    /**
+     * Sends the request to a target.
+     *
+     * @param load The target.
+     * @param unreadTokens How many tokens of the prompt it reads.
+     * @param backlogMillis How long it is taken to be busy, in milliseconds.
+     * @param use How much of its fair share the organisation has used.
+     * @param copyFrom The target that hands over parts of the prompt, or {@code null}.
+     */
+    private void send(
+            TargetLoad load,
+            long unreadTokens,
+            double backlogMillis,
+            double use,
+            TargetLoad copyFrom) {
+        String id = load.target().id();
+        Optional<KnownTarget> target = core.targets().find(id);
+        if (target.isEmpty()) {
+            giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
+            return;
+        }
+        attempts++;
+        tried.add(id);
+        head = null;
+        whole.reset();
+        events.reset();
+        if (attempts == 1) {
+            core.countFresh();
+        }
+        if (need != null) {
+            noteSent(load, id);
+        }
+        long memory = need == null ? 0 : need.ownTokens() + need.answerTokens();
+        RunningRequest running =
+                new RunningRequest(unreadTokens, memory, core.now(), backlogMillis);
+        attempt = new SendAttempt(this, target.get(), running);
+        core.log().sent(requestId(), id, attempts, use, backlogMillis);
+        attempt.send(
+                new TargetRequestHead(
+                        exchange.request().method(),
+                        exchange.request().target(),
+                        targetHeaders(id, copyFrom),
+                        exchange.request().body()));
+    }
+
+    /**
+     * Notes what sending the request to an engine changes.
+     *
+     * @param load The engine.
+     * @param id The engine's id.
+     */
+    private void noteSent(TargetLoad load, String id) {
+        if (attempts == 1) {
+            core.shares().begun(need.organisation(), need.cost(), core.now());
+        }
+        if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
+            core.placed(id, need.chain());
+        }
+        load.memory().keep(need.chain(), engine.memoryTokens());
+    }
+
+    /**
+     * Writes the headers for a target.
+     *
+     * @param id The target's id.
+     * @param copyFrom The target that hands over parts of the prompt, or {@code null}.
+     * @return The headers.
+     */
+    private HttpHeaders targetHeaders(String id, TargetLoad copyFrom) {
+        Optional<String> lastEvent = events.lastId().or(facts::lastEventId);
+        return core.dialect()
+                .forTarget(
+                        exchange.request().headers(),
+                        new SendFacts(
+                                id,
+                                facts.waitMillis().map(told -> Math.max(1, leftMillis())),
+                                organisation,
+                                lastEvent,
+                                Optional.ofNullable(copyFrom)
+                                        .map(each -> each.target().address())));
+    }
+
+    /**
+     * Takes the head of an answer.
+     *
+     * @param from The attempt.
+     * @param answer The head.
+     */
+    void answerBegun(SendAttempt from, HttpResponse answer) {
+        head = answer;
+        if (core.dialect().notRun(answer)) {
+            from.release();
+            attempt = null;
+            refusedByTarget(from, answer.status().code());
+        } else if (!core.dialect().genuine(answer) && answer.status().code() < FIRST_NO_SUCCESS) {
+            from.cancel();
+            attemptFailed(from, AnswerFailure.MALFORMED);
+        } else {
+            boolean good = answer.status().code() == OK;
+            streaming = good && route.type() == RouteType.STREAMING;
+            if (exchange.begun() && !streaming) {
+                from.cancel();
+                abort();
+            }
+        }
+    }
+
+    /**
+     * Notes that the first piece of an answer arrived.
+     *
+     * @param from The attempt.
+     */
+    void firstPiece(SendAttempt from) {
+        if (need != null && streaming) {
+            RunningRequest running = from.running();
+            core.targets().rate(service).observe(running, core.now() - running.sentMillis());
+        }
+    }
+
+    /**
+     * Takes a piece of an answer.
+     *
+     * @param from The attempt.
+     * @param piece The piece.
+     */
+    void answerReceived(SendAttempt from, byte[] piece) {
+        if (!streaming) {
+            whole.writeBytes(piece);
+            return;
+        }
+        if (!exchange.begun()) {
+            exchange.begin(OK, core.dialect().forCaller(head.headers()));
+        }
+        exchange.write(route.resumable() ? events.receive(piece) : piece);
+        if (exchange.unreadBytes() > MAX_UNREAD_BYTES) {
+            from.pause();
+            resumeLater(from);
+        }
+    }
+
+    /**
+     * Reads on once the caller has read most of what waits.
+     *
+     * @param paused The attempt.
+     */
+    private void resumeLater(SendAttempt paused) {
+        core.reactor()
+                .delayBackground(
+                        SLOW_READER_MILLIS,
+                        () -> {
+                            if (paused != attempt) {
+                                return;
+                            }
+                            if (exchange.unreadBytes() > MAX_UNREAD_BYTES / 2) {
+                                resumeLater(paused);
+                            } else {
+                                paused.resume();
+                            }
+                        });
+    }
+
+    /**
+     * Notes that a whole answer arrived.
+     *
+     * @param from The attempt.
+     */
+    void answerEnded(SendAttempt from) {
+        attempt = null;
+        int status = head.status().code();
+        boolean failure = status >= FIRST_FAILURE_STATUS;
+        if (failure) {
+            from.target().load().health().failed(core.now());
+        } else {
+            from.target().load().health().succeeded(core.now());
+        }
+        if (streaming) {
+            exchange.write(events.tail());
+            if (!exchange.begun()) {
+                exchange.begin(OK, core.dialect().forCaller(head.headers()));
+            }
+            exchange.end();
+            finish();
+        } else if (failure && route.repeatable() && mayRetry()) {
+            mayHaveRun = true;
+            trySend();
+        } else if (PROMISES.contains(status)) {
+            mayHaveRun = true;
+            giveUp(ErrorKind.TARGET_FAILED, 0);
+        } else {
+            exchange.respond(status, core.dialect().forCaller(head.headers()), whole.toByteArray());
+            finish();
+        }
+    }
+
+    /**
+     * Notes that a target did not run the request.
+     *
+     * @param from The attempt.
+     * @param status The status of its answer.
+     */
+    private void refusedByTarget(SendAttempt from, int status) {
+        boolean other = status == MISDIRECTED;
+        core.log().attemptFailed(requestId(), targetId(from), other ? "other" : "full");
+        from.target().load().health().close(core.now(), other ? OTHER_MILLIS : FULL_MILLIS);
+        if (mayRetry()) {
+            trySend();
+        } else {
+            giveUp(ErrorKind.TARGET_REFUSED, RETRY_SOON_SECONDS);
+        }
+    }
+
+    /**
+     * Notes that an attempt failed.
+     *
+     * @param from The attempt.
+     * @param failure What happened.
+     */
+    void attemptFailed(SendAttempt from, AnswerFailure failure) {
+        attempt = null;
+        core.log().attemptFailed(requestId(), targetId(from), failure.name());
+        from.target().load().health().failed(core.now());
+        if (!failure.sent()) {
+            retryUnreachable();
+            return;
+        }
+        mayHaveRun = true;
+        boolean resumable = !exchange.begun() || route.resumable();
+        if (route.repeatable() && resumable && mayRetry()) {
+            trySend();
+        } else {
+            giveUp(ErrorKind.TARGET_FAILED, 0);
+        }
+    }
+
+    /** Tries another target behind one that was not reachable, since nothing was sent. */
+    private void retryUnreachable() {
+        attempts--;
+        unreachable++;
+        if (unreachable <= MAX_UNREACHABLE && leftMillis() > 0) {
+            trySend();
+        } else {
+            giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
+        }
+    }
+
+    /**
+     * Takes another attempt, if there may be one.
+     *
+     * @return {@code true} if the request may be sent again.
+     */
+    private boolean mayRetry() {
+        return attempts < route.maxAttempts() && leftMillis() > 0 && core.takeRetry();
+    }
+
+    /** Ends the request at its deadline. */
+    private void timedOut() {
+        if (over) {
+            return;
+        }
+        cancelAttempt();
+        boolean never = attempts == 0;
+        giveUp(never ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, 0);
+    }
+
+    /** Ends the request because the caller left. */
+    private void left() {
+        if (over) {
+            return;
+        }
+        core.log().failed(requestId(), ErrorKind.CALLER_LEFT, routeName(), attempts, held());
+        cancelAttempt();
+        finish();
+    }
+
+    /** Lets the target stop its work. */
+    private void cancelAttempt() {
+        if (attempt != null) {
+            attempt.cancel();
+            attempt = null;
+        }
+    }
+
+    /**
+     * Ends the request without a target's answer. What may have run is never answered as not run.
+     *
+     * @param kind The kind of the answer if nothing ran.
+     * @param retrySeconds When the caller may come back, in seconds, or 0.
+     */
+    private void giveUp(ErrorKind kind, double retrySeconds) {
+        if (exchange.begun()) {
+            core.log().failed(requestId(), ErrorKind.STREAM_BROKEN, routeName(), attempts, held());
+            abort();
+        } else if (mayHaveRun && PROMISES.contains(kind.status())) {
+            answer(ErrorKind.TARGET_FAILED, 0);
+        } else {
+            answer(kind, retrySeconds);
+        }
+    }
+
+    /** Ends the request by closing the caller's connection. */
+    private void abort() {
+        exchange.abort();
+        finish();
+    }
+
+    /**
+     * Answers the request with an answer of the gateway's own.
+     *
+     * @param kind The kind of the answer.
+     * @param retrySeconds When the caller may come back, in seconds, or 0.
+     */
+    private void answer(ErrorKind kind, double retrySeconds) {
+        core.log().failed(requestId(), kind, routeName(), attempts, held());
+        HttpHeaders headers = core.dialect().ownAnswer(facts);
+        if (retrySeconds > 0) {
+            double spread = retrySeconds * (1 + core.random());
+            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", spread));
+        }
+        exchange.respond(kind.status(), headers, new byte[0]);
+        finish();
+    }
+
+    /** Frees what the request holds. */
+    private void finish() {
+        if (!over) {
+            over = true;
+            core.end();
+            core.queue().remove(this);
+            if (timer != null) {
+                timer.cancel();
+            }
+        }
+    }
+
+    /**
+     * Returns how long the request may still be held.
+     *
+     * @return The time in milliseconds, negative behind its deadline.
+     */
+    private long leftMillis() {
+        return deadlineMillis - core.now();
+    }
+
+    /**
+     * Returns how long the request was held.
+     *
+     * @return The time in milliseconds.
+     */
+    private long held() {
+        return core.now() - arrivedMillis;
+    }
+
+    /**
+     * Returns the route's name.
+     *
+     * @return The name or an empty text.
+     */
+    private String routeName() {
+        return route == null ? "" : route.name();
+    }
+
+    /**
+     * Returns the id of the caller's attempt.
+     *
+     * @return The id or an empty text.
+     */
+    private String requestId() {
+        return facts.requestId().orElse("");
+    }
+
+    /**
+     * Returns the id of an attempt's target.
+     *
+     * @param of The attempt.
+     * @return The id.
+     */
+    private static String targetId(SendAttempt of) {
+        return of.target().load().target().id();
+    }
+}
--- a/src/main/java/org/martenwell/member/Membership.java
+++ b/src/main/java/org/martenwell/member/Membership.java
@@ -9,8 +9,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import org.martenwell.platform.Box;
-import org.martenwell.platform.BoxRole;
+import org.martenwell.objects.Box;
+import org.martenwell.objects.BoxRole;
 
 /**
  * The routers that one router counts as members. The platform's list only tells whom to call;
--- a/src/main/java/org/martenwell/platform/Box.java
+++ b/src/main/java/org/martenwell/objects/Box.java
@@ -1,4 +1,4 @@
-package org.martenwell.platform;
+package org.martenwell.objects;
 
 /**
  * One entry of the platform's list of boxes, which lags.
--- a/src/main/java/org/martenwell/platform/BoxState.java
+++ b/src/main/java/org/martenwell/objects/BoxState.java
@@ -1,4 +1,4 @@
-package org.martenwell.platform;
+package org.martenwell.objects;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
--- a/src/main/java/org/martenwell/platform/ObjectItem.java
+++ b/src/main/java/org/martenwell/objects/ObjectItem.java
@@ -1,4 +1,4 @@
-package org.martenwell.platform;
+package org.martenwell.objects;
 
 /**
  * The wire form of an object in a list.
--- a/src/main/java/org/martenwell/platform/Platform.java
+++ b/src/main/java/org/martenwell/objects/Platform.java
@@ -1,4 +1,4 @@
-package org.martenwell.platform;
+package org.martenwell.objects;
 
 import io.activej.promise.Promise;
 import java.util.List;
--- a/src/main/java/org/martenwell/platform/StoredObject.java
+++ b/src/main/java/org/martenwell/objects/StoredObject.java
@@ -1,4 +1,4 @@
-package org.martenwell.platform;
+package org.martenwell.objects;
 
 /** One version of an object of the platform's service. */
 public final class StoredObject {
--- a/src/main/java/org/martenwell/once/ClaimLedger.java
+++ b/src/main/java/org/martenwell/once/ClaimLedger.java
@@ -7,7 +7,7 @@
 import java.util.Random;
 import java.util.function.LongSupplier;
 import org.martenwell.hash.RendezvousHash;
-import org.martenwell.platform.Platform;
+import org.martenwell.objects.Platform;
 
 /** The claims of all keys, spread over a fixed number of ledger objects by the key's hash. */
 public final class ClaimLedger {
--- a/src/main/java/org/martenwell/once/LedgerShard.java
+++ b/src/main/java/org/martenwell/once/LedgerShard.java
@@ -11,8 +11,8 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.error.Outcome;
-import org.martenwell.platform.Platform;
-import org.martenwell.platform.StoredObject;
+import org.martenwell.objects.Platform;
+import org.martenwell.objects.StoredObject;
 
 /**
  * One ledger object, as one router changes it. All changes that wait go into one conditional
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Optional;
+import org.martenwell.balance.GatewayReport;
 import org.martenwell.member.Heartbeat;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.schedule.ServiceReport;
@@ -101,6 +102,19 @@
         PeerMessage read(FieldReader reader) throws IOException {
             return MembershipForms.readTargetNotice(reader);
         }
+    },
+
+    /** A {@link GatewayReport}. */
+    GATEWAY_REPORT(8, GatewayReport.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            GatewayForms.write((GatewayReport) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return GatewayForms.readReport(reader);
+        }
     };
 
     /** The number that stands first in a message. */
--- /dev/null
+++ b/src/main/java/org/martenwell/route/package-info.java
@@ -0,0 +1,2 @@
+/** What operators configure for gateways: routes, services, keys and limits. Plain values. */
+package org.martenwell.route;
--- a/src/main/java/org/martenwell/router/ConfigurationApplier.java
+++ b/src/main/java/org/martenwell/router/ConfigurationApplier.java
@@ -18,8 +18,8 @@
 import org.martenwell.error.Outcome;
 import org.martenwell.member.Member;
 import org.martenwell.member.Membership;
-import org.martenwell.platform.Platform;
-import org.martenwell.platform.StoredObject;
+import org.martenwell.objects.Platform;
+import org.martenwell.objects.StoredObject;
 
 /**
  * Changes the configuration: checks it whole, writes it by conditional update, settles a lost reply
--- a/src/main/java/org/martenwell/router/PlatformFollower.java
+++ b/src/main/java/org/martenwell/router/PlatformFollower.java
@@ -7,9 +7,9 @@
 import java.util.Random;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import org.martenwell.platform.Box;
-import org.martenwell.platform.Platform;
-import org.martenwell.platform.StoredObject;
+import org.martenwell.objects.Box;
+import org.martenwell.objects.Platform;
+import org.martenwell.objects.StoredObject;
 import org.martenwell.service.ManagedService;
 
 /**
--- a/src/main/java/org/martenwell/service/Loops.java
+++ b/src/main/java/org/martenwell/service/Loops.java
@@ -1,6 +1,7 @@
 package org.martenwell.service;
 
 import io.activej.eventloop.Eventloop;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.error.MartenwellException;
@@ -34,6 +35,20 @@
         return Eventloop.builder().withCurrentThread().withFatalErrorHandler(Loops::log).build();
     }
 
+    /**
+     * Creates a loop for the present thread whose clock never steps, whatever happens to the time
+     * of day.
+     *
+     * @return The loop.
+     */
+    public static Eventloop monotonic() {
+        return Eventloop.builder()
+                .withTimeProvider(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))
+                .withCurrentThread()
+                .withFatalErrorHandler(Loops::log)
+                .build();
+    }
+
     /**
      * Logs what the loop takes for a defect. Exceptions with an error kind are none: they go on to
      * whoever waits for the promise.
--- a/src/main/java/org/martenwell/settings/SettingsReader.java
+++ b/src/main/java/org/martenwell/settings/SettingsReader.java
@@ -61,6 +61,15 @@
         return of("/schema/router.schema.json", RouterSettings.class);
     }
 
+    /**
+     * Creates a reader of a gateway's settings.
+     *
+     * @return The reader.
+     */
+    public static SettingsReader<GatewaySettings> ofGateway() {
+        return of("/schema/gateway.schema.json", GatewaySettings.class);
+    }
+
     /**
      * Reads settings, or throws an exception that lists all their problems.
      *
--- a/src/main/java/org/martenwell/standin/BoxChange.java
+++ b/src/main/java/org/martenwell/standin/BoxChange.java
@@ -1,6 +1,6 @@
 package org.martenwell.standin;
 
-import org.martenwell.platform.BoxState;
+import org.martenwell.objects.BoxState;
 
 /**
  * A change of a box that is not shown yet.
--- a/src/main/java/org/martenwell/standin/BoxList.java
+++ b/src/main/java/org/martenwell/standin/BoxList.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.martenwell.platform.Box;
-import org.martenwell.platform.BoxState;
+import org.martenwell.objects.Box;
+import org.martenwell.objects.BoxState;
 
 /** The box list of a stand-in platform, which shows changes only after a lag. */
 final class BoxList {
--- a/src/main/java/org/martenwell/standin/ObjectStore.java
+++ b/src/main/java/org/martenwell/standin/ObjectStore.java
@@ -7,7 +7,7 @@
 import java.util.TreeMap;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
-import org.martenwell.platform.StoredObject;
+import org.martenwell.objects.StoredObject;
 
 /** The objects of a stand-in platform, in memory. */
 final class ObjectStore {
--- a/src/main/java/org/martenwell/standin/PlatformSettings.java
+++ b/src/main/java/org/martenwell/standin/PlatformSettings.java
@@ -1,7 +1,7 @@
 package org.martenwell.standin;
 
 import java.util.List;
-import org.martenwell.platform.Box;
+import org.martenwell.objects.Box;
 
 /**
  * The settings of a stand-in platform.
--- a/src/test/java/org/martenwell/member/MembershipTest.java
+++ b/src/test/java/org/martenwell/member/MembershipTest.java
@@ -4,9 +4,9 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.martenwell.platform.Box;
-import org.martenwell.platform.BoxRole;
-import org.martenwell.platform.BoxState;
+import org.martenwell.objects.Box;
+import org.martenwell.objects.BoxRole;
+import org.martenwell.objects.BoxState;
 
 class MembershipTest {
 
--- a/src/test/java/org/martenwell/once/FakePlatform.java
+++ b/src/test/java/org/martenwell/once/FakePlatform.java
@@ -10,9 +10,9 @@
 import java.util.Random;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
-import org.martenwell.platform.Box;
-import org.martenwell.platform.Platform;
-import org.martenwell.platform.StoredObject;
+import org.martenwell.objects.Box;
+import org.martenwell.objects.Platform;
+import org.martenwell.objects.StoredObject;
 
 /** Objects in memory behind calls that take time, fail, and lose replies after they took effect. */
 final class FakePlatform implements Platform {
