--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.martenwell.hash.RendezvousHash;
 import org.martenwell.route.EngineTerms;
+import org.martenwell.share.ShareTier;
 
 /**
  * Chooses the model engine for a request: among those that have room and reach the first event in
@@ -12,21 +13,9 @@
  */
 public final class EngineChooser {
 
-    /** The part of an engine's places that requests beyond a fair share may fill. */
-    private static final double SPARE_FILL = 0.6;
-
-    /** The part of an engine's places that requests may fill. */
-    private static final double FULL_FILL = 0.96;
-
     /** The part of an engine's memory that requests may fill. */
     private static final double MEMORY_FILL = 0.9;
 
-    /** The part of an objective that an engine may be busy before a request at least. */
-    private static final double LEAST_WAIT = 0.3;
-
-    /** The part of an objective that an engine may be busy before one beyond a fair share. */
-    private static final double SPARE_WAIT = 0.2;
-
     /** The part of an objective that a first event may be planned to take. */
     private static final double PLANNED = 0.85;
 
@@ -64,7 +53,7 @@
      * Chooses an engine.
      *
      * @param need What the request needs.
-     * @param within Whether its organisation is within its fair share.
+     * @param tier Which fair share it is within.
      * @param loads The engines that may be chosen.
      * @param terms What they hold.
      * @param rate How fast they read.
@@ -73,7 +62,7 @@
      */
     public Optional<EngineChoice> choose(
             PromptNeed need,
-            boolean within,
+            ShareTier tier,
             Collection<TargetLoad> loads,
             EngineTerms terms,
             ReadingRate rate,
@@ -91,8 +80,8 @@
             long unread = need.promptTokens() - (copied ? keptBest : kept);
             double reading = rate.millis(unread) + (copied ? COPY_MILLIS : 0);
             boolean room =
-                    hasRoom(each, sums, need, within, terms)
-                            && backlog <= allowedWait(need, within, reading, rate, now);
+                    hasRoom(each, sums, need, tier, terms)
+                            && backlog <= allowedWait(need, tier, reading, rate, now);
             if (!room) {
                 continue;
             }
@@ -117,13 +106,13 @@
      * @param load The engine.
      * @param sums What all gateways put on it.
      * @param need What the request needs.
-     * @param within Whether its organisation is within its fair share.
+     * @param tier Which fair share it is within.
      * @param terms What the engine holds.
      * @return {@code true} if it has.
      */
     private static boolean hasRoom(
-            TargetLoad load, LoadSums sums, PromptNeed need, boolean within, EngineTerms terms) {
-        double fill = within ? FULL_FILL : SPARE_FILL;
+            TargetLoad load, LoadSums sums, PromptNeed need, ShareTier tier, EngineTerms terms) {
+        double fill = tier.fill();
         long memory = sums.memoryTokens() + need.ownTokens() + need.answerTokens();
         return sums.requests() < fill * slots(load, terms)
                 && (sums.requests() == 0 || memory < fill * MEMORY_FILL * terms.memoryTokens());
@@ -133,23 +122,24 @@
      * Returns how long an engine may be busy before a request.
      *
      * @param need What the request needs.
-     * @param within Whether its organisation is within its fair share.
+     * @param tier Which fair share it is within.
      * @param reading How long its own prompt is read, in milliseconds.
      * @param rate How fast engines read.
      * @param now The present time, in milliseconds.
      * @return The time in milliseconds.
      */
     private static double allowedWait(
-            PromptNeed need, boolean within, double reading, ReadingRate rate, long now) {
-        if (!within) {
-            return SPARE_WAIT * need.objectiveMillis();
+            PromptNeed need, ShareTier tier, double reading, ReadingRate rate, long now) {
+        double least = tier.waitPart() * need.objectiveMillis();
+        if (tier == ShareTier.BEYOND) {
+            return least;
         }
         double left =
                 PLANNED * need.objectiveMillis()
                         - (now - need.arrivedMillis())
                         - rate.baseMillis()
                         - reading;
-        return Math.max(left, LEAST_WAIT * need.objectiveMillis());
+        return Math.max(left, least);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -72,7 +72,7 @@
     private void look() {
         lookDue = false;
         List<RequestDispatch> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparingDouble(RequestDispatch::shareUse));
+        order.sort(Comparator.comparingDouble(each -> each.shareUse().promised()));
         for (RequestDispatch each : order) {
             if (waiting.contains(each)) {
                 each.tryAgain();
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -69,6 +69,9 @@
     /** How many requests are being served. */
     private int serving;
 
+    /** Whether new requests are refused, because the gateway is about to end. */
+    private boolean closing;
+
     /**
      * Creates a core that knows no configuration.
      *
@@ -278,6 +281,20 @@
         return taken;
     }
 
+    /** Refuses new requests from now on, because the gateway is about to end. */
+    void close() {
+        closing = true;
+    }
+
+    /**
+     * Returns whether new requests are refused.
+     *
+     * @return {@code true} if the gateway is about to end.
+     */
+    boolean closing() {
+        return closing;
+    }
+
     /** Notes that a request is being served. */
     void begin() {
         serving++;
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -146,6 +146,7 @@
         boolean noticed = passed >= Math.min(BALANCER_MILLIS, settings.stopMillis() / 2);
         boolean late = passed >= settings.stopMillis() - STOP_MARGIN_MILLIS;
         if (noticed) {
+            core.close();
             callers.closeIdle();
         }
         if (late || (noticed && core.serving() == 0)) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -25,6 +25,8 @@
 import org.martenwell.route.Route;
 import org.martenwell.route.RouteType;
 import org.martenwell.route.ServiceTerms;
+import org.martenwell.share.ShareTier;
+import org.martenwell.share.ShareUse;
 import org.martenwell.stream.WholeEvents;
 
 /**
@@ -54,9 +56,15 @@
     /** When a caller may come back after it found no room, in seconds. */
     private static final double RETRY_SOON_SECONDS = 0.4;
 
+    /** When a caller may come back to another gateway, in seconds. */
+    private static final double RETRY_ELSEWHERE_SECONDS = 0.05;
+
     /** When a caller beyond its fair share may come back, in seconds. */
     private static final double RETRY_SHARE_SECONDS = 2;
 
+    /** What part of an engine's memory holds shared parts at least: one in so many. */
+    private static final int LEAST_KEPT_PART = 5;
+
     /** The first status that says that the target failed. */
     private static final int FIRST_FAILURE_STATUS = 500;
 
@@ -152,6 +160,10 @@
     void start() {
         core.begin();
         Optional<GatewayConfiguration> configuration = core.configuration();
+        if (core.closing()) {
+            answer(ErrorKind.DRAINING, RETRY_ELSEWHERE_SECONDS);
+            return;
+        }
         if (configuration.isEmpty()) {
             answer(ErrorKind.NOT_READY, RETRY_SOON_SECONDS);
             return;
@@ -209,11 +221,11 @@
     }
 
     /**
-     * Returns how much of its fair share the organisation has used.
+     * Returns how much of its fair shares the organisation has used.
      *
-     * @return The part; above 1 it exceeds its share.
+     * @return What it has used.
      */
-    double shareUse() {
+    ShareUse shareUse() {
         return core.shares().use(need.organisation(), need.cost(), core.windowTokens(), core.now());
     }
 
@@ -255,11 +267,10 @@
      * @param now The present time, in milliseconds.
      */
     private void sendToEngine(List<TargetLoad> open, long now) {
-        double use = shareUse();
-        boolean within = use <= 1;
+        ShareUse use = shareUse();
+        ShareTier tier = use.tier();
         Optional<EngineChoice> choice =
-                core.engines()
-                        .choose(need, within, open, engine, core.targets().rate(service), now);
+                core.engines().choose(need, tier, open, engine, core.targets().rate(service), now);
         if (choice.isPresent()) {
             core.queue().remove(this);
             EngineChoice chosen = choice.get();
@@ -267,11 +278,11 @@
                     chosen.load(),
                     chosen.unreadTokens(),
                     chosen.backlogMillis(),
-                    use,
+                    use.promised(),
                     chosen.copyFrom().orElse(null));
         } else if (attempts > 0) {
-            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use));
-        } else if (!within) {
+            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use.promised()));
+        } else if (tier == ShareTier.BEYOND) {
             core.queue().remove(this);
             giveUp(ErrorKind.RATE_EXCEEDED, RETRY_SHARE_SECONDS);
         } else if (now - arrivedMillis >= WAIT_SHARE * route.objectiveMillis()) {
@@ -352,7 +363,18 @@
         if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
             core.placed(id, need.chain());
         }
-        load.memory().keep(need.chain(), engine.memoryTokens());
+        load.memory().keep(need.chain(), keptCapacity(load));
+    }
+
+    /**
+     * Returns how many tokens of shared parts an engine keeps beside what it runs.
+     *
+     * @param load The engine.
+     * @return The capacity in tokens.
+     */
+    private long keptCapacity(TargetLoad load) {
+        long free = engine.memoryTokens() - load.all(core.now()).memoryTokens();
+        return Math.max(engine.memoryTokens() / LEAST_KEPT_PART, free);
     }
 
     /**
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -30,6 +30,9 @@
     /** The level. */
     private double level = Double.POSITIVE_INFINITY;
 
+    /** The level of what the fleet really produced, if that is more than it is promised. */
+    private double observedLevel = Double.POSITIVE_INFINITY;
+
     /** When the level was computed, in milliseconds. */
     private long levelMillis = Long.MIN_VALUE / 2;
 
@@ -105,23 +108,20 @@
     }
 
     /**
-     * Tells how much of its fair share an organisation would have used after a request.
+     * Tells how much of its fair shares an organisation would have used after a request.
      *
      * @param organisation The organisation.
      * @param tokens The request's tokens.
-     * @param capacity What the fleet produces in a window, in tokens.
+     * @param capacity What the fleet is promised to produce in a window, in tokens.
      * @param now The present time, in milliseconds.
-     * @return The part; above 1 it exceeds its share. 0 if all demands can be met.
+     * @return What it would have used.
      */
-    public double use(String organisation, double tokens, double capacity, long now) {
+    public ShareUse use(String organisation, double tokens, double capacity, long now) {
         if (now - levelMillis >= LEVEL_MILLIS) {
             compute(capacity, now);
         }
-        if (Double.isInfinite(level)) {
-            return 0;
-        }
-        double got = fleet.getOrDefault(organisation, ShareSums.NONE).begun();
-        return (got + tokens / 2) / level;
+        double got = fleet.getOrDefault(organisation, ShareSums.NONE).begun() + tokens / 2;
+        return new ShareUse(got / level, got / observedLevel);
     }
 
     /**
@@ -138,7 +138,9 @@
         }
         Map<String, Double> demands = new HashMap<>();
         all.forEach((name, sums) -> demands.put(name, sums.asked()));
+        double produced = all.values().stream().mapToDouble(ShareSums::begun).sum();
         level = MaxMin.level(demands, capacity);
+        observedLevel = MaxMin.level(demands, Math.max(capacity, produced));
         fleet = all;
         levelMillis = now;
     }
