--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Optional;
 import org.martenwell.hash.RendezvousHash;
+import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineTerms;
 import org.martenwell.share.ShareTier;
 
--- a/src/main/java/org/martenwell/balance/PromptNeed.java
+++ b/src/main/java/org/martenwell/balance/PromptNeed.java
@@ -1,5 +1,7 @@
 package org.martenwell.balance;
 
+import org.martenwell.prompt.PromptChain;
+
 /**
  * What a request to a model engine needs.
  *
--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.prompt.PromptMemory;
 
 /** What is known of a target: its own requests, those of peers, its prompt memory and health. */
 public final class TargetLoad {
--- a/src/main/java/org/martenwell/gateway/GenerationFacts.java
+++ b/src/main/java/org/martenwell/gateway/GenerationFacts.java
@@ -1,7 +1,7 @@
 package org.martenwell.gateway;
 
 import java.util.List;
-import org.martenwell.balance.PromptPart;
+import org.martenwell.prompt.PromptPart;
 
 /**
  * What a caller states about a request to a model.
--- a/src/main/java/org/martenwell/balance/PromptChain.java
+++ b/src/main/java/org/martenwell/prompt/PromptChain.java
@@ -1,4 +1,4 @@
-package org.martenwell.balance;
+package org.martenwell.prompt;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/org/martenwell/balance/PromptMemory.java
+++ b/src/main/java/org/martenwell/prompt/PromptMemory.java
@@ -1,4 +1,4 @@
-package org.martenwell.balance;
+package org.martenwell.prompt;
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
--- a/src/main/java/org/martenwell/balance/PromptPart.java
+++ b/src/main/java/org/martenwell/prompt/PromptPart.java
@@ -1,4 +1,4 @@
-package org.martenwell.balance;
+package org.martenwell.prompt;
 
 /**
  * A part of a prompt.
--- a/src/test/java/org/martenwell/ArchitectureTest.java
+++ b/src/test/java/org/martenwell/ArchitectureTest.java
@@ -20,6 +20,9 @@
                             "org.martenwell.admission..",
                             "org.martenwell.member..",
                             "org.martenwell.policy..",
+                            "org.martenwell.balance..",
+                            "org.martenwell.share..",
+                            "org.martenwell.prompt..",
                             "org.martenwell.configuration..")
                     .should()
                     .dependOnClassesThat()
@@ -33,6 +36,9 @@
                     .resideInAnyPackage(
                             "org.martenwell.schedule..",
                             "org.martenwell.admission..",
+                            "org.martenwell.balance..",
+                            "org.martenwell.share..",
+                            "org.martenwell.prompt..",
                             "org.martenwell.member..")
                     .should()
                     .callMethod(System.class, "currentTimeMillis")
@@ -51,6 +57,31 @@
                     .dependOnClassesThat()
                     .resideInAnyPackage("org.martenwell.standin..", "org.martenwell.demo..");
 
+    @ArchTest
+    static final ArchRule PLATFORM_IS_KNOWN_TO_NOBODY =
+            noClasses()
+                    .that()
+                    .resideOutsideOfPackage("org.martenwell.platform..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAPackage("org.martenwell.platform..");
+
+    @ArchTest
+    static final ArchRule PLATFORM_DECIDES_NOTHING =
+            noClasses()
+                    .that()
+                    .resideInAPackage("org.martenwell.platform..")
+                    .should()
+                    .dependOnClassesThat()
+                    .resideInAnyPackage(
+                            "org.martenwell.balance..",
+                            "org.martenwell.share..",
+                            "org.martenwell.schedule..",
+                            "org.martenwell.admission..",
+                            "org.martenwell.member..",
+                            "org.martenwell.policy..",
+                            "org.martenwell.peer..");
+
     @ArchTest
     static final ArchRule PACKAGES_FORM_NO_CYCLE =
             slices().matching("org.martenwell.(*)..").should().beFreeOfCycles();
--- /dev/null
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -0,0 +1,101 @@
+package org.martenwell.balance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.prompt.PromptChain;
+import org.martenwell.prompt.PromptPart;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.service.IpAddress;
+import org.martenwell.share.ShareTier;
+
+class EngineChooserTest {
+
+    private static final EngineTerms TERMS = new EngineTerms(10, 100_000, true);
+
+    private final EngineChooser chooser = new EngineChooser("domain-a");
+
+    private final ReadingRate rate = new ReadingRate();
+
+    private final List<TargetLoad> loads = new ArrayList<>();
+
+    @Test
+    void testEngineThatKeepsThePromptIsPreferred() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        loads.get(1).memory().keep(chain(), 100_000);
+        EngineChoice choice = choose(ShareTier.PROMISED).orElseThrow();
+        assertThat(choice.load().target().id()).isEqualTo("two");
+        assertThat(choice.unreadTokens()).isEqualTo(500);
+        assertThat(choice.copyFrom()).isEmpty();
+    }
+
+    @Test
+    void testBusyKeeperHandsThePromptOver() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        loads.get(1).memory().keep(chain(), 100_000);
+        loads.get(1).sent(new RunningRequest(20_000, 20_000, 0, 0));
+        EngineChoice choice = choose(ShareTier.PROMISED).orElseThrow();
+        assertThat(choice.load().target().id()).isEqualTo("one");
+        assertThat(choice.copyFrom()).contains(loads.get(1));
+        assertThat(choice.unreadTokens()).isEqualTo(500);
+    }
+
+    @Test
+    void testRequestsOfPeersFillPlaces() {
+        add("one", "domain-a");
+        loads.get(0).peer("peer", new LoadSums(10, 0, 0), 0);
+        assertThat(choose(ShareTier.PROMISED)).isEmpty();
+        loads.get(0).peer("peer", new LoadSums(7, 0, 0), 0);
+        assertThat(choose(ShareTier.PROMISED)).isPresent();
+        assertThat(choose(ShareTier.OBSERVED)).isPresent();
+        assertThat(choose(ShareTier.BEYOND)).isEmpty();
+    }
+
+    @Test
+    void testOldWordOfAPeerIsForgotten() {
+        add("one", "domain-a");
+        loads.get(0).peer("peer", new LoadSums(10, 0, 0), -5_000);
+        assertThat(choose(ShareTier.PROMISED)).isPresent();
+    }
+
+    @Test
+    void testEngineWithABacklogOrWithoutMemoryHasNoRoom() {
+        add("one", "domain-a");
+        loads.get(0).sent(new RunningRequest(80_000, 0, 0, 0));
+        assertThat(choose(ShareTier.PROMISED)).isEmpty();
+        loads.clear();
+        add("two", "domain-a");
+        loads.get(0).sent(new RunningRequest(0, 95_000, 0, 0));
+        assertThat(choose(ShareTier.PROMISED)).isEmpty();
+    }
+
+    @Test
+    void testRequestLargerThanTheMemoryOfABusyEngineIsTriedAtAnEmptyOne() {
+        add("one", "domain-a");
+        PromptNeed huge = new PromptNeed("o", PromptChain.EMPTY, 200_000, 10, 100_000, 0);
+        assertThat(chooser.choose(huge, ShareTier.PROMISED, loads, TERMS, rate, 0)).isPresent();
+    }
+
+    private Optional<EngineChoice> choose(ShareTier tier) {
+        PromptNeed need = new PromptNeed("o", chain(), 5_500, 100, 400, 0);
+        return chooser.choose(need, tier, loads, TERMS, rate, 0);
+    }
+
+    private static PromptChain chain() {
+        return PromptChain.of(
+                "m", List.of(new PromptPart("shared", 5_000), new PromptPart("own", 500)));
+    }
+
+    private void add(String id, String domain) {
+        loads.add(
+                new TargetLoad(
+                        new DirectoryTarget(
+                                id, "s", IpAddress.of("127.0.0.1:1"), domain, 10, false)));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/balance/TargetHealthTest.java
@@ -0,0 +1,43 @@
+package org.martenwell.balance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class TargetHealthTest {
+
+    @Test
+    void testFailuresInARowCloseForATimeThatDoubles() {
+        TargetHealth health = new TargetHealth();
+        health.failed(0);
+        health.failed(0);
+        assertThat(health.open(0)).isTrue();
+        health.failed(0);
+        assertThat(health.open(399)).isFalse();
+        assertThat(health.open(400)).isTrue();
+        health.failed(400);
+        assertThat(health.open(1_199)).isFalse();
+        assertThat(health.open(1_200)).isTrue();
+    }
+
+    @Test
+    void testGoodAnswerOpens() {
+        TargetHealth health = new TargetHealth();
+        for (int count = 0; count < 50; count++) {
+            health.failed(0);
+        }
+        assertThat(health.open(3_199)).isFalse();
+        health.succeeded(1);
+        assertThat(health.open(1)).isTrue();
+    }
+
+    @Test
+    void testShareOfFailuresFallsWithTimeAndSuccess() {
+        TargetHealth health = new TargetHealth();
+        health.failed(0);
+        double first = health.failureShare(0);
+        assertThat(health.failureShare(3_000)).isLessThan(first / 2);
+        health.succeeded(0);
+        assertThat(health.failureShare(0)).isLessThan(first);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/exchange/CallerServerTest.java
@@ -0,0 +1,184 @@
+package org.martenwell.exchange;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.promise.Promise;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.martenwell.service.IpAddress;
+import org.martenwell.service.LoopThread;
+import org.martenwell.service.LoopbackPorts;
+
+class CallerServerTest {
+
+    private final LoopThread thread = LoopThread.start("test-callers");
+
+    private final InetSocketAddress address = IpAddress.of(LoopbackPorts.free(1).get(0));
+
+    /** The exchanges that were handed to the handler. */
+    private final BlockingQueue<CallerExchange> exchanges = new LinkedBlockingQueue<>();
+
+    /** The exchanges whose caller left. */
+    private final BlockingQueue<CallerExchange> left = new LinkedBlockingQueue<>();
+
+    private CallerServer server;
+
+    @BeforeEach
+    void start() {
+        server = new CallerServer(thread.loop(), address, this::handle);
+        server.limit(new ConnectionLimits(1_024, 2_048, 60_000, 60_000));
+        thread.call(server::start);
+    }
+
+    @AfterEach
+    void stop() {
+        thread.call(server::stop);
+        thread.stop();
+    }
+
+    @Test
+    void testRequestsOfOneConnectionAreAnsweredInOrder() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send("GET /a HTTP/1.1|Host: x||GET /b HTTP/1.1|Host: x||");
+            assertThat(caller.readUntil("GET /b")).contains("GET /a").contains("200 OK");
+        }
+    }
+
+    @Test
+    void testBodyInChunksArrivesWhole() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send(
+                    "POST /echo HTTP/1.1|Host: x|Transfer-Encoding: chunked||3;name=value|abc|2|de|0|Trailer: x||");
+            assertThat(caller.readUntil("abcde")).containsIgnoringCase("content-length: 5");
+        }
+    }
+
+    @Test
+    void testExpectingCallerIsToldToSendItsBody() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send("POST /echo HTTP/1.1|Host: x|Expect: 100-continue|Content-Length: 2||");
+            assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 100 Continue");
+            caller.send("ok");
+            assertThat(caller.readUntil("ok")).startsWith("HTTP/1.1 200 OK");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "POST / HTTP/1.1|Host: x|Transfer-Encoding : chunked||0||",
+                "GET / HTTP/1.1|Host: x|A: b\0c||",
+                "GET / HTTP/1.1|Host: x|A: b| c||",
+                "GET / HTTP/1.1|Host: x|A: b|\tc||",
+                "POST / HTTP/1.1|Host: x|Content-Length: 1|Content-Length: 2||ab",
+                "POST / HTTP/1.1|Host: x|Content-Length: 1|Transfer-Encoding: chunked||0||",
+                "POST / HTTP/1.1|Host: x|Content-Length: -1||",
+                "POST / HTTP/1.1|Host: x|Content-Length: +1||a",
+                "POST / HTTP/1.1|Host: x|Transfer-Encoding: chunked||zz|",
+            })
+    void testWhatTwoReadersCouldTakeDifferentlyIsRefusedAndNothingBehindIt(String request)
+            throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send(request + "GET /smuggled HTTP/1.1|Host: x||");
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 400").doesNotContain("200 OK");
+            assertThat(exchanges).isEmpty();
+        }
+    }
+
+    @Test
+    void testTooLargeBodyIsRefused() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send("POST /echo HTTP/1.1|Host: x|Content-Length: 3000||" + "a".repeat(3_000));
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 413");
+        }
+    }
+
+    @Test
+    void testTooLargeHeadIsRefused() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send("GET / HTTP/1.1|Host: x|A: " + "a".repeat(2_000) + "||");
+            assertThat(caller.readAll()).startsWith("HTTP/1.1 431");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void testLeavingCallerIsNoticedWhileItsRequestIsServed(boolean reset)
+            throws IOException, InterruptedException {
+        RawExchange caller = new RawExchange(address);
+        caller.send("GET /wait HTTP/1.1|Host: x||");
+        CallerExchange served = exchanges.poll(10, TimeUnit.SECONDS);
+        if (reset) {
+            caller.reset();
+        } else {
+            caller.close();
+        }
+        assertThat(left.poll(10, TimeUnit.SECONDS)).isSameAs(served);
+    }
+
+    @Test
+    void testAbortedAnswerDoesNotLookWhole() throws IOException, InterruptedException {
+        try (RawExchange caller = new RawExchange(address)) {
+            caller.send("GET /wait HTTP/1.1|Host: x||");
+            CallerExchange served = exchanges.poll(10, TimeUnit.SECONDS);
+            thread.call(
+                    () -> {
+                        served.begin(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+                        served.write("part".getBytes(StandardCharsets.UTF_8));
+                        return Promise.complete();
+                    });
+            caller.readUntil("part");
+            thread.call(
+                    () -> {
+                        served.abort();
+                        return Promise.complete();
+                    });
+            assertThat(caller.readAll()).doesNotContain("0\r\n\r\n");
+        }
+    }
+
+    @Test
+    void testDrainingServerEndsConnectionsBehindTheirAnswer() throws IOException {
+        try (RawExchange caller = new RawExchange(address)) {
+            thread.call(
+                    () -> {
+                        server.drain();
+                        return Promise.complete();
+                    });
+            caller.send("GET /a HTTP/1.1|Host: x||");
+            assertThat(caller.readAll())
+                    .contains("GET /a")
+                    .containsIgnoringCase("connection: close");
+        }
+    }
+
+    /**
+     * Answers with the method and path, or the body, or not at all.
+     *
+     * @param exchange The exchange.
+     */
+    private void handle(CallerExchange exchange) {
+        CallerRequest request = exchange.request();
+        exchange.onLeave(() -> left.add(exchange));
+        exchanges.add(exchange);
+        if (!request.path().equals("/wait")) {
+            boolean echo = request.path().equals("/echo");
+            String text =
+                    echo ? request.body().toString() : request.method() + " " + request.path();
+            exchange.respond(
+                    200,
+                    DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                    text.getBytes(StandardCharsets.UTF_8));
+        }
+    }
+}
--- a/src/test/java/org/martenwell/peer/MessageFormsTest.java
+++ b/src/test/java/org/martenwell/peer/MessageFormsTest.java
@@ -10,6 +10,11 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.martenwell.balance.GatewayReport;
+import org.martenwell.balance.LoadSums;
+import org.martenwell.balance.OrganisationReport;
+import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.configuration.Pool;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
@@ -23,6 +28,7 @@
 import org.martenwell.schedule.SlotGrant;
 import org.martenwell.schedule.SlotGrants;
 import org.martenwell.schedule.SlotReport;
+import org.martenwell.share.ShareSums;
 
 class MessageFormsTest {
 
@@ -116,8 +122,38 @@
         Arbitrary<PeerMessage> answers =
                 Combinators.combine(numbers, names).as(ConfigurationAnswer::new);
         Arbitrary<PeerMessage> notices = Combinators.combine(names, flags).as(TargetNotice::new);
+        Arbitrary<LoadSums> loadSums =
+                Combinators.combine(counts, numbers, numbers).as(LoadSums::new);
+        Arbitrary<ShareSums> shareSums =
+                Combinators.combine(counts, counts)
+                        .as((asked, begun) -> new ShareSums(asked, begun));
+        Arbitrary<PeerMessage> gatewayReports =
+                Combinators.combine(
+                                names,
+                                numbers,
+                                numbers,
+                                Combinators.combine(names, loadSums)
+                                        .as(TargetLoadReport::new)
+                                        .list()
+                                        .ofMaxSize(5),
+                                Combinators.combine(names, shareSums)
+                                        .as(OrganisationReport::new)
+                                        .list()
+                                        .ofMaxSize(5),
+                                Combinators.combine(names, numbers, numbers)
+                                        .as(PlacedPart::new)
+                                        .list()
+                                        .ofMaxSize(5),
+                                names.list().ofMaxSize(5))
+                        .as(GatewayReport::new);
         return Arbitraries.oneOf(
-                        heartbeats, serviceReports, slotReports, slotGrants, answers, notices)
+                        heartbeats,
+                        serviceReports,
+                        slotReports,
+                        slotGrants,
+                        answers,
+                        notices,
+                        gatewayReports)
                 .list()
                 .ofMinSize(1)
                 .ofMaxSize(6);
--- /dev/null
+++ b/src/test/java/org/martenwell/prompt/PromptMemoryTest.java
@@ -0,0 +1,50 @@
+package org.martenwell.prompt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class PromptMemoryTest {
+
+    private static final PromptChain CHAIN = chain("model", "a", "b", "own");
+
+    @Test
+    void testLastPartBelongsToTheRequestAlone() {
+        assertThat(CHAIN.length()).isEqualTo(2);
+        assertThat(CHAIN.totalTokens()).isEqualTo(200);
+        assertThat(PromptChain.of("model", List.of()).length()).isZero();
+    }
+
+    @Test
+    void testKeysCoverTheModelAndAllPartsBefore() {
+        assertThat(chain("model", "a", "b", "x").key(1)).isEqualTo(CHAIN.key(1));
+        assertThat(chain("model", "c", "b", "x").key(1)).isNotEqualTo(CHAIN.key(1));
+        assertThat(chain("other", "a", "b", "x").key(0)).isNotEqualTo(CHAIN.key(0));
+    }
+
+    @Test
+    void testPartCountsOnlyBehindTheOnesBeforeIt() {
+        PromptMemory memory = new PromptMemory();
+        memory.keep(CHAIN.key(1), 100, 1_000);
+        assertThat(memory.keptTokens(CHAIN)).isZero();
+        memory.keep(CHAIN.key(0), 100, 1_000);
+        assertThat(memory.keptTokens(CHAIN)).isEqualTo(200);
+    }
+
+    @Test
+    void testLongestUnusedPartsAreDroppedFirst() {
+        PromptMemory memory = new PromptMemory();
+        memory.keep(CHAIN, 300);
+        memory.keep(chain("model", "c", "x"), 300);
+        memory.keep(CHAIN, 300);
+        memory.keep(chain("model", "d", "x"), 300);
+        assertThat(memory.keptTokens(CHAIN)).isEqualTo(200);
+        assertThat(memory.keptTokens(chain("model", "c", "x"))).isZero();
+    }
+
+    private static PromptChain chain(String model, String... ids) {
+        return PromptChain.of(
+                model, List.of(ids).stream().map(id -> new PromptPart(id, 100)).toList());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/share/FairSharesTest.java
@@ -0,0 +1,79 @@
+package org.martenwell.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class FairSharesTest {
+
+    private static final long WINDOW = 4_000;
+
+    @Property(tries = 500, seed = "21")
+    void testLevelSharesOutTheCapacityAndNoMore(
+            @ForAll @Size(min = 1, max = 20) List<@DoubleRange(min = 0, max = 1_000) Double> asked,
+            @ForAll @DoubleRange(min = 1, max = 5_000) double capacity) {
+        Map<String, Double> demands = new HashMap<>();
+        asked.forEach(each -> demands.put("o" + demands.size(), each));
+        double level = MaxMin.level(demands, capacity);
+        double total = asked.stream().mapToDouble(Double::doubleValue).sum();
+        double given = asked.stream().mapToDouble(each -> Math.min(each, level)).sum();
+        assertThat(given).isCloseTo(Math.min(total, capacity), within(1e-6 * (1 + total)));
+    }
+
+    @Test
+    void testNobodyExceedsItsShareWhileAllDemandsCanBeMet() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("a", 900, 0);
+        shares.begun("a", 900, 0);
+        assertThat(shares.use("a", 10, 1_000, 100).tier()).isEqualTo(ShareTier.PROMISED);
+    }
+
+    @Test
+    void testFloodingOrganisationIsBeyondItsShareAndOthersAreNot() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("flood", 10_000, 0);
+        shares.begun("flood", 950, 0);
+        shares.asked("small", 100, 0);
+        assertThat(shares.use("flood", 10, 1_000, 100).tier()).isNotEqualTo(ShareTier.PROMISED);
+        assertThat(shares.use("small", 10, 1_000, 100).tier()).isEqualTo(ShareTier.PROMISED);
+    }
+
+    @Test
+    void testWhatIsProducedBeyondThePromiseIsSharedFairlyToo() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("lucky", 10_000, 0);
+        shares.begun("lucky", 3_000, 0);
+        shares.asked("refused", 10_000, 0);
+        shares.begun("refused", 600, 0);
+        ShareUse refused = shares.use("refused", 10, 1_000, 100);
+        assertThat(refused.tier()).isEqualTo(ShareTier.OBSERVED);
+        assertThat(shares.use("lucky", 10, 1_000, 100).tier()).isEqualTo(ShareTier.BEYOND);
+    }
+
+    @Test
+    void testPeersCountAndAreForgotten() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("a", 100, 0);
+        shares.peer("p", Map.of("a", new ShareSums(5_000, 900), "b", new ShareSums(5_000, 0)), 0);
+        assertThat(shares.use("a", 10, 1_000, 100).promised()).isGreaterThan(1);
+        assertThat(shares.use("a", 10, 1_000, 3_000).promised()).isLessThan(1);
+    }
+
+    @Test
+    void testSumsSlide() {
+        SlidingSum sum = new SlidingSum(1_600);
+        sum.add(5, 0);
+        sum.add(7, 1_000);
+        assertThat(sum.sum(1_500)).isEqualTo(12);
+        assertThat(sum.sum(1_700)).isEqualTo(7);
+        assertThat(sum.sum(10_000)).isZero();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/stream/WholeEventsTest.java
@@ -0,0 +1,56 @@
+package org.martenwell.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class WholeEventsTest {
+
+    /** Three events, one of them with lines that end as in older programs. */
+    private static final String STREAM =
+            "id: 1\ndata: a\n\nversion: 7\r\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+
+    @Property(tries = 300, seed = "11")
+    void testBytesPassUnchangedHoweverTheyAreCut(@ForAll @IntRange(min = 1, max = 20) int size) {
+        WholeEvents events = new WholeEvents();
+        StringBuilder passed = new StringBuilder();
+        for (int from = 0; from < STREAM.length(); from += size) {
+            String piece = STREAM.substring(from, Math.min(STREAM.length(), from + size));
+            passed.append(text(events.receive(bytes(piece))));
+        }
+        assertThat(passed.toString()).isEqualTo(STREAM);
+        assertThat(events.lastId()).contains("3");
+        assertThat(events.tail()).isEmpty();
+    }
+
+    @Test
+    void testPartOfAnEventIsHeldBackAndDropped() {
+        WholeEvents events = new WholeEvents();
+        assertThat(text(events.receive(bytes("id: 1\ndata: a\n\nid: 2\nda"))))
+                .isEqualTo("id: 1\ndata: a\n\n");
+        events.reset();
+        assertThat(text(events.receive(bytes("id: 2\ndata: b\n\n"))))
+                .isEqualTo("id: 2\ndata: b\n\n");
+        assertThat(events.lastId()).contains("2");
+    }
+
+    @Test
+    void testTailIsGivenOnceAStreamEnded() {
+        WholeEvents events = new WholeEvents();
+        assertThat(events.receive(bytes("data: a"))).isEmpty();
+        assertThat(text(events.tail())).isEqualTo("data: a");
+        assertThat(events.lastId()).isEmpty();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    private static String text(byte[] bytes) {
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+}
