--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -11,7 +11,9 @@
 
 /**
  * Follows the objects of one kind: lists them, then watches them, and lists them again when the
- * store has lost its history. While the store does not answer, what was last known stays.
+ * store has lost its history or a watch broke. A store that loses its history may have told nothing
+ * for a while before, though its revision rose, so that going on from there would miss changes.
+ * While the store does not answer, what was last known stays.
  */
 public final class KindFollower implements ManagedService {
 
@@ -168,6 +170,7 @@
                                 return;
                             }
                             if (failure != null) {
+                                listDue = true;
                                 retryLater(present);
                             } else if (changes.lost()) {
                                 listDue = true;
