--- a/src/main/java/org/martenwell/command/GatewayCommand.java
+++ b/src/main/java/org/martenwell/command/GatewayCommand.java
@@ -27,6 +27,12 @@
     /** The option that names the variable which holds the path of the settings. */
     private static final String VARIABLE = "settings-variable";
 
+    /** The option that ends the gateway after some time. */
+    private static final String RUN_FOR = "run-for";
+
+    /** How many milliseconds a second has. */
+    private static final double SECOND_MILLIS = 1_000;
+
     /** The log. */
     private static final Logger LOGGER = LogManager.getLogger(GatewayCommand.class);
 
@@ -60,6 +66,13 @@
                         .argName("NAME")
                         .desc("the environment variable that holds the path of the settings")
                         .get());
+        options.addOption(
+                Option.builder()
+                        .longOpt(RUN_FOR)
+                        .hasArg()
+                        .argName("SECONDS")
+                        .desc("ends after so long, as the build does to archive its classes")
+                        .get());
         return options;
     }
 
@@ -73,6 +86,9 @@
         ProcessSignals.handle("TERM", () -> loop.execute(() -> drain(loop, gateway)));
         ProcessSignals.handle("INT", () -> loop.execute(() -> drain(loop, gateway)));
         ProcessSignals.handle("HUP", () -> loop.execute(() -> reload(path, settings)));
+        if (line.hasOption(RUN_FOR)) {
+            loop.delay(runMillis(line), () -> drain(loop, gateway));
+        }
         Exception[] failure = new Exception[1];
         loop.post(
                 () ->
@@ -110,6 +126,21 @@
                                         ErrorKind.USAGE, "No settings are named, see --help."));
     }
 
+    /**
+     * Reads how long the gateway runs.
+     *
+     * @param line The command line.
+     * @return The time in milliseconds.
+     */
+    private static long runMillis(CommandLine line) {
+        try {
+            return Math.round(Double.parseDouble(line.getOptionValue(RUN_FOR)) * SECOND_MILLIS);
+        } catch (NumberFormatException exception) {
+            throw MartenwellException.of(
+                    ErrorKind.USAGE, "--" + RUN_FOR + " takes seconds.", exception);
+        }
+    }
+
     /**
      * Drains the gateway and ends the process.
      *
