--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -9,17 +9,23 @@
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.ServiceChooser;
+import org.martenwell.balance.TargetLoad;
 import org.martenwell.prompt.PromptChain;
+import org.martenwell.route.EngineTerms;
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.RouteTable;
+import org.martenwell.route.ServiceTerms;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.share.FairShares;
 
 /** What all requests of a gateway share. */
 final class GatewayCore {
 
+    /** What part of an engine's memory holds shared parts at least: one in so many. */
+    private static final int LEAST_KEPT_PART = 5;
+
     /** The most placed parts that wait to be told to peers. */
-    private static final int MAX_PLACED = 2_000;
+    private static final int MAX_PLACED = 8_000;
 
     /** The loop. */
     private final NioReactor reactor;
@@ -265,11 +271,48 @@
      * @param chain The parts.
      */
     void placed(String target, PromptChain chain) {
-        for (int index = 0; index < chain.length() && placed.size() < MAX_PLACED; index++) {
-            placed.add(new PlacedPart(target, chain.key(index), chain.tokens(index)));
+        for (int index = 0; index < chain.length(); index++) {
+            placed(new PlacedPart(target, chain.key(index), chain.tokens(index)));
         }
     }
 
+    /**
+     * Notes that a target keeps a part.
+     *
+     * @param part The part.
+     */
+    void placed(PlacedPart part) {
+        if (placed.size() < MAX_PLACED) {
+            placed.add(part);
+        }
+    }
+
+    /**
+     * Returns how many tokens of shared parts an engine keeps beside what it runs.
+     *
+     * @param load The engine.
+     * @return The capacity in tokens, 0 for a target of a plain service.
+     */
+    long keptCapacity(TargetLoad load) {
+        return configuration()
+                .flatMap(each -> each.service(load.target().service()))
+                .flatMap(ServiceTerms::engine)
+                .map(engine -> keptCapacity(engine, load))
+                .orElse(0L);
+    }
+
+    /**
+     * Returns how many tokens of shared parts an engine keeps beside what it runs.
+     *
+     * @param engine What it holds.
+     * @param load The engine.
+     * @return The capacity in tokens.
+     */
+    private long keptCapacity(EngineTerms engine, TargetLoad load) {
+        long free = engine.memoryTokens() - load.all(now()).memoryTokens();
+        return Math.max(engine.memoryTokens() / LEAST_KEPT_PART, free);
+    }
+
     /**
      * Takes the parts that targets keep since the last call.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.martenwell.directory.DirectoryListener;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.directory.FleetDirectory;
@@ -66,6 +67,15 @@
     /** Counts and logs. */
     private final GatewayLog log;
 
+    /** Learns what engines keep of prompts. */
+    private final KeptPartsLoader keptParts;
+
+    /** The names of all gateways. */
+    private Set<String> gateways = Set.of();
+
+    /** Whether what engines keep was asked for or is about to be. */
+    private boolean keptPartsDue;
+
     /** Whether targets are known. */
     private boolean targetsKnown;
 
@@ -93,6 +103,7 @@
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
         this.peers = new PeerReporter(reactor, settings, core, random);
         this.directory = deployment.directory(reactor, settings, this);
+        this.keptParts = new KeptPartsLoader(core, settings.name());
         peers.directory(directory);
     }
 
@@ -162,6 +173,15 @@
         core.configure(configuration);
         callers.limit(configuration.limits());
         peers.document(document);
+        loadKeptParts();
+    }
+
+    /** Learns what engines keep of prompts, once the gateway is ready for the first time. */
+    private void loadKeptParts() {
+        if (!keptPartsDue && ready()) {
+            keptPartsDue = true;
+            reactor.delayBackground(KeptPartsLoader.DELAY_MILLIS, () -> keptParts.load(gateways));
+        }
     }
 
     @Override
@@ -169,11 +189,13 @@
         targetsKnown = true;
         core.targets().update(targets);
         log.changed("targets", targets.size());
+        loadKeptParts();
     }
 
     @Override
     public void members(Map<String, GatewayMember> members) {
         log.changed("members", members.keySet());
+        gateways = members.keySet();
         peers.members(members);
     }
 
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -19,8 +19,6 @@
 import org.martenwell.peer.ConfigurationRequest;
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
-import org.martenwell.route.EngineTerms;
-import org.martenwell.route.ServiceTerms;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.share.ShareSums;
@@ -142,6 +140,24 @@
     @Override
     public void connected(String peer) {
         network.send(peer, new ConfigurationRequest(name, version()));
+        List<PlacedPart> kept = new ArrayList<>();
+        for (KnownTarget each : core.targets().all()) {
+            String id = each.load().target().id();
+            each.load()
+                    .memory()
+                    .kept()
+                    .forEach((key, tokens) -> kept.add(new PlacedPart(id, key, tokens)));
+        }
+        network.send(
+                peer,
+                new GatewayReport(
+                        name,
+                        incarnation,
+                        version(),
+                        own(),
+                        shares(),
+                        kept,
+                        core.targets().leaving()));
     }
 
     /**
@@ -186,21 +202,10 @@
                         target ->
                                 target.load()
                                         .memory()
-                                        .keep(part.key(), part.tokens(), memoryTokens(target)));
-    }
-
-    /**
-     * Returns how many tokens a target keeps.
-     *
-     * @param target The target.
-     * @return The tokens, 0 for a target of a plain service.
-     */
-    private long memoryTokens(KnownTarget target) {
-        return core.configuration()
-                .flatMap(each -> each.service(target.load().target().service()))
-                .flatMap(ServiceTerms::engine)
-                .map(EngineTerms::memoryTokens)
-                .orElse(0L);
+                                        .keep(
+                                                part.key(),
+                                                part.tokens(),
+                                                core.keptCapacity(target.load())));
     }
 
     /** Tells peers what this gateway does. */
@@ -208,6 +213,24 @@
         if (stopped) {
             return;
         }
+        network.broadcast(
+                new GatewayReport(
+                        name,
+                        incarnation,
+                        version(),
+                        own(),
+                        shares(),
+                        core.takePlaced(),
+                        core.targets().leaving()));
+        reactor.delayBackground(REPORT_MILLIS, this::report);
+    }
+
+    /**
+     * Returns what this gateway put on targets.
+     *
+     * @return The loads; targets without any of its requests are left out.
+     */
+    private List<TargetLoadReport> own() {
         List<TargetLoadReport> loads = new ArrayList<>();
         for (KnownTarget each : core.targets().all()) {
             LoadSums own = each.load().own();
@@ -215,22 +238,22 @@
                 loads.add(new TargetLoadReport(each.load().target().id(), own));
             }
         }
+        return loads;
+    }
+
+    /**
+     * Returns what organisations asked and got here.
+     *
+     * @return The sums.
+     */
+    private List<OrganisationReport> shares() {
         List<OrganisationReport> shares = new ArrayList<>();
         core.shares()
                 .own(core.now())
                 .forEach(
                         (organisation, sums) ->
                                 shares.add(new OrganisationReport(organisation, sums)));
-        network.broadcast(
-                new GatewayReport(
-                        name,
-                        incarnation,
-                        version(),
-                        loads,
-                        shares,
-                        core.takePlaced(),
-                        core.targets().leaving()));
-        reactor.delayBackground(REPORT_MILLIS, this::report);
+        return shares;
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/RequestDialect.java
+++ b/src/main/java/org/martenwell/gateway/RequestDialect.java
@@ -2,6 +2,9 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
+import org.martenwell.exchange.Body;
+import org.martenwell.prompt.KeptPart;
 
 /** How callers and targets of a deployment put things in headers. It decides nothing. */
 public interface RequestDialect {
@@ -56,6 +59,21 @@
      */
     boolean notRun(HttpResponse answer);
 
+    /**
+     * Returns the path at which a target lists the parts of prompts that it keeps.
+     *
+     * @return The path.
+     */
+    String keptPartsPath();
+
+    /**
+     * Reads the parts of prompts that a target keeps.
+     *
+     * @param body The target's answer.
+     * @return The parts.
+     */
+    List<KeptPart> keptParts(Body body);
+
     /**
      * Tells whether an answer was made by a target, rather than spoilt on its way.
      *
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -47,6 +47,18 @@
     /** How long a target that turned out to be another one gets no requests, in milliseconds. */
     private static final long OTHER_MILLIS = 5_000;
 
+    /** How long a target may be silent at least, in milliseconds. */
+    private static final long LEAST_SILENCE_MILLIS = 900;
+
+    /** For how many objectives of a route a target may be silent. */
+    private static final int SILENT_OBJECTIVES = 2;
+
+    /** For how many allowed pauses of a route a target may be silent. */
+    private static final int SILENT_PAUSES = 4;
+
+    /** The cause of an attempt that ended because its target was silent. */
+    private static final String SILENT = "silent";
+
     /** How much of an answer may wait for the caller before the target is not read on, in bytes. */
     private static final int MAX_UNREAD_BYTES = 262_144;
 
@@ -62,9 +74,6 @@
     /** When a caller beyond its fair share may come back, in seconds. */
     private static final double RETRY_SHARE_SECONDS = 2;
 
-    /** What part of an engine's memory holds shared parts at least: one in so many. */
-    private static final int LEAST_KEPT_PART = 5;
-
     /** The first status that says that the target failed. */
     private static final int FIRST_FAILURE_STATUS = 500;
 
@@ -342,6 +351,7 @@
                 new RunningRequest(unreadTokens, memory, core.now(), backlogMillis);
         attempt = new SendAttempt(this, target.get(), running);
         core.log().sent(requestId(), id, attempts, use, backlogMillis);
+        watchSilence(attempt);
         attempt.send(
                 new TargetRequestHead(
                         exchange.request().method(),
@@ -350,6 +360,47 @@
                         exchange.request().body()));
     }
 
+    /**
+     * Looks after a time whether a target still sends. One that is silent gets a bad mark, and a
+     * request that may run again goes elsewhere.
+     *
+     * @param watched The attempt.
+     */
+    private void watchSilence(SendAttempt watched) {
+        long allowed =
+                Math.max(
+                        LEAST_SILENCE_MILLIS,
+                        Math.max(
+                                SILENT_OBJECTIVES * route.objectiveMillis(),
+                                SILENT_PAUSES * route.pauseMillis()));
+        core.reactor().delayBackground(allowed, () -> lookAtSilence(watched, allowed));
+    }
+
+    /**
+     * Looks whether a target still sends.
+     *
+     * @param watched The attempt.
+     * @param allowed How long it may be silent, in milliseconds.
+     */
+    private void lookAtSilence(SendAttempt watched, long allowed) {
+        if (over || watched != attempt) {
+            return;
+        }
+        if (watched.silentMillis() < allowed) {
+            watchSilence(watched);
+            return;
+        }
+        watched.target().load().health().failed(core.now());
+        if (route.repeatable() && mayRetry()) {
+            core.log().attemptFailed(requestId(), targetId(watched), SILENT);
+            mayHaveRun = true;
+            cancelAttempt();
+            trySend();
+        } else {
+            watchSilence(watched);
+        }
+    }
+
     /**
      * Notes what sending the request to an engine changes.
      *
@@ -363,18 +414,7 @@
         if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
             core.placed(id, need.chain());
         }
-        load.memory().keep(need.chain(), keptCapacity(load));
-    }
-
-    /**
-     * Returns how many tokens of shared parts an engine keeps beside what it runs.
-     *
-     * @param load The engine.
-     * @return The capacity in tokens.
-     */
-    private long keptCapacity(TargetLoad load) {
-        long free = engine.memoryTokens() - load.all(core.now()).memoryTokens();
-        return Math.max(engine.memoryTokens() / LEAST_KEPT_PART, free);
+        load.memory().keep(need.chain(), core.keptCapacity(load));
     }
 
     /**
@@ -650,6 +690,15 @@
         }
     }
 
+    /**
+     * Returns the present time.
+     *
+     * @return The time in milliseconds.
+     */
+    long now() {
+        return core.now();
+    }
+
     /**
      * Returns how long the request may still be held.
      *
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -39,6 +39,9 @@
     /** How long the connection may rest afterwards, in milliseconds, or 0. */
     private long restMillis;
 
+    /** When the target was last heard, in milliseconds. */
+    private long heardMillis;
+
     /** Whether the target's work for the request began to arrive. */
     private boolean begun;
 
@@ -56,6 +59,7 @@
         this.dispatch = dispatch;
         this.target = target;
         this.running = running;
+        this.heardMillis = running.sentMillis();
     }
 
     /**
@@ -86,6 +90,15 @@
         return running;
     }
 
+    /**
+     * Returns how long the target has sent nothing.
+     *
+     * @return The time in milliseconds.
+     */
+    long silentMillis() {
+        return dispatch.now() - heardMillis;
+    }
+
     /** Ends the attempt, so that the target stops its work. */
     void cancel() {
         if (!over) {
@@ -132,6 +145,7 @@
 
     @Override
     public void received(byte[] piece) {
+        heardMillis = dispatch.now();
         if (!over) {
             noteBegun();
             dispatch.answerReceived(this, piece);
--- a/src/main/java/org/martenwell/prompt/PromptChain.java
+++ b/src/main/java/org/martenwell/prompt/PromptChain.java
@@ -5,8 +5,8 @@
 import org.martenwell.hash.RendezvousHash;
 
 /**
- * The shared parts at the beginning of a prompt. Each has a key that covers all parts before it,
- * since a kept part only counts behind the parts that it was read behind.
+ * The shared parts at the beginning of a prompt. A kept part only counts if all parts before it are
+ * kept as well, for the same model.
  */
 public final class PromptChain {
 
@@ -40,16 +40,24 @@
     public static PromptChain of(String model, List<PromptPart> parts) {
         List<Long> keys = new ArrayList<>();
         List<Long> tokens = new ArrayList<>();
-        String before = model;
         for (PromptPart each : parts.subList(0, Math.max(0, parts.size() - 1))) {
-            long key = RendezvousHash.hash(before + '/' + each.id());
-            keys.add(key);
+            keys.add(key(model, each.id()));
             tokens.add(each.tokens());
-            before = Long.toHexString(key);
         }
         return new PromptChain(keys, tokens);
     }
 
+    /**
+     * Returns the key of a part.
+     *
+     * @param model The model.
+     * @param id The part's id.
+     * @return The key.
+     */
+    public static long key(String model, String id) {
+        return RendezvousHash.hash(model + '/' + id);
+    }
+
     /**
      * Returns how many parts there are.
      *
--- a/src/main/java/org/martenwell/prompt/PromptMemory.java
+++ b/src/main/java/org/martenwell/prompt/PromptMemory.java
@@ -45,6 +45,24 @@
         }
     }
 
+    /**
+     * Returns whether nothing is kept.
+     *
+     * @return {@code true} if so.
+     */
+    public boolean isEmpty() {
+        return kept.isEmpty();
+    }
+
+    /**
+     * Returns all kept parts.
+     *
+     * @return The sizes in tokens by key.
+     */
+    public Map<Long, Long> kept() {
+        return Map.copyOf(kept);
+    }
+
     /**
      * Returns how much of a chain is kept.
      *
