--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -33,7 +33,7 @@
     private static final double COPY_MILLIS = 12;
 
     /** The smallest copy that is worth asking for, in tokens. */
-    private static final long LEAST_COPY_TOKENS = 256;
+    private static final long LEAST_COPY_TOKENS = 16;
 
     /** What an engine gains by being the first by hash for a prompt, in milliseconds. */
     private static final double PREFERRED_MILLIS = 6;
--- a/src/main/java/org/martenwell/command/GatewayCommand.java
+++ b/src/main/java/org/martenwell/command/GatewayCommand.java
@@ -148,7 +148,13 @@
      * @param gateway The gateway.
      */
     private static void drain(Eventloop loop, GatewayDaemon gateway) {
-        gateway.drain().then(gateway::stop).whenComplete(() -> Runtime.getRuntime().halt(DRAINED));
+        gateway.drain()
+                .then(gateway::stop)
+                .whenComplete(
+                        () -> {
+                            LogManager.shutdown();
+                            Runtime.getRuntime().halt(DRAINED);
+                        });
         loop.keepAlive(true);
     }
 
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -1,11 +1,14 @@
 package org.martenwell.gateway;
 
-import com.codahale.metrics.MetricRegistry;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.martenwell.directory.DirectoryListener;
@@ -14,6 +17,7 @@
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerServer;
+import org.martenwell.observe.PrometheusText;
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.ManagedService;
@@ -31,6 +35,9 @@
     /** How often a stopping gateway looks whether it is done, in milliseconds. */
     private static final long STOP_LOOK_MILLIS = 50;
 
+    /** The type of metrics. */
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4";
+
     /** The status of a gateway that is ready. */
     private static final int READY = 200;
 
@@ -58,6 +65,9 @@
     /** Answers the balancer. */
     private final CallerServer readiness;
 
+    /** Answers whoever collects metrics, if there is an address for that. */
+    private final Optional<CallerServer> metrics;
+
     /** Talks to peers. */
     private final PeerReporter peers;
 
@@ -93,7 +103,7 @@
         this.reactor = reactor;
         this.settings = settings;
         this.deployment = Deployment.named(settings.deployment());
-        this.log = new GatewayLog(new MetricRegistry());
+        this.log = new GatewayLog(reactor);
         this.core = new GatewayCore(reactor, deployment.dialect(), settings, random, log);
         this.callers =
                 new CallerServer(
@@ -101,6 +111,10 @@
         this.readiness =
                 new CallerServer(
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
+        this.metrics =
+                settings.metricsAddress()
+                        .map(IpAddress::of)
+                        .map(address -> new CallerServer(reactor, address, this::serveMetrics));
         this.peers = new PeerReporter(reactor, settings, core, random);
         this.directory = deployment.directory(reactor, settings, this);
         this.keptParts = new KeptPartsLoader(core, settings.name());
@@ -113,6 +127,7 @@
         return readiness
                 .start()
                 .then(callers::start)
+                .then(() -> metrics.map(CallerServer::start).orElseGet(Promise::complete))
                 .then(peers::start)
                 .then(directory::start)
                 .whenResult(() -> log.changed("gateway-listening", settings.callerAddress()));
@@ -126,6 +141,7 @@
                 .stop()
                 .then(peers::stop)
                 .then(callers::stop)
+                .then(() -> metrics.map(CallerServer::stop).orElseGet(Promise::complete))
                 .then(readiness::stop)
                 .whenResult(() -> log.changed("gateway-stopped", settings.name()));
     }
@@ -217,6 +233,18 @@
         new RequestDispatch(core, exchange).start();
     }
 
+    /**
+     * Serves metrics.
+     *
+     * @param exchange The request.
+     */
+    private void serveMetrics(CallerExchange exchange) {
+        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        headers.set(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE);
+        String text = PrometheusText.of(log.metrics());
+        exchange.respond(READY, headers, text.getBytes(StandardCharsets.UTF_8));
+    }
+
     /**
      * Serves the balancer.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -1,32 +1,59 @@
 package org.martenwell.gateway;
 
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import io.activej.reactor.nio.NioReactor;
 import java.util.Locale;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.martenwell.balance.EngineChoice;
 import org.martenwell.error.ErrorKind;
+import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
+import org.martenwell.share.ShareUse;
 
-/** Counts and logs what becomes of requests and what the gateway believes. */
+/**
+ * Counts and logs what becomes of requests and what the gateway believes. Lines about requests are
+ * bounded, and the next line that is written tells how many were left out.
+ */
 final class GatewayLog {
 
     /** The log. */
     private static final Logger LOGGER = LogManager.getLogger(GatewayLog.class);
 
+    /** The loop, for the time. */
+    private final NioReactor reactor;
+
     /** The counters. */
-    private final MetricRegistry metrics;
+    private final MetricRegistry metrics = new MetricRegistry();
+
+    /** How long first pieces of answers took, in milliseconds. */
+    private final Histogram firstPieces =
+            metrics.register("first_piece_millis", new Histogram(new HighDynamicRangeReservoir()));
+
+    /** Bounds lines about requests. */
+    private final LineBudget budget = new LineBudget();
 
     /**
      * Creates a log.
      *
-     * @param metrics Receives the counters.
+     * @param reactor The loop, for the time.
+     */
+    GatewayLog(NioReactor reactor) {
+        this.reactor = reactor;
+    }
+
+    /**
+     * Returns the counters.
+     *
+     * @return The counters.
      */
-    GatewayLog(MetricRegistry metrics) {
-        this.metrics = metrics;
+    MetricRegistry metrics() {
+        return metrics;
     }
 
     /**
-     * Notes a refusal or failure that the gateway answered.
+     * Notes a refusal or failure that the gateway answered, or that the caller left.
      *
      * @param request The id of the caller's attempt.
      * @param kind The kind of the answer.
@@ -35,42 +62,92 @@
      * @param heldMillis How long it was held, in milliseconds.
      */
     void failed(String request, ErrorKind kind, String route, int attempts, long heldMillis) {
-        metrics.counter("requests.failed." + kind.code()).inc();
-        if (LOGGER.isInfoEnabled()) {
-            LOGGER.info(
+        metrics.counter("requests_failed_" + kind.code()).inc();
+        if (writes()) {
+            write(
                     LogEvent.of("request-failed")
                             .with("request", request)
                             .with("kind", kind.code())
                             .with("route", route)
                             .with("attempts", attempts)
-                            .with("heldMillis", heldMillis)
-                            .message());
+                            .with("heldMillis", heldMillis));
         }
     }
 
     /**
-     * Notes that a request was sent to a target.
+     * Notes that a request was sent to a target of a plain service.
      *
      * @param request The id of the caller's attempt.
      * @param target The target's id.
      * @param attempt Which attempt it is, from 1.
-     * @param use How much of its fair share the organisation has used.
-     * @param backlogMillis How long the target was taken to be busy, in milliseconds.
      */
-    void sent(String request, String target, int attempt, double use, double backlogMillis) {
-        metrics.counter("requests.sent").inc();
-        if (LOGGER.isDebugEnabled()) {
-            LOGGER.debug(
+    void sent(String request, String target, int attempt) {
+        metrics.counter("requests_sent").inc();
+        if (writes()) {
+            write(
                     LogEvent.of("request-sent")
                             .with("request", request)
                             .with("target", target)
+                            .with("attempt", attempt));
+        }
+    }
+
+    /**
+     * Notes that a request was sent to an engine.
+     *
+     * @param request The id of the caller's attempt.
+     * @param choice The engine and why it was chosen.
+     * @param attempt Which attempt it is, from 1.
+     * @param organisation The organisation.
+     * @param use How much of its fair shares the organisation has used.
+     */
+    void sent(String request, EngineChoice choice, int attempt, String organisation, ShareUse use) {
+        metrics.counter("requests_sent").inc();
+        metrics.counter("requests_sent_" + use.tier().name().toLowerCase(Locale.ROOT)).inc();
+        if (writes()) {
+            write(
+                    LogEvent.of("request-sent")
+                            .with("request", request)
+                            .with("target", choice.load().target().id())
                             .with("attempt", attempt)
-                            .with("use", use)
-                            .with("backlogMillis", backlogMillis)
-                            .message());
+                            .with("organisation", organisation)
+                            .with("tier", use.tier())
+                            .with("promisedUse", use.promised())
+                            .with("unreadTokens", choice.unreadTokens())
+                            .with("backlogMillis", Math.round(choice.backlogMillis()))
+                            .with("copy", choice.copyFrom().isPresent()));
+        }
+    }
+
+    /**
+     * Notes that a request was answered by a target.
+     *
+     * @param request The id of the caller's attempt.
+     * @param status The status.
+     * @param attempts To how many targets the request was sent.
+     * @param heldMillis How long it was held, in milliseconds.
+     */
+    void ended(String request, int status, int attempts, long heldMillis) {
+        metrics.counter("requests_answered").inc();
+        if (writes()) {
+            write(
+                    LogEvent.of("request-ended")
+                            .with("request", request)
+                            .with("status", status)
+                            .with("attempts", attempts)
+                            .with("heldMillis", heldMillis));
         }
     }
 
+    /**
+     * Notes how long the first piece of an answer took.
+     *
+     * @param millis The time since the request arrived, in milliseconds.
+     */
+    void firstPiece(long millis) {
+        firstPieces.update(millis);
+    }
+
     /**
      * Notes that an attempt at a target failed.
      *
@@ -79,14 +156,13 @@
      * @param cause What happened.
      */
     void attemptFailed(String request, String target, String cause) {
-        metrics.counter("attempts.failed." + cause.toLowerCase(Locale.ROOT)).inc();
-        if (LOGGER.isInfoEnabled()) {
-            LOGGER.info(
+        metrics.counter("attempts_failed_" + cause.toLowerCase(Locale.ROOT)).inc();
+        if (writes()) {
+            write(
                     LogEvent.of("attempt-failed")
                             .with("request", request)
                             .with("target", target)
-                            .with("cause", cause)
-                            .message());
+                            .with("cause", cause));
         }
     }
 
@@ -99,4 +175,30 @@
     void changed(String event, Object detail) {
         LOGGER.info(LogEvent.of(event).with("detail", detail).message());
     }
+
+    /**
+     * Takes a line about a request from the budget.
+     *
+     * @return {@code true} if it may be written.
+     */
+    private boolean writes() {
+        if (!LOGGER.isInfoEnabled()) {
+            return false;
+        }
+        boolean allowed = budget.take(reactor.currentTimeMillis());
+        if (!allowed) {
+            metrics.counter("log_lines_dropped").inc();
+        }
+        return allowed;
+    }
+
+    /**
+     * Writes a line.
+     *
+     * @param event The line.
+     */
+    private void write(LogEvent event) {
+        long dropped = budget.takeDropped();
+        LOGGER.info((dropped > 0 ? event.with("linesDropped", dropped) : event).message());
+    }
 }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -263,7 +263,7 @@
         if (open.isEmpty()) {
             giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
         } else if (need == null) {
-            core.services().choose(open, now).ifPresent(load -> send(load, 0, 0, 0, null));
+            core.services().choose(open, now).ifPresent(this::sendPlain);
         } else {
             sendToEngine(open, now);
         }
@@ -282,15 +282,9 @@
                 core.engines().choose(need, tier, open, engine, core.targets().rate(service), now);
         if (choice.isPresent()) {
             core.queue().remove(this);
-            EngineChoice chosen = choice.get();
-            send(
-                    chosen.load(),
-                    chosen.unreadTokens(),
-                    chosen.backlogMillis(),
-                    use.promised(),
-                    chosen.copyFrom().orElse(null));
+            sendChosen(choice.get(), use);
         } else if (attempts > 0) {
-            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use.promised()));
+            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use));
         } else if (tier == ShareTier.BEYOND) {
             core.queue().remove(this);
             giveUp(ErrorKind.RATE_EXCEEDED, RETRY_SHARE_SECONDS);
@@ -307,11 +301,37 @@
      * Sends a request that was sent before to the least loaded engine, since it has waited enough.
      *
      * @param load The engine.
-     * @param use How much of its fair share the organisation has used.
+     * @param use How much of its fair shares the organisation has used.
      */
-    private void sendAnyway(TargetLoad load, double use) {
+    private void sendAnyway(TargetLoad load, ShareUse use) {
         long kept = load.memory().keptTokens(need.chain());
-        send(load, need.promptTokens() - kept, Double.MAX_VALUE, use, null);
+        long unread = need.promptTokens() - kept;
+        sendChosen(new EngineChoice(load, unread, Double.MAX_VALUE, Optional.empty()), use);
+    }
+
+    /**
+     * Sends the request to an engine.
+     *
+     * @param choice The engine and why it was chosen.
+     * @param use How much of its fair shares the organisation has used.
+     */
+    private void sendChosen(EngineChoice choice, ShareUse use) {
+        core.log().sent(requestId(), choice, attempts + 1, need.organisation(), use);
+        send(
+                choice.load(),
+                choice.unreadTokens(),
+                choice.backlogMillis(),
+                choice.copyFrom().orElse(null));
+    }
+
+    /**
+     * Sends the request to a target of a plain service.
+     *
+     * @param load The target.
+     */
+    private void sendPlain(TargetLoad load) {
+        core.log().sent(requestId(), load.target().id(), attempts + 1);
+        send(load, 0, 0, null);
     }
 
     /**
@@ -320,15 +340,10 @@
      * @param load The target.
      * @param unreadTokens How many tokens of the prompt it reads.
      * @param backlogMillis How long it is taken to be busy, in milliseconds.
-     * @param use How much of its fair share the organisation has used.
      * @param copyFrom The target that hands over parts of the prompt, or {@code null}.
      */
     private void send(
-            TargetLoad load,
-            long unreadTokens,
-            double backlogMillis,
-            double use,
-            TargetLoad copyFrom) {
+            TargetLoad load, long unreadTokens, double backlogMillis, TargetLoad copyFrom) {
         String id = load.target().id();
         Optional<KnownTarget> target = core.targets().find(id);
         if (target.isEmpty()) {
@@ -350,7 +365,6 @@
         RunningRequest running =
                 new RunningRequest(unreadTokens, memory, core.now(), backlogMillis);
         attempt = new SendAttempt(this, target.get(), running);
-        core.log().sent(requestId(), id, attempts, use, backlogMillis);
         watchSilence(attempt);
         attempt.send(
                 new TargetRequestHead(
@@ -469,6 +483,7 @@
      * @param from The attempt.
      */
     void firstPiece(SendAttempt from) {
+        core.log().firstPiece(held());
         if (need != null && streaming) {
             RunningRequest running = from.running();
             core.targets().rate(service).observe(running, core.now() - running.sentMillis());
@@ -537,6 +552,7 @@
                 exchange.begin(OK, core.dialect().forCaller(head.headers()));
             }
             exchange.end();
+            core.log().ended(requestId(), status, attempts, held());
             finish();
         } else if (failure && route.repeatable() && mayRetry()) {
             mayHaveRun = true;
@@ -546,6 +562,7 @@
             giveUp(ErrorKind.TARGET_FAILED, 0);
         } else {
             exchange.respond(status, core.dialect().forCaller(head.headers()), whole.toByteArray());
+            core.log().ended(requestId(), status, attempts, held());
             finish();
         }
     }
--- a/src/main/java/org/martenwell/operator/PrometheusText.java
+++ b/src/main/java/org/martenwell/observe/PrometheusText.java
@@ -1,4 +1,4 @@
-package org.martenwell.operator;
+package org.martenwell.observe;
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
@@ -7,7 +7,7 @@
 import java.util.Map;
 
 /** Writes metrics in Prometheus's text form, version 0.0.4. */
-final class PrometheusText {
+public final class PrometheusText {
 
     /** Starts every name. */
     private static final String PREFIX = "martenwell_";
@@ -21,7 +21,7 @@
      * @param registry The registry.
      * @return The text.
      */
-    static String of(MetricRegistry registry) {
+    public static String of(MetricRegistry registry) {
         StringBuilder text = new StringBuilder();
         for (Map.Entry<String, Counter> entry : registry.getCounters().entrySet()) {
             boolean level = entry.getKey().endsWith("_open");
--- a/src/main/java/org/martenwell/operator/OperatorServlet.java
+++ b/src/main/java/org/martenwell/operator/OperatorServlet.java
@@ -10,6 +10,7 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.json.Json;
+import org.martenwell.observe.PrometheusText;
 import org.martenwell.router.ConfigurationApplier;
 import org.martenwell.router.ErrorBody;
 import org.martenwell.settings.RouterSettings;
--- a/src/main/java/org/martenwell/settings/GatewaySettings.java
+++ b/src/main/java/org/martenwell/settings/GatewaySettings.java
@@ -1,5 +1,7 @@
 package org.martenwell.settings;
 
+import java.util.Optional;
+
 /**
  * The settings of a gateway.
  *
@@ -11,6 +13,7 @@
  * @param peerAddress Where it takes peers' connections.
  * @param directoryAddress Where the directory is.
  * @param peerKey The key that peers share.
+ * @param metricsAddress Where it tells its metrics, if anywhere.
  * @param stopSeconds Within which time a stopping gateway ends, in seconds.
  * @param retryShare How many retries the fleet may make for each request.
  * @param retryAllowance How many retries the fleet may make besides in a window.
@@ -26,6 +29,7 @@
         String peerAddress,
         String directoryAddress,
         String peerKey,
+        Optional<String> metricsAddress,
         double stopSeconds,
         double retryShare,
         double retryAllowance,
