--- a/src/test/java/org/martenwell/exchange/RawTarget.java
+++ b/src/test/java/org/martenwell/exchange/RawTarget.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.InterruptedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -22,6 +23,9 @@
         RESET
     }
 
+    /** How long to wait for the thread before its connection is closed once more. */
+    private static final long JOIN_MILLIS = 10;
+
     /** Takes connections. */
     private final ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
 
@@ -34,10 +38,15 @@
     /** What follows an answer. */
     private final Ending ending;
 
+    /** Serves one connection after the other. */
+    private final Thread thread = new Thread(this::serve, "raw-target");
+
+    /** The connection being served or {@code null}. */
+    private volatile Socket served;
+
     RawTarget(Ending ending, String... answers) throws IOException {
         this.answers = answers;
         this.ending = ending;
-        Thread thread = new Thread(this::serve, "raw-target");
         thread.setDaemon(true);
         thread.start();
     }
@@ -54,6 +63,7 @@
         int next = 0;
         while (!server.isClosed()) {
             try (Socket socket = server.accept()) {
+                served = socket;
                 connections.incrementAndGet();
                 while (readHead(socket.getInputStream())) {
                     String answer = answers[Math.min(next++, answers.length - 1)];
@@ -85,8 +95,23 @@
         return false;
     }
 
+    /**
+     * Closes the port and waits until it is closed. While the thread waits for a connection, the
+     * system still completes connections to the port, also after the socket was closed.
+     */
     @Override
     public void close() throws IOException {
         server.close();
+        while (thread.isAlive()) {
+            Socket open = served;
+            if (open != null) {
+                open.close();
+            }
+            try {
+                thread.join(JOIN_MILLIS);
+            } catch (InterruptedException interrupted) {
+                throw new InterruptedIOException("interrupted while the port closes");
+            }
+        }
     }
 }
