--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -0,0 +1,170 @@
+package org.martenwell.gateway;
+
+import java.util.List;
+import java.util.Optional;
+import org.martenwell.balance.EngineChoice;
+import org.martenwell.balance.PromptNeed;
+import org.martenwell.balance.RunningRequest;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.route.Route;
+import org.martenwell.share.ShareTier;
+import org.martenwell.share.ShareUse;
+
+/** Decides for one request to a model engine: which engine, or to wait, or to give it up. */
+final class EngineRouting {
+
+    /** The part of an objective for which a request waits for room. */
+    private static final double WAIT_SHARE = 0.2;
+
+    /** What all requests share. */
+    private final GatewayCore core;
+
+    /** What the request needs. */
+    private final PromptNeed need;
+
+    /** What engines hold. */
+    private final EngineTerms engine;
+
+    /** The engines' service. */
+    private final String service;
+
+    /**
+     * What becomes of a request now.
+     *
+     * @param choice The engine that serves it, if there is one.
+     * @param refusal Why it is given up, if it is; without a choice and a refusal it waits.
+     * @param use How much of its fair shares the organisation has used.
+     */
+    record Decision(Optional<EngineChoice> choice, Optional<ErrorKind> refusal, ShareUse use) {}
+
+    /**
+     * Creates the routing of a request.
+     *
+     * @param core What all requests share.
+     * @param need What the request needs.
+     * @param engine What engines hold.
+     * @param service The engines' service.
+     */
+    EngineRouting(GatewayCore core, PromptNeed need, EngineTerms engine, String service) {
+        this.core = core;
+        this.need = need;
+        this.engine = engine;
+        this.service = service;
+    }
+
+    /** Notes that the request asks for its tokens. */
+    void asked() {
+        core.shares().asked(need.organisation(), need.cost(), core.now());
+    }
+
+    /**
+     * Returns how much of its fair shares the organisation has used.
+     *
+     * @return What it has used.
+     */
+    ShareUse use() {
+        return core.shares().use(need.organisation(), need.cost(), core.windowTokens(), core.now());
+    }
+
+    /**
+     * Decides what becomes of the request.
+     *
+     * @param open The engines that take requests, one at least.
+     * @param attempts To how many engines it was sent.
+     * @param route Its route.
+     * @return The decision.
+     */
+    Decision decide(List<TargetLoad> open, int attempts, Route route) {
+        long now = core.now();
+        ShareUse use = use();
+        ShareTier tier = use.tier();
+        Optional<EngineChoice> choice =
+                core.engines().choose(need, tier, open, engine, core.targets().rate(service), now);
+        if (choice.isPresent()) {
+            return new Decision(choice, Optional.empty(), use);
+        }
+        if (attempts > 0) {
+            // It has waited enough already.
+            return new Decision(leastLoaded(open, now), Optional.empty(), use);
+        }
+        if (tier == ShareTier.BEYOND) {
+            return new Decision(choice, Optional.of(ErrorKind.RATE_EXCEEDED), use);
+        }
+        if (now - need.arrivedMillis() >= WAIT_SHARE * route.objectiveMillis()) {
+            return new Decision(choice, Optional.of(ErrorKind.WAIT_TOO_LONG), use);
+        }
+        return new Decision(choice, Optional.empty(), use);
+    }
+
+    /**
+     * Notes what sending the request to an engine changes.
+     *
+     * @param load The engine.
+     * @param first Whether it was not sent before.
+     */
+    void sent(TargetLoad load, boolean first) {
+        if (first) {
+            core.shares().begun(need.organisation(), need.cost(), core.now());
+        }
+        if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
+            core.placed(load.target().id(), need.chain());
+        }
+        load.memory().keep(need.chain(), core.keptCapacity(load));
+    }
+
+    /**
+     * Notes that the first event of an answer arrived.
+     *
+     * @param running The request at its engine.
+     */
+    void begun(RunningRequest running) {
+        core.targets().rate(service).observe(running, core.now() - running.sentMillis());
+    }
+
+    /**
+     * Returns what the request puts on an engine.
+     *
+     * @param choice The engine and why it was chosen.
+     * @return The request at its engine.
+     */
+    RunningRequest running(EngineChoice choice) {
+        return new RunningRequest(
+                choice.unreadTokens(),
+                need.ownTokens() + need.answerTokens(),
+                core.now(),
+                choice.backlogMillis());
+    }
+
+    /**
+     * Returns the request's organisation.
+     *
+     * @return The organisation's name.
+     */
+    String organisation() {
+        return need.organisation();
+    }
+
+    /**
+     * Chooses the least loaded engine, whether it has room or not.
+     *
+     * @param open The engines.
+     * @param now The present time, in milliseconds.
+     * @return The engine.
+     */
+    private Optional<EngineChoice> leastLoaded(List<TargetLoad> open, long now) {
+        return core.services().choose(open, now).map(this::anyway);
+    }
+
+    /**
+     * Chooses an engine that has no room.
+     *
+     * @param load The engine.
+     * @return The choice.
+     */
+    private EngineChoice anyway(TargetLoad load) {
+        long unread = need.promptTokens() - load.memory().keptTokens(need.chain());
+        return new EngineChoice(load, unread, Double.MAX_VALUE, Optional.empty());
+    }
+}
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -4,7 +4,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -23,11 +22,8 @@
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.OrganisationTerms;
 import org.martenwell.route.Route;
-import org.martenwell.route.RouteType;
 import org.martenwell.route.ServiceTerms;
-import org.martenwell.share.ShareTier;
 import org.martenwell.share.ShareUse;
-import org.martenwell.stream.WholeEvents;
 
 /**
  * The life of one request: it finds its route, waits for room, is sent, perhaps again, and is
@@ -35,9 +31,6 @@
  */
 final class RequestDispatch {
 
-    /** The part of an objective for which a request waits for room. */
-    private static final double WAIT_SHARE = 0.2;
-
     /** How often a target may be unreachable before the request is given up. */
     private static final int MAX_UNREACHABLE = 3;
 
@@ -47,24 +40,9 @@
     /** How long a target that turned out to be another one gets no requests, in milliseconds. */
     private static final long OTHER_MILLIS = 5_000;
 
-    /** How long a target may be silent at least, in milliseconds. */
-    private static final long LEAST_SILENCE_MILLIS = 900;
-
-    /** For how many objectives of a route a target may be silent. */
-    private static final int SILENT_OBJECTIVES = 2;
-
-    /** For how many allowed pauses of a route a target may be silent. */
-    private static final int SILENT_PAUSES = 4;
-
     /** The cause of an attempt that ended because its target was silent. */
     private static final String SILENT = "silent";
 
-    /** How much of an answer may wait for the caller before the target is not read on, in bytes. */
-    private static final int MAX_UNREAD_BYTES = 262_144;
-
-    /** How often a caller that reads slowly is looked at, in milliseconds. */
-    private static final long SLOW_READER_MILLIS = 20;
-
     /** When a caller may come back after it found no room, in seconds. */
     private static final double RETRY_SOON_SECONDS = 0.4;
 
@@ -77,9 +55,6 @@
     /** The first status that says that the target failed. */
     private static final int FIRST_FAILURE_STATUS = 500;
 
-    /** The status of a good answer. */
-    private static final int OK = 200;
-
     /** The first status that is no success. */
     private static final int FIRST_NO_SUCCESS = 300;
 
@@ -110,11 +85,11 @@
     /** The caller's organisation. */
     private Optional<String> organisation = Optional.empty();
 
-    /** What the request needs of an engine, or {@code null} for a plain service. */
-    private PromptNeed need;
+    /** Decides between model engines; empty for a plain service. */
+    private Optional<EngineRouting> engines = Optional.empty();
 
-    /** What engines hold, or {@code null} for a plain service. */
-    private EngineTerms engine;
+    /** Notices targets that send nothing, once the route is known. */
+    private SilenceWatch silence;
 
     /** When the request is given up, in milliseconds. */
     private long deadlineMillis;
@@ -137,17 +112,8 @@
     /** The present attempt or {@code null}. */
     private SendAttempt attempt;
 
-    /** The head of the answer or {@code null}. */
-    private HttpResponse head;
-
-    /** Whether the answer is handed on as it arrives. */
-    private boolean streaming;
-
-    /** The answer that is handed on whole. */
-    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
-
-    /** Cuts a stream that may be resumed behind whole events. */
-    private final WholeEvents events = new WholeEvents();
+    /** Hands answers on to the caller. */
+    private final AnswerRelay relay;
 
     /** Whether the request is over. */
     private boolean over;
@@ -163,6 +129,7 @@
         this.exchange = exchange;
         this.facts = core.dialect().read(exchange.request().headers());
         this.arrivedMillis = exchange.request().arrivedMillis();
+        this.relay = new AnswerRelay(core, exchange);
     }
 
     /** Begins to serve the request. */
@@ -204,29 +171,34 @@
         deadlineMillis = arrivedMillis + held;
         exchange.onLeave(this::left);
         timer = core.reactor().delayBackground(Math.max(1, leftMillis()), this::timedOut);
+        silence = new SilenceWatch(core, route, this::silent);
         service = route.service(core.random());
-        engine = configuration.service(service).flatMap(ServiceTerms::engine).orElse(null);
-        if (engine != null && facts.generation().isPresent()) {
-            need = need(facts.generation().get());
-            core.shares().asked(need.organisation(), need.cost(), core.now());
-        }
+        engines = engineRouting(configuration);
+        engines.ifPresent(EngineRouting::asked);
         trySend();
     }
 
     /**
-     * Finds out what the request needs of an engine.
+     * Finds out whether the request goes to model engines and what it needs of them.
      *
-     * @param generation What the caller states.
-     * @return The need.
+     * @param configuration The configuration.
+     * @return How it is routed or empty for a plain service.
      */
-    private PromptNeed need(GenerationFacts generation) {
-        return new PromptNeed(
-                organisation.orElse(""),
-                PromptChain.of(generation.model(), generation.parts()),
-                generation.promptTokens(),
-                generation.answerTokens(),
-                route.objectiveMillis(),
-                arrivedMillis);
+    private Optional<EngineRouting> engineRouting(GatewayConfiguration configuration) {
+        Optional<EngineTerms> terms = configuration.service(service).flatMap(ServiceTerms::engine);
+        if (terms.isEmpty() || facts.generation().isEmpty()) {
+            return Optional.empty();
+        }
+        GenerationFacts generation = facts.generation().get();
+        PromptNeed need =
+                new PromptNeed(
+                        organisation.orElse(""),
+                        PromptChain.of(generation.model(), generation.parts()),
+                        generation.promptTokens(),
+                        generation.answerTokens(),
+                        route.objectiveMillis(),
+                        arrivedMillis);
+        return Optional.of(new EngineRouting(core, need, terms.get(), service));
     }
 
     /**
@@ -235,7 +207,7 @@
      * @return What it has used.
      */
     ShareUse shareUse() {
-        return core.shares().use(need.organisation(), need.cost(), core.windowTokens(), core.now());
+        return engines.map(EngineRouting::use).orElse(ShareUse.NONE);
     }
 
     /** Tries to send a request that waits for room. */
@@ -262,66 +234,45 @@
         }
         if (open.isEmpty()) {
             giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
-        } else if (need == null) {
+        } else if (engines.isEmpty()) {
             core.services().choose(open, now).ifPresent(this::sendPlain);
         } else {
-            sendToEngine(open, now);
+            sendToEngine(engines.get(), open);
         }
     }
 
     /**
-     * Sends the request to an engine if one has room.
+     * Sends the request to an engine, lets it wait, or gives it up.
      *
+     * @param routing Decides between engines.
      * @param open The engines.
-     * @param now The present time, in milliseconds.
      */
-    private void sendToEngine(List<TargetLoad> open, long now) {
-        ShareUse use = shareUse();
-        ShareTier tier = use.tier();
-        Optional<EngineChoice> choice =
-                core.engines().choose(need, tier, open, engine, core.targets().rate(service), now);
-        if (choice.isPresent()) {
-            core.queue().remove(this);
-            sendChosen(choice.get(), use);
-        } else if (attempts > 0) {
-            core.services().choose(open, now).ifPresent(load -> sendAnyway(load, use));
-        } else if (tier == ShareTier.BEYOND) {
-            core.queue().remove(this);
-            giveUp(ErrorKind.RATE_EXCEEDED, RETRY_SHARE_SECONDS);
-        } else if (now - arrivedMillis >= WAIT_SHARE * route.objectiveMillis()) {
-            core.queue().remove(this);
-            giveUp(ErrorKind.WAIT_TOO_LONG, RETRY_SOON_SECONDS);
+    private void sendToEngine(EngineRouting routing, List<TargetLoad> open) {
+        EngineRouting.Decision decision = routing.decide(open, attempts, route);
+        core.queue().remove(this);
+        if (decision.choice().isPresent()) {
+            sendChosen(routing, decision.choice().get(), decision.use());
+        } else if (decision.refusal().isPresent()) {
+            ErrorKind kind = decision.refusal().get();
+            boolean share = kind == ErrorKind.RATE_EXCEEDED;
+            giveUp(kind, share ? RETRY_SHARE_SECONDS : RETRY_SOON_SECONDS);
         } else {
-            core.queue().remove(this);
             core.queue().add(this);
         }
     }
 
-    /**
-     * Sends a request that was sent before to the least loaded engine, since it has waited enough.
-     *
-     * @param load The engine.
-     * @param use How much of its fair shares the organisation has used.
-     */
-    private void sendAnyway(TargetLoad load, ShareUse use) {
-        long kept = load.memory().keptTokens(need.chain());
-        long unread = need.promptTokens() - kept;
-        sendChosen(new EngineChoice(load, unread, Double.MAX_VALUE, Optional.empty()), use);
-    }
-
     /**
      * Sends the request to an engine.
      *
+     * @param routing What the request needs of it.
      * @param choice The engine and why it was chosen.
      * @param use How much of its fair shares the organisation has used.
      */
-    private void sendChosen(EngineChoice choice, ShareUse use) {
-        core.log().sent(requestId(), choice, attempts + 1, need.organisation(), use);
-        send(
-                choice.load(),
-                choice.unreadTokens(),
-                choice.backlogMillis(),
-                choice.copyFrom().orElse(null));
+    private void sendChosen(EngineRouting routing, EngineChoice choice, ShareUse use) {
+        core.log().sent(requestId(), choice, attempts + 1, routing.organisation(), use);
+        RunningRequest running = routing.running(choice);
+        routing.sent(choice.load(), attempts == 0);
+        send(choice.load(), running, choice.copyFrom());
     }
 
     /**
@@ -331,19 +282,17 @@
      */
     private void sendPlain(TargetLoad load) {
         core.log().sent(requestId(), load.target().id(), attempts + 1);
-        send(load, 0, 0, null);
+        send(load, new RunningRequest(0, 0, core.now(), 0), Optional.empty());
     }
 
     /**
      * Sends the request to a target.
      *
      * @param load The target.
-     * @param unreadTokens How many tokens of the prompt it reads.
-     * @param backlogMillis How long it is taken to be busy, in milliseconds.
-     * @param copyFrom The target that hands over parts of the prompt, or {@code null}.
+     * @param running What the request puts on it.
+     * @param copyFrom The target that hands over parts of the prompt, if one does.
      */
-    private void send(
-            TargetLoad load, long unreadTokens, double backlogMillis, TargetLoad copyFrom) {
+    private void send(TargetLoad load, RunningRequest running, Optional<TargetLoad> copyFrom) {
         String id = load.target().id();
         Optional<KnownTarget> target = core.targets().find(id);
         if (target.isEmpty()) {
@@ -352,20 +301,12 @@
         }
         attempts++;
         tried.add(id);
-        head = null;
-        whole.reset();
-        events.reset();
         if (attempts == 1) {
             core.countFresh();
         }
-        if (need != null) {
-            noteSent(load, id);
-        }
-        long memory = need == null ? 0 : need.ownTokens() + need.answerTokens();
-        RunningRequest running =
-                new RunningRequest(unreadTokens, memory, core.now(), backlogMillis);
         attempt = new SendAttempt(this, target.get(), running);
-        watchSilence(attempt);
+        relay.expect(attempt);
+        silence.watch(attempt);
         attempt.send(
                 new TargetRequestHead(
                         exchange.request().method(),
@@ -375,71 +316,28 @@
     }
 
     /**
-     * Looks after a time whether a target still sends. One that is silent gets a bad mark, and a
-     * request that may run again goes elsewhere.
+     * Gives a target that sends nothing a bad mark. A request that may run again goes elsewhere.
      *
-     * @param watched The attempt.
+     * @param silentAttempt The attempt.
      */
-    private void watchSilence(SendAttempt watched) {
-        long allowed =
-                Math.max(
-                        LEAST_SILENCE_MILLIS,
-                        Math.max(
-                                SILENT_OBJECTIVES * route.objectiveMillis(),
-                                SILENT_PAUSES * route.pauseMillis()));
-        core.reactor().delayBackground(allowed, () -> lookAtSilence(watched, allowed));
-    }
-
-    /**
-     * Looks whether a target still sends.
-     *
-     * @param watched The attempt.
-     * @param allowed How long it may be silent, in milliseconds.
-     */
-    private void lookAtSilence(SendAttempt watched, long allowed) {
-        if (over || watched != attempt) {
-            return;
-        }
-        if (watched.silentMillis() < allowed) {
-            watchSilence(watched);
-            return;
-        }
-        watched.target().load().health().failed(core.now());
+    private void silent(SendAttempt silentAttempt) {
+        silentAttempt.target().load().health().failed(core.now());
         if (route.repeatable() && mayRetry()) {
-            core.log().attemptFailed(requestId(), targetId(watched), SILENT);
+            core.log().attemptFailed(requestId(), targetId(silentAttempt), SILENT);
             mayHaveRun = true;
             cancelAttempt();
             trySend();
-        } else {
-            watchSilence(watched);
         }
     }
 
-    /**
-     * Notes what sending the request to an engine changes.
-     *
-     * @param load The engine.
-     * @param id The engine's id.
-     */
-    private void noteSent(TargetLoad load, String id) {
-        if (attempts == 1) {
-            core.shares().begun(need.organisation(), need.cost(), core.now());
-        }
-        if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
-            core.placed(id, need.chain());
-        }
-        load.memory().keep(need.chain(), core.keptCapacity(load));
-    }
-
     /**
      * Writes the headers for a target.
      *
      * @param id The target's id.
-     * @param copyFrom The target that hands over parts of the prompt, or {@code null}.
+     * @param copyFrom The target that hands over parts of the prompt, if one does.
      * @return The headers.
      */
-    private HttpHeaders targetHeaders(String id, TargetLoad copyFrom) {
-        Optional<String> lastEvent = events.lastId().or(facts::lastEventId);
+    private HttpHeaders targetHeaders(String id, Optional<TargetLoad> copyFrom) {
         return core.dialect()
                 .forTarget(
                         exchange.request().headers(),
@@ -447,9 +345,8 @@
                                 id,
                                 facts.waitMillis().map(told -> Math.max(1, leftMillis())),
                                 organisation,
-                                lastEvent,
-                                Optional.ofNullable(copyFrom)
-                                        .map(each -> each.target().address())));
+                                relay.lastEventId().or(facts::lastEventId),
+                                copyFrom.map(each -> each.target().address())));
     }
 
     /**
@@ -459,7 +356,6 @@
      * @param answer The head.
      */
     void answerBegun(SendAttempt from, HttpResponse answer) {
-        head = answer;
         if (core.dialect().notRun(answer)) {
             from.release();
             attempt = null;
@@ -467,13 +363,9 @@
         } else if (!core.dialect().genuine(answer) && answer.status().code() < FIRST_NO_SUCCESS) {
             from.cancel();
             attemptFailed(from, AnswerFailure.MALFORMED);
-        } else {
-            boolean good = answer.status().code() == OK;
-            streaming = good && route.type() == RouteType.STREAMING;
-            if (exchange.begun() && !streaming) {
-                from.cancel();
-                abort();
-            }
+        } else if (!relay.begin(answer, route)) {
+            from.cancel();
+            abort();
         }
     }
 
@@ -484,52 +376,18 @@
      */
     void firstPiece(SendAttempt from) {
         core.log().firstPiece(held());
-        if (need != null && streaming) {
-            RunningRequest running = from.running();
-            core.targets().rate(service).observe(running, core.now() - running.sentMillis());
+        if (relay.streaming()) {
+            engines.ifPresent(routing -> routing.begun(from.running()));
         }
     }
 
     /**
      * Takes a piece of an answer.
      *
-     * @param from The attempt.
      * @param piece The piece.
      */
-    void answerReceived(SendAttempt from, byte[] piece) {
-        if (!streaming) {
-            whole.writeBytes(piece);
-            return;
-        }
-        if (!exchange.begun()) {
-            exchange.begin(OK, core.dialect().forCaller(head.headers()));
-        }
-        exchange.write(route.resumable() ? events.receive(piece) : piece);
-        if (exchange.unreadBytes() > MAX_UNREAD_BYTES) {
-            from.pause();
-            resumeLater(from);
-        }
-    }
-
-    /**
-     * Reads on once the caller has read most of what waits.
-     *
-     * @param paused The attempt.
-     */
-    private void resumeLater(SendAttempt paused) {
-        core.reactor()
-                .delayBackground(
-                        SLOW_READER_MILLIS,
-                        () -> {
-                            if (paused != attempt) {
-                                return;
-                            }
-                            if (exchange.unreadBytes() > MAX_UNREAD_BYTES / 2) {
-                                resumeLater(paused);
-                            } else {
-                                paused.resume();
-                            }
-                        });
+    void answerReceived(byte[] piece) {
+        relay.receive(piece, route.resumable());
     }
 
     /**
@@ -539,29 +397,21 @@
      */
     void answerEnded(SendAttempt from) {
         attempt = null;
-        int status = head.status().code();
+        int status = relay.status();
         boolean failure = status >= FIRST_FAILURE_STATUS;
         if (failure) {
             from.target().load().health().failed(core.now());
         } else {
             from.target().load().health().succeeded(core.now());
         }
-        if (streaming) {
-            exchange.write(events.tail());
-            if (!exchange.begun()) {
-                exchange.begin(OK, core.dialect().forCaller(head.headers()));
-            }
-            exchange.end();
-            core.log().ended(requestId(), status, attempts, held());
-            finish();
-        } else if (failure && route.repeatable() && mayRetry()) {
+        if (failure && route.repeatable() && mayRetry()) {
             mayHaveRun = true;
             trySend();
         } else if (PROMISES.contains(status)) {
             mayHaveRun = true;
             giveUp(ErrorKind.TARGET_FAILED, 0);
         } else {
-            exchange.respond(status, core.dialect().forCaller(head.headers()), whole.toByteArray());
+            relay.end();
             core.log().ended(requestId(), status, attempts, held());
             finish();
         }
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -99,6 +99,15 @@
         return dispatch.now() - heardMillis;
     }
 
+    /**
+     * Returns whether the attempt is over.
+     *
+     * @return {@code true} if its answer ended, failed or is no longer wanted.
+     */
+    boolean over() {
+        return over;
+    }
+
     /** Ends the attempt, so that the target stops its work. */
     void cancel() {
         if (!over) {
@@ -148,7 +157,7 @@
         heardMillis = dispatch.now();
         if (!over) {
             noteBegun();
-            dispatch.answerReceived(this, piece);
+            dispatch.answerReceived(piece);
         }
     }
 
