--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -2,8 +2,6 @@
 
 import java.util.Collection;
 import java.util.Optional;
-import org.martenwell.hash.RendezvousHash;
-import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineTerms;
 import org.martenwell.share.ShareTier;
 
@@ -68,17 +66,15 @@
             EngineTerms terms,
             ReadingRate rate,
             long now) {
-        Optional<TargetLoad> keeper = bestKeeper(need.chain(), loads);
-        long keptBest = keeper.map(each -> each.memory().keptTokens(need.chain())).orElse(0L);
-        long preferred = preferred(need.chain(), loads);
+        PromptKeepers keepers = PromptKeepers.of(need.chain(), loads);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (TargetLoad each : loads) {
             LoadSums sums = each.all(now);
             double backlog = rate.millis(sums.unreadTokens());
-            long kept = each.memory().keptTokens(need.chain());
-            boolean copied = terms.copies() && keptBest - kept >= LEAST_COPY_TOKENS;
-            long unread = need.promptTokens() - (copied ? keptBest : kept);
+            long kept = keepers.keptTokens(each);
+            boolean copied = terms.copies() && keepers.most() - kept >= LEAST_COPY_TOKENS;
+            long unread = need.promptTokens() - (copied ? keepers.most() : kept);
             double reading = rate.millis(unread) + (copied ? COPY_MILLIS : 0);
             boolean room =
                     hasRoom(each, sums, need, tier, terms)
@@ -92,10 +88,12 @@
                             + FULL_MILLIS * sums.requests() / slots(each, terms)
                             + FAILING_MILLIS * each.health().failureShare(now)
                             + (each.target().failureDomain().equals(failureDomain) ? 0 : FAR_MILLIS)
-                            - (hash(each, need.chain()) == preferred ? PREFERRED_MILLIS : 0);
+                            - (keepers.isFirst(each) ? PREFERRED_MILLIS : 0);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new EngineChoice(each, unread, backlog, copied ? keeper : Optional.empty());
+                best =
+                        new EngineChoice(
+                                each, unread, backlog, copied ? keepers.best() : Optional.empty());
             }
         }
         return Optional.ofNullable(best);
@@ -153,51 +151,4 @@
     private static int slots(TargetLoad load, EngineTerms terms) {
         return load.target().slots() > 0 ? load.target().slots() : terms.slots();
     }
-
-    /**
-     * Finds the engine that keeps most of a prompt.
-     *
-     * @param chain The shared parts.
-     * @param loads The engines.
-     * @return The engine or empty if none keeps anything.
-     */
-    private static Optional<TargetLoad> bestKeeper(
-            PromptChain chain, Collection<TargetLoad> loads) {
-        TargetLoad best = null;
-        long most = 0;
-        for (TargetLoad each : loads) {
-            long kept = each.memory().keptTokens(chain);
-            if (kept > most) {
-                most = kept;
-                best = each;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /**
-     * Finds the hash of the engine that comes first for a prompt.
-     *
-     * @param chain The shared parts.
-     * @param loads The engines.
-     * @return The greatest hash.
-     */
-    private static long preferred(PromptChain chain, Collection<TargetLoad> loads) {
-        long best = Long.MIN_VALUE;
-        for (TargetLoad each : loads) {
-            best = Math.max(best, hash(each, chain));
-        }
-        return best;
-    }
-
-    /**
-     * Hashes an engine for a prompt.
-     *
-     * @param load The engine.
-     * @param chain The shared parts.
-     * @return The hash.
-     */
-    private static long hash(TargetLoad load, PromptChain chain) {
-        return RendezvousHash.score(load.target().id(), chain.wholeKey());
-    }
 }
--- a/src/main/java/org/martenwell/balance/LoadSums.java
+++ b/src/main/java/org/martenwell/balance/LoadSums.java
@@ -24,4 +24,17 @@
                 unreadTokens + other.unreadTokens,
                 memoryTokens + other.memoryTokens);
     }
+
+    /**
+     * Takes sums away.
+     *
+     * @param other The other sums.
+     * @return What is left.
+     */
+    public LoadSums minus(LoadSums other) {
+        return new LoadSums(
+                requests - other.requests,
+                unreadTokens - other.unreadTokens,
+                memoryTokens - other.memoryTokens);
+    }
 }
--- /dev/null
+++ b/src/main/java/org/martenwell/balance/PromptKeepers.java
@@ -0,0 +1,105 @@
+package org.martenwell.balance;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.martenwell.hash.RendezvousHash;
+import org.martenwell.prompt.PromptChain;
+
+/** What engines keep of one prompt, and which of them comes first for it by hash. */
+final class PromptKeepers {
+
+    /** How many tokens each engine keeps that keeps any. */
+    private final Map<TargetLoad, Long> kept = new HashMap<>();
+
+    /** The engine that keeps most or {@code null}. */
+    private TargetLoad best;
+
+    /** How many tokens that engine keeps. */
+    private long most;
+
+    /** The engine that comes first by hash or {@code null}. */
+    private TargetLoad first;
+
+    /** The hash of that engine. */
+    private long firstScore = Long.MIN_VALUE;
+
+    /** Creates keepers of a prompt that nobody keeps. */
+    private PromptKeepers() {}
+
+    /**
+     * Finds out what engines keep of a prompt.
+     *
+     * @param chain The prompt's shared parts.
+     * @param loads The engines.
+     * @return What they keep.
+     */
+    static PromptKeepers of(PromptChain chain, Collection<TargetLoad> loads) {
+        PromptKeepers keepers = new PromptKeepers();
+        for (TargetLoad each : loads) {
+            keepers.add(each, chain);
+        }
+        return keepers;
+    }
+
+    /**
+     * Returns how much of the prompt an engine keeps.
+     *
+     * @param load The engine.
+     * @return The kept part in tokens.
+     */
+    long keptTokens(TargetLoad load) {
+        return kept.getOrDefault(load, 0L);
+    }
+
+    /**
+     * Returns how much of the prompt is kept by the engine that keeps most of it.
+     *
+     * @return The kept part in tokens.
+     */
+    long most() {
+        return most;
+    }
+
+    /**
+     * Returns the engine that keeps most of the prompt.
+     *
+     * @return The engine or empty if none keeps anything.
+     */
+    Optional<TargetLoad> best() {
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Returns whether an engine comes first for the prompt by hash.
+     *
+     * @param load The engine.
+     * @return {@code true} if it does.
+     */
+    boolean isFirst(TargetLoad load) {
+        return load == first;
+    }
+
+    /**
+     * Takes in an engine.
+     *
+     * @param load The engine.
+     * @param chain The prompt's shared parts.
+     */
+    private void add(TargetLoad load, PromptChain chain) {
+        long tokens = load.memory().keptTokens(chain);
+        if (tokens > 0) {
+            kept.put(load, tokens);
+        }
+        if (tokens > most) {
+            most = tokens;
+            best = load;
+        }
+        long score = RendezvousHash.score(load.idHash(), chain.wholeKey());
+        if (first == null || score > firstScore) {
+            first = load;
+            firstScore = score;
+        }
+    }
+}
--- a/src/main/java/org/martenwell/balance/RunningRequest.java
+++ b/src/main/java/org/martenwell/balance/RunningRequest.java
@@ -9,4 +9,14 @@
  * @param backlogMillis How long the target was taken to be busy before it, in milliseconds.
  */
 public record RunningRequest(
-        long unreadTokens, long memoryTokens, long sentMillis, double backlogMillis) {}
+        long unreadTokens, long memoryTokens, long sentMillis, double backlogMillis) {
+
+    /**
+     * Returns what the request puts on its target.
+     *
+     * @return The sums of this request alone.
+     */
+    LoadSums sums() {
+        return new LoadSums(1, unreadTokens, memoryTokens);
+    }
+}
--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.hash.RendezvousHash;
 import org.martenwell.prompt.PromptMemory;
 
 /** What is known of a target: its own requests, those of peers, its prompt memory and health. */
@@ -17,12 +18,24 @@
     /** What the directory tells. */
     private DirectoryTarget target;
 
+    /** The hash of the target's id. */
+    private final long idHash;
+
     /** This gateway's requests that have no answer yet. */
     private final Set<RunningRequest> unread = Collections.newSetFromMap(new IdentityHashMap<>());
 
     /** This gateway's requests. */
     private final Set<RunningRequest> running = Collections.newSetFromMap(new IdentityHashMap<>());
 
+    /** What this gateway put on the target. */
+    private LoadSums own = LoadSums.NONE;
+
+    /** What peers put on the target, by the words that were not too old when last looked at. */
+    private LoadSums peerSums = LoadSums.NONE;
+
+    /** When the oldest of the peers' words becomes too old, in milliseconds. */
+    private long peersValidUntil = Long.MAX_VALUE;
+
     /** What peers put on the target, by peer. */
     private final Map<String, PeerLoad> peers = new HashMap<>();
 
@@ -47,6 +60,16 @@
      */
     public TargetLoad(DirectoryTarget target) {
         this.target = target;
+        this.idHash = RendezvousHash.hash(target.id());
+    }
+
+    /**
+     * Returns the hash of the target's id.
+     *
+     * @return The hash.
+     */
+    long idHash() {
+        return idHash;
     }
 
     /**
@@ -91,8 +114,10 @@
      * @param request The request.
      */
     public void sent(RunningRequest request) {
-        unread.add(request);
-        running.add(request);
+        if (running.add(request)) {
+            unread.add(request);
+            own = own.plus(request.sums());
+        }
     }
 
     /**
@@ -101,7 +126,9 @@
      * @param request The request.
      */
     public void begun(RunningRequest request) {
-        unread.remove(request);
+        if (unread.remove(request)) {
+            own = own.minus(new LoadSums(0, request.unreadTokens(), 0));
+        }
     }
 
     /**
@@ -110,8 +137,10 @@
      * @param request The request.
      */
     public void ended(RunningRequest request) {
-        unread.remove(request);
-        running.remove(request);
+        begun(request);
+        if (running.remove(request)) {
+            own = own.minus(new LoadSums(1, 0, request.memoryTokens()));
+        }
     }
 
     /**
@@ -122,7 +151,12 @@
      * @param now The present time, in milliseconds.
      */
     public void peer(String peer, LoadSums sums, long now) {
-        peers.put(peer, new PeerLoad(sums, now));
+        PeerLoad before = peers.put(peer, new PeerLoad(sums, now));
+        if (before != null) {
+            peerSums = peerSums.minus(before.sums());
+        }
+        peerSums = peerSums.plus(sums);
+        peersValidUntil = Math.min(peersValidUntil, now + PEER_WORD_MILLIS);
     }
 
     /**
@@ -131,15 +165,7 @@
      * @return The sums.
      */
     public LoadSums own() {
-        long tokens = 0;
-        for (RunningRequest each : unread) {
-            tokens += each.unreadTokens();
-        }
-        long memoryTokens = 0;
-        for (RunningRequest each : running) {
-            memoryTokens += each.memoryTokens();
-        }
-        return new LoadSums(running.size(), tokens, memoryTokens);
+        return own;
     }
 
     /**
@@ -149,11 +175,24 @@
      * @return The sums.
      */
     public LoadSums all(long now) {
-        LoadSums sums = own();
+        if (now > peersValidUntil) {
+            forgetOldWords(now);
+        }
+        return own.plus(peerSums);
+    }
+
+    /**
+     * Forgets peers' words that are too old.
+     *
+     * @param now The present time, in milliseconds.
+     */
+    private void forgetOldWords(long now) {
         peers.values().removeIf(each -> now - each.heardMillis() > PEER_WORD_MILLIS);
+        peerSums = LoadSums.NONE;
+        peersValidUntil = Long.MAX_VALUE;
         for (PeerLoad each : peers.values()) {
-            sums = sums.plus(each.sums());
+            peerSums = peerSums.plus(each.sums());
+            peersValidUntil = Math.min(peersValidUntil, each.heardMillis() + PEER_WORD_MILLIS);
         }
-        return sums;
     }
 }
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.OrganisationReport;
@@ -14,6 +15,7 @@
 import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
+import org.martenwell.hash.RendezvousHash;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.ConfigurationAnswer;
 import org.martenwell.peer.ConfigurationRequest;
@@ -26,8 +28,8 @@
 /** Tells peers what this gateway does and takes in what they tell. */
 final class PeerReporter implements ManagedService, PeerListener {
 
-    /** How often peers are told, in milliseconds. */
-    private static final long REPORT_MILLIS = 40;
+    /** How many gateways tell one that starts what engines keep. */
+    private static final int TELLERS = 3;
 
     /** How long a peer's leaving target is not asked about again, in milliseconds. */
     private static final long REFRESH_MILLIS = 300;
@@ -56,6 +58,12 @@
     /** When the directory was last asked because of a peer, in milliseconds. */
     private long refreshedMillis = Long.MIN_VALUE / 2;
 
+    /** Decides when a peer is asked for its configuration. */
+    private final ConfigurationCatchUp catchUp = new ConfigurationCatchUp();
+
+    /** The names of all gateways. */
+    private Set<String> names = Set.of();
+
     /** Whether the gateway stopped. */
     private boolean stopped;
 
@@ -87,7 +95,7 @@
 
     @Override
     public Promise<Void> start() {
-        reactor.delayBackground(REPORT_MILLIS, this::report);
+        reportLater();
         return network.start();
     }
 
@@ -109,6 +117,7 @@
                 addresses.put(each.name(), each.peerAddress());
             }
         }
+        names = Set.copyOf(members.keySet());
         core.members(addresses.size() + 1);
         network.peers(addresses);
     }
@@ -139,7 +148,32 @@
 
     @Override
     public void connected(String peer) {
-        network.send(peer, new ConfigurationRequest(name, version()));
+        network.send(peer, reportWith(tells(peer) ? kept() : List.of()));
+    }
+
+    /**
+     * Tells whether this gateway tells a peer what engines keep. A few do, since each of them knows
+     * nearly all.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if it does.
+     */
+    private boolean tells(String peer) {
+        long own = RendezvousHash.score(name, peer);
+        long before =
+                names.stream()
+                        .filter(each -> !each.equals(peer))
+                        .filter(each -> RendezvousHash.score(each, peer) > own)
+                        .count();
+        return before < TELLERS;
+    }
+
+    /**
+     * Returns what engines keep, as far as this gateway knows.
+     *
+     * @return The parts.
+     */
+    private List<PlacedPart> kept() {
         List<PlacedPart> kept = new ArrayList<>();
         for (KnownTarget each : core.targets().all()) {
             String id = each.load().target().id();
@@ -148,16 +182,18 @@
                     .kept()
                     .forEach((key, tokens) -> kept.add(new PlacedPart(id, key, tokens)));
         }
-        network.send(
-                peer,
-                new GatewayReport(
-                        name,
-                        incarnation,
-                        version(),
-                        own(),
-                        shares(),
-                        kept,
-                        core.targets().leaving()));
+        return kept;
+    }
+
+    /**
+     * Makes a report.
+     *
+     * @param placed What engines keep that peers are told.
+     * @return The report.
+     */
+    private GatewayReport reportWith(List<PlacedPart> placed) {
+        return new GatewayReport(
+                name, incarnation, version(), own(), shares(), placed, core.targets().leaving());
     }
 
     /**
@@ -181,7 +217,7 @@
         for (String id : report.leaving()) {
             news |= core.targets().leavingByPeer(id);
         }
-        if (report.configurationVersion() > version()) {
+        if (catchUp.heard(report.configurationVersion(), version(), now)) {
             network.send(report.gateway(), new ConfigurationRequest(name, version()));
         }
         if (news && now - refreshedMillis > REFRESH_MILLIS) {
@@ -213,16 +249,13 @@
         if (stopped) {
             return;
         }
-        network.broadcast(
-                new GatewayReport(
-                        name,
-                        incarnation,
-                        version(),
-                        own(),
-                        shares(),
-                        core.takePlaced(),
-                        core.targets().leaving()));
-        reactor.delayBackground(REPORT_MILLIS, this::report);
+        network.broadcast(reportWith(core.takePlaced()));
+        reportLater();
+    }
+
+    /** Reports again after a while. */
+    private void reportLater() {
+        reactor.delayBackground(ReportPace.intervalMillis(names.size()), this::report);
     }
 
     /**
--- a/src/main/java/org/martenwell/hash/RendezvousHash.java
+++ b/src/main/java/org/martenwell/hash/RendezvousHash.java
@@ -1,5 +1,6 @@
 package org.martenwell.hash;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.List;
@@ -36,6 +37,18 @@
         return score(candidate, Long.toHexString(item));
     }
 
+    /**
+     * Returns the score of a candidate for an item, both known by their hashes.
+     *
+     * @param candidate The candidate's hash.
+     * @param item The item's hash.
+     * @return The score; the greatest wins.
+     */
+    public static long score(long candidate, long item) {
+        byte[] both = ByteBuffer.allocate(2 * Long.BYTES).putLong(candidate).putLong(item).array();
+        return MurmurHash3.hash128x64(both)[0];
+    }
+
     /**
      * Hashes a text.
      *
