--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -12,9 +12,12 @@
      */
     void passedOn(String document);
 
-    /** Looks at once whether there is something new, because a peer knows more. */
+    /** Looks at once whether targets have changed, because a peer knows more. */
     void refresh();
 
+    /** Looks soon whether gateways have joined, because one that is not known reported. */
+    void refreshMembers();
+
     /** Takes this gateway out of the directory, because it stops. */
     void leave();
 }
--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -4,7 +4,6 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
 import org.martenwell.service.ManagedService;
@@ -107,52 +106,43 @@
             return;
         }
         if (listDue) {
-            list(present, Optional.empty(), new HashMap<>());
+            list(present);
         } else {
             watch(present);
         }
     }
 
     /**
-     * Lists a part of the objects.
+     * Lists all objects.
      *
      * @param present The round.
-     * @param after The name behind which to go on, or empty to begin.
-     * @param listed Receives the objects.
      */
-    private void list(int present, Optional<String> after, Map<String, StoredEntry> listed) {
-        store.list(kind, after)
+    private void list(int present) {
+        KindListing.of(store, kind, Freshness.CURRENT)
                 .subscribe(
-                        (page, failure) -> {
+                        (listing, failure) -> {
                             if (present != round) {
                                 return;
                             }
                             if (failure != null) {
                                 retryLater(present);
-                                return;
-                            }
-                            page.entries().forEach(each -> listed.put(each.name(), each));
-                            if (page.more() && !page.entries().isEmpty()) {
-                                int last = page.entries().size() - 1;
-                                list(present, Optional.of(page.entries().get(last).name()), listed);
                             } else {
-                                listed(present, listed, page.revision());
+                                listed(present, listing);
                             }
                         });
     }
 
     /**
-     * Takes the whole list.
+     * Takes in all objects.
      *
      * @param present The round.
-     * @param listed The objects.
-     * @param at The store's revision.
+     * @param listing The objects.
      */
-    private void listed(int present, Map<String, StoredEntry> listed, long at) {
+    private void listed(int present, KindListing listing) {
         delayMillis = FIRST_DELAY_MILLIS;
         listDue = false;
-        entries = listed;
-        revision = at;
+        entries = listing.entries();
+        revision = listing.revision();
         listener.accept(Map.copyOf(entries));
         step(present);
     }
--- /dev/null
+++ b/src/main/java/org/martenwell/directory/KindPoller.java
@@ -0,0 +1,162 @@
+package org.martenwell.directory;
+
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+import java.util.Map;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.martenwell.service.ManagedService;
+
+/**
+ * Keeps up with the objects of one kind by lists that need not be fresh. Where many watch and many
+ * change, as gateways do when all of them start, watches would cost a call for each pair; lists
+ * cost each a small and constant number of calls. Who learns of an object in another way asks for a
+ * fresh list by {@link #refresh}.
+ */
+public final class KindPoller implements ManagedService {
+
+    /** How long after the first list another fresh one follows, in milliseconds. */
+    private static final long SETTLE_MILLIS = 1_500;
+
+    /** How long it is from list to list, in milliseconds. */
+    private static final long POLL_MILLIS = 3_000;
+
+    /** The shortest time between a list and a refresh, in milliseconds. */
+    private static final long REFRESH_MILLIS = 500;
+
+    /** How long it is from a failure to the next list, in milliseconds. */
+    private static final long FAILURE_MILLIS = 400;
+
+    /** The loop. */
+    private final NioReactor reactor;
+
+    /** The store. */
+    private final ObjectStore store;
+
+    /** The kind. */
+    private final String kind;
+
+    /** Spreads lists. */
+    private final Random random;
+
+    /** Is told of all objects after each change. */
+    private final Consumer<Map<String, StoredEntry>> listener;
+
+    /** The objects at the last list. */
+    private Map<String, StoredEntry> entries = Map.of();
+
+    /** The revision of the last list, below which no list counts. */
+    private long revision = -1;
+
+    /** How many fresh lists are due before stale ones do. */
+    private int freshDue = 2;
+
+    /** When the last list began, in milliseconds. */
+    private long beganMillis = Long.MIN_VALUE / 2;
+
+    /** Counts lists and stops; what an earlier one brings is dropped. */
+    private int round;
+
+    /**
+     * Creates a poller.
+     *
+     * @param reactor The loop.
+     * @param store The store.
+     * @param kind The kind.
+     * @param random Spreads lists.
+     * @param listener Is told of all objects after each change.
+     */
+    public KindPoller(
+            NioReactor reactor,
+            ObjectStore store,
+            String kind,
+            Random random,
+            Consumer<Map<String, StoredEntry>> listener) {
+        this.reactor = reactor;
+        this.store = store;
+        this.kind = kind;
+        this.random = random;
+        this.listener = listener;
+    }
+
+    @Override
+    public Promise<Void> start() {
+        list(Freshness.CURRENT);
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> stop() {
+        round++;
+        return Promise.complete();
+    }
+
+    /** Asks for a fresh list, unless one began a moment ago. */
+    public void refresh() {
+        if (reactor.currentTimeMillis() - beganMillis >= REFRESH_MILLIS) {
+            list(Freshness.CURRENT);
+        }
+    }
+
+    /**
+     * Lists the objects.
+     *
+     * @param freshness How fresh the list must be.
+     */
+    private void list(Freshness freshness) {
+        int present = ++round;
+        beganMillis = reactor.currentTimeMillis();
+        KindListing.of(store, kind, freshness)
+                .subscribe(
+                        (listing, failure) -> {
+                            if (present != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                listLater(FAILURE_MILLIS, Freshness.CURRENT);
+                            } else {
+                                take(listing);
+                            }
+                        });
+    }
+
+    /**
+     * Takes in a list. One that is older than another seen before is dropped.
+     *
+     * @param listing The list.
+     */
+    private void take(KindListing listing) {
+        if (listing.revision() >= revision) {
+            boolean changed = revision < 0 || !listing.entries().equals(entries);
+            revision = listing.revision();
+            entries = listing.entries();
+            if (changed) {
+                listener.accept(Map.copyOf(entries));
+            }
+        }
+        freshDue = Math.max(0, freshDue - 1);
+        if (freshDue > 0) {
+            listLater(SETTLE_MILLIS, Freshness.CURRENT);
+        } else {
+            listLater(POLL_MILLIS, Freshness.STALE);
+        }
+    }
+
+    /**
+     * Lists the objects after a while.
+     *
+     * @param millis The mean of the time until then, in milliseconds.
+     * @param freshness How fresh the list must be.
+     */
+    private void listLater(long millis, Freshness freshness) {
+        int present = round;
+        long jittered = millis / 2 + random.nextLong(millis);
+        reactor.delayBackground(
+                jittered,
+                () -> {
+                    if (present == round) {
+                        list(freshness);
+                    }
+                });
+    }
+}
--- a/src/main/java/org/martenwell/directory/ObjectStore.java
+++ b/src/main/java/org/martenwell/directory/ObjectStore.java
@@ -12,9 +12,10 @@
      *
      * @param kind Their kind.
      * @param after The name behind which to go on, or empty to begin.
+     * @param freshness How fresh the list must be.
      * @return The objects.
      */
-    Promise<EntryPage> list(String kind, Optional<String> after);
+    Promise<EntryPage> list(String kind, Optional<String> after, Freshness freshness);
 
     /**
      * Waits for changes.
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -52,7 +52,7 @@
     private final KindFollower targets;
 
     /** Follows gateways. */
-    private final KindFollower gateways;
+    private final KindPoller gateways;
 
     /** The version in force. */
     private long version;
@@ -91,7 +91,7 @@
         this.targets =
                 new KindFollower(reactor, store, reader.targetKind(), random, this::takeTargets);
         this.gateways =
-                new KindFollower(reactor, store, reader.gatewayKind(), random, this::takeGateways);
+                new KindPoller(reactor, store, reader.gatewayKind(), random, this::takeGateways);
     }
 
     @Override
@@ -119,6 +119,11 @@
         targets.refresh();
     }
 
+    @Override
+    public void refreshMembers() {
+        gateways.refresh();
+    }
+
     @Override
     public void leave() {
         leaving = true;
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -202,6 +202,9 @@
      * @param report The report.
      */
     private void takeReport(GatewayReport report) {
+        if (!names.contains(report.gateway())) {
+            directory.refreshMembers();
+        }
         long now = core.now();
         Map<String, LoadSums> loads = new HashMap<>();
         report.loads().forEach(each -> loads.put(each.target(), each.sums()));
--- /dev/null
+++ b/src/test/java/org/martenwell/directory/KindPollerTest.java
@@ -0,0 +1,92 @@
+package org.martenwell.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** Tests following objects by lists and watches against a store that answers by script. */
+final class KindPollerTest {
+
+    /** Longer than a refresh is held back, in milliseconds. */
+    private static final long LATER_MILLIS = 10_000;
+
+    private final ScriptedStore store = new ScriptedStore();
+
+    private final List<Set<String>> told = new ArrayList<>();
+
+    private long nowMillis = 1;
+
+    private final Eventloop loop =
+            Eventloop.builder().withTimeProvider(() -> nowMillis).withCurrentThread().build();
+
+    @Test
+    void testListOlderThanTheLastIsDropped() {
+        store.answers(7, false, "one", "two");
+        store.answers(5, false, "one");
+        KindPoller poller = startedPoller();
+        poller.refresh();
+        loop.run();
+        assertThat(told).containsExactly(Set.of("one", "two"));
+    }
+
+    @Test
+    void testRefreshBringsWhatIsNew() {
+        store.answers(7, false, "one");
+        store.answers(8, false, "one", "two");
+        KindPoller poller = startedPoller();
+        poller.refresh();
+        loop.run();
+        assertThat(told).containsExactly(Set.of("one"), Set.of("one", "two"));
+    }
+
+    @Test
+    void testRefreshesThatFollowEachOtherAskOnce() {
+        store.answers(7, false, "one");
+        store.answers(8, false, "one", "two");
+        store.answers(9, false, "one", "two", "three");
+        KindPoller poller = startedPoller();
+        poller.refresh();
+        poller.refresh();
+        loop.run();
+        assertThat(told).hasSize(2);
+    }
+
+    @Test
+    void testFollowerWatchesFromTheRevisionOfTheFirstPage() {
+        store.answers(7, true, "one");
+        store.answers(9, false, "two");
+        KindFollower follower =
+                new KindFollower(
+                        loop,
+                        store,
+                        "kind",
+                        new Random(1),
+                        entries -> told.add(new TreeSet<>(entries.keySet())));
+        follower.start();
+        loop.run();
+        assertThat(told).containsExactly(Set.of("one", "two"));
+        assertThat(store.watched()).containsExactly(7L);
+    }
+
+    /** Starts a poller and lets the time pass until a refresh is answered. */
+    private KindPoller startedPoller() {
+        KindPoller poller =
+                new KindPoller(
+                        loop,
+                        store,
+                        "kind",
+                        new Random(1),
+                        entries -> told.add(new TreeSet<>(entries.keySet())));
+        poller.start();
+        loop.run();
+        nowMillis += LATER_MILLIS;
+        loop.run();
+        return poller;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -0,0 +1,57 @@
+package org.martenwell.directory;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.activej.promise.Promise;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/** A store whose lists answer what the test has laid down, in order. */
+final class ScriptedStore implements ObjectStore {
+
+    /** What the next lists answer; the last one is answered again. */
+    private final Deque<EntryPage> pages = new ArrayDeque<>();
+
+    /** The revisions from which watches began. */
+    private final List<Long> watched = new ArrayList<>();
+
+    /** Lays down what the next list answers. */
+    void answers(long revision, boolean more, String... names) {
+        List<StoredEntry> entries = new ArrayList<>();
+        for (String each : names) {
+            entries.add(new StoredEntry(each, revision, JsonNodeFactory.instance.objectNode()));
+        }
+        pages.add(new EntryPage(entries, more, revision));
+    }
+
+    List<Long> watched() {
+        return watched;
+    }
+
+    @Override
+    public Promise<EntryPage> list(String kind, Optional<String> after, Freshness freshness) {
+        return Promise.of(pages.size() > 1 ? pages.poll() : pages.element());
+    }
+
+    @Override
+    public Promise<EntryChanges> watch(String kind, long revision, long waitMillis) {
+        watched.add(revision);
+        return Promise.ofException(new IllegalStateException("No change is laid down."));
+    }
+
+    @Override
+    public Promise<Void> put(String kind, String name, JsonNode value) {
+        return Promise.complete();
+    }
+
+    @Override
+    public Promise<Void> remove(String kind, String name) {
+        return Promise.complete();
+    }
+
+    @Override
+    public void close() {}
+}
