--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -54,8 +54,11 @@
         this.service = service;
     }
 
-    /** Notes that the request asks for its tokens. */
+    /** Notes that the request asks for its tokens and shares parts of its prompt. */
     void asked() {
+        for (int index = 0; index < need.chain().length(); index++) {
+            core.sharedKeys().seen(need.chain().key(index));
+        }
         core.shares().asked(need.organisation(), need.cost(), core.now());
     }
 
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -11,6 +11,7 @@
 import org.martenwell.balance.ServiceChooser;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.prompt.PromptChain;
+import org.martenwell.prompt.SharedKeys;
 import org.martenwell.route.EngineTerms;
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.RouteTable;
@@ -69,6 +70,9 @@
     /** The parts that targets keep since the last report to peers. */
     private List<PlacedPart> placed = new ArrayList<>();
 
+    /** The parts that requests have shared. */
+    private final SharedKeys sharedKeys = new SharedKeys();
+
     /** How many gateways the fleet has. */
     private int members = 1;
 
@@ -264,6 +268,15 @@
         members = count;
     }
 
+    /**
+     * Returns the parts that requests have shared.
+     *
+     * @return The keys.
+     */
+    SharedKeys sharedKeys() {
+        return sharedKeys;
+    }
+
     /**
      * Notes that a target keeps the parts of a prompt.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -80,6 +80,9 @@
     /** Learns what engines keep of prompts. */
     private final KeptPartsLoader keptParts;
 
+    /** Follows what engines keep of prompts. */
+    private final KeptPartsFollower keptChanges;
+
     /** The names of all gateways. */
     private Set<String> gateways = Set.of();
 
@@ -118,6 +121,7 @@
         this.peers = new PeerReporter(reactor, settings, core, random);
         this.directory = deployment.directory(reactor, settings, this);
         this.keptParts = new KeptPartsLoader(core, settings.name());
+        this.keptChanges = new KeptPartsFollower(core, peers.live());
         peers.directory(directory);
     }
 
@@ -130,6 +134,7 @@
                 .then(() -> metrics.map(CallerServer::start).orElseGet(Promise::complete))
                 .then(peers::start)
                 .then(directory::start)
+                .then(keptChanges::start)
                 .whenResult(() -> log.changed("gateway-listening", settings.callerAddress()));
     }
 
@@ -137,8 +142,9 @@
     public Promise<Void> stop() {
         stopping = true;
         core.targets().close();
-        return directory
+        return keptChanges
                 .stop()
+                .then(directory::stop)
                 .then(peers::stop)
                 .then(callers::stop)
                 .then(() -> metrics.map(CallerServer::stop).orElseGet(Promise::complete))
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -166,6 +166,28 @@
         }
     }
 
+    /**
+     * Counts changes of what an engine keeps.
+     *
+     * @param count How many came at once.
+     * @param lost Whether earlier ones are no longer known to the engine.
+     */
+    void keptChanges(int count, boolean lost) {
+        metrics.counter("kept_changes").inc(count);
+        if (lost) {
+            metrics.counter("kept_changes_lost").inc();
+        }
+    }
+
+    /**
+     * Counts a change that differs from what was believed.
+     *
+     * @param kept Whether the engine keeps the part, which was not known; else it dropped it.
+     */
+    void keptCorrected(boolean kept) {
+        metrics.counter(kept ? "kept_parts_learnt" : "kept_parts_dropped").inc();
+    }
+
     /**
      * Notes that the gateway's view of the world changed.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -12,6 +12,7 @@
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.OrganisationReport;
 import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
@@ -61,6 +62,9 @@
     /** Decides when a peer is asked for its configuration. */
     private final ConfigurationCatchUp catchUp = new ConfigurationCatchUp();
 
+    /** Which peers were heard from a moment ago. */
+    private final LivePeers live;
+
     /** The names of all gateways. */
     private Set<String> names = Set.of();
 
@@ -80,6 +84,7 @@
         this.name = settings.name();
         this.core = core;
         this.incarnation = random.nextLong();
+        this.live = new LivePeers(name);
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
     }
@@ -122,6 +127,15 @@
         network.peers(addresses);
     }
 
+    /**
+     * Returns which peers were heard from a moment ago.
+     *
+     * @return The peers.
+     */
+    LivePeers live() {
+        return live;
+    }
+
     /**
      * Changes the configuration that is passed on.
      *
@@ -206,6 +220,7 @@
             directory.refreshMembers();
         }
         long now = core.now();
+        live.heard(report.gateway(), now);
         Map<String, LoadSums> loads = new HashMap<>();
         report.loads().forEach(each -> loads.put(each.target(), each.sums()));
         for (KnownTarget each : core.targets().all()) {
@@ -235,16 +250,22 @@
      * @param part The part.
      */
     private void takePlaced(PlacedPart part) {
-        core.targets()
-                .find(part.target())
-                .ifPresent(
-                        target ->
-                                target.load()
-                                        .memory()
-                                        .keep(
-                                                part.key(),
-                                                part.tokens(),
-                                                core.keptCapacity(target.load())));
+        core.targets().find(part.target()).ifPresent(target -> takePlaced(target.load(), part));
+    }
+
+    /**
+     * Notes what a target keeps of a part.
+     *
+     * @param load The target.
+     * @param part The part.
+     */
+    private void takePlaced(TargetLoad load, PlacedPart part) {
+        if (part.tokens() > 0) {
+            core.sharedKeys().seen(part.key());
+            load.memory().keep(part.key(), part.tokens(), core.keptCapacity(load));
+        } else {
+            load.memory().drop(part.key());
+        }
     }
 
     /** Tells peers what this gateway does. */
--- a/src/main/java/org/martenwell/gateway/RequestDialect.java
+++ b/src/main/java/org/martenwell/gateway/RequestDialect.java
@@ -4,6 +4,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import org.martenwell.exchange.Body;
+import org.martenwell.exchange.TargetRequestHead;
+import org.martenwell.prompt.KeptChanges;
 import org.martenwell.prompt.KeptPart;
 
 /** How callers and targets of a deployment put things in headers. It decides nothing. */
@@ -74,6 +76,24 @@
      */
     List<KeptPart> keptParts(Body body);
 
+    /**
+     * Makes the request by which a target tells how what it keeps has changed.
+     *
+     * @param host The target's address as text.
+     * @param since Where to go on, 0 to begin.
+     * @param waitMillis How long the target may wait for a change, in milliseconds.
+     * @return The request.
+     */
+    TargetRequestHead keptChangesRequest(String host, long since, long waitMillis);
+
+    /**
+     * Reads how what a target keeps has changed.
+     *
+     * @param body The target's answer.
+     * @return The changes.
+     */
+    KeptChanges keptChanges(Body body);
+
     /**
      * Tells whether an answer was made by a target, rather than spoilt on its way.
      *
--- a/src/main/java/org/martenwell/prompt/PromptMemory.java
+++ b/src/main/java/org/martenwell/prompt/PromptMemory.java
@@ -33,6 +33,31 @@
         }
     }
 
+    /**
+     * Notes that a target no longer keeps a part.
+     *
+     * @param key The part's key.
+     * @return {@code true} if it was taken to keep it.
+     */
+    public boolean drop(long key) {
+        Long tokens = kept.remove(key);
+        if (tokens == null) {
+            return false;
+        }
+        keptTokens -= tokens;
+        return true;
+    }
+
+    /**
+     * Tells whether a target probably keeps a part.
+     *
+     * @param key The part's key.
+     * @return {@code true} if it does.
+     */
+    public boolean keeps(long key) {
+        return kept.containsKey(key);
+    }
+
     /**
      * Notes that a target keeps all parts of a chain.
      *
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/LivePeersTest.java
@@ -0,0 +1,35 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Tests which gateway looks after a target. */
+final class LivePeersTest {
+
+    private static final List<String> NAMES = List.of("a", "b", "c");
+
+    @Test
+    void testEachTargetIsLookedAfterByOneOfThoseWhoHearEachOther() {
+        List<LivePeers> fleet = NAMES.stream().map(LivePeersTest::hearingAll).toList();
+        for (String target : IntStream.range(0, 50).mapToObj(each -> "t-" + each).toList()) {
+            assertThat(fleet.stream().filter(each -> each.looksAfter(target, 100))).hasSize(1);
+        }
+    }
+
+    @Test
+    void testTargetsOfASilentPeerFallToTheOthers() {
+        LivePeers alone = hearingAll("a");
+        for (String target : IntStream.range(0, 50).mapToObj(each -> "t-" + each).toList()) {
+            assertThat(alone.looksAfter(target, 5_000)).isTrue();
+        }
+    }
+
+    private static LivePeers hearingAll(String self) {
+        LivePeers live = new LivePeers(self);
+        NAMES.stream().filter(each -> !each.equals(self)).forEach(each -> live.heard(each, 0));
+        return live;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/martenwell/prompt/SharedKeysTest.java
@@ -0,0 +1,34 @@
+package org.martenwell.prompt;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests remembering shared parts and forgetting dropped ones. */
+final class SharedKeysTest {
+
+    @Test
+    void testKeysSeenLastAreRemembered() {
+        SharedKeys keys = new SharedKeys();
+        for (long key = 0; key < 20_000; key++) {
+            keys.seen(0);
+            keys.seen(key);
+        }
+        assertThat(keys.contains(0)).isTrue();
+        assertThat(keys.contains(1)).isFalse();
+        assertThat(keys.contains(19_999)).isTrue();
+    }
+
+    @Test
+    void testDroppedPartMakesRoom() {
+        PromptMemory memory = new PromptMemory();
+        memory.keep(1, 60, 100);
+        assertThat(memory.drop(1)).isTrue();
+        assertThat(memory.drop(1)).isFalse();
+        memory.keep(2, 60, 100);
+        memory.keep(3, 40, 100);
+        assertThat(memory.keeps(1)).isFalse();
+        assertThat(memory.keeps(2)).isTrue();
+        assertThat(memory.keeps(3)).isTrue();
+    }
+}
