--- a/src/main/java/org/martenwell/directory/GatewayMember.java
+++ b/src/main/java/org/martenwell/directory/GatewayMember.java
@@ -4,6 +4,7 @@
  * A gateway as it made itself known.
  *
  * @param name The name.
+ * @param failureDomain The failure domain.
  * @param peerAddress Where it takes peers' connections.
  */
-public record GatewayMember(String name, String peerAddress) {}
+public record GatewayMember(String name, String failureDomain, String peerAddress) {}
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -27,6 +27,9 @@
     /** The field that holds a gateway's address. */
     private static final String PEER_ADDRESS = "peerAddress";
 
+    /** The field of a gateway's failure domain. */
+    private static final String FAILURE_DOMAIN = "failureDomain";
+
     /** How long until this gateway makes itself known again after a failure, in milliseconds. */
     private static final long JOIN_MILLIS = 500;
 
@@ -137,6 +140,7 @@
         }
         ObjectNode value = JsonNodeFactory.instance.objectNode();
         value.put(PEER_ADDRESS, self.peerAddress());
+        value.put(FAILURE_DOMAIN, self.failureDomain());
         store.put(reader.gatewayKind(), self.name(), value)
                 .whenException(exception -> reactor.delayBackground(JOIN_MILLIS, this::join));
     }
@@ -200,7 +204,8 @@
         for (StoredEntry each : entries.values()) {
             String address = each.value().path(PEER_ADDRESS).asText("");
             if (!address.isEmpty()) {
-                all.put(each.name(), new GatewayMember(each.name(), address));
+                String domain = each.value().path(FAILURE_DOMAIN).asText("");
+                all.put(each.name(), new GatewayMember(each.name(), domain, address));
             }
         }
         listener.members(all);
--- a/src/main/java/org/martenwell/gateway/LivePeers.java
+++ b/src/main/java/org/martenwell/gateway/LivePeers.java
@@ -35,6 +35,17 @@
         heard.put(peer, now);
     }
 
+    /**
+     * Tells whether a peer was heard a moment ago.
+     *
+     * @param peer The peer's name.
+     * @param now The present time, in milliseconds.
+     * @return {@code true} if it was.
+     */
+    boolean live(String peer, long now) {
+        return heard.containsKey(peer) && now - heard.get(peer) <= LIVE_MILLIS;
+    }
+
     /**
      * Tells whether this gateway looks after a target: the first live one by hash does. For moments
      * two may, or none.
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -7,11 +7,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.OrganisationReport;
 import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.ReportBatch;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.directory.FleetDirectory;
@@ -22,6 +22,7 @@
 import org.martenwell.peer.ConfigurationRequest;
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
+import org.martenwell.peer.ReportBatches;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.share.ShareSums;
@@ -65,8 +66,17 @@
     /** Which peers were heard from a moment ago. */
     private final LivePeers live;
 
-    /** The names of all gateways. */
-    private Set<String> names = Set.of();
+    /** Who reports to whom. */
+    private final ReportTopology topology;
+
+    /** The peers' addresses by name. */
+    private Map<String, String> addresses = Map.of();
+
+    /** The reports that this gateway passes on with its next one. */
+    private final List<GatewayReport> gathered = new ArrayList<>();
+
+    /** The batches of other failure domains that it passes on with its next report. */
+    private final List<ReportBatch> foreign = new ArrayList<>();
 
     /** Whether the gateway stopped. */
     private boolean stopped;
@@ -85,6 +95,7 @@
         this.core = core;
         this.incarnation = random.nextLong();
         this.live = new LivePeers(name);
+        this.topology = new ReportTopology(name, settings.failureDomain());
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
     }
@@ -116,15 +127,23 @@
      * @param members All gateways by name, this one among them.
      */
     void members(Map<String, GatewayMember> members) {
-        Map<String, String> addresses = new HashMap<>();
+        Map<String, String> changed = new HashMap<>();
         for (GatewayMember each : members.values()) {
             if (!each.name().equals(name)) {
-                addresses.put(each.name(), each.peerAddress());
+                changed.put(each.name(), each.peerAddress());
             }
         }
-        names = Set.copyOf(members.keySet());
+        addresses = changed;
         core.members(addresses.size() + 1);
-        network.peers(addresses);
+        topology.members(members.values());
+        connect();
+    }
+
+    /** Opens the connections that are needed now and closes the others. */
+    private void connect() {
+        Map<String, String> needed = new HashMap<>(addresses);
+        needed.keySet().retainAll(topology.connected(core.now()));
+        network.peers(needed);
     }
 
     /**
@@ -148,7 +167,9 @@
     @Override
     public void received(PeerMessage message) {
         if (message instanceof GatewayReport report) {
-            takeReport(report);
+            takeDirect(report);
+        } else if (message instanceof ReportBatch batch) {
+            takeBatch(batch);
         } else if (message instanceof ConfigurationRequest request) {
             if (version() > request.above()) {
                 network.send(request.router(), new ConfigurationAnswer(version(), document));
@@ -166,16 +187,19 @@
     }
 
     /**
-     * Tells whether this gateway tells a peer what engines keep. A few do, since each of them knows
-     * nearly all.
+     * Tells whether this gateway tells a peer what engines keep. In a mesh a few do, since each of
+     * them knows nearly all; a relay does if the peer was not there a moment ago.
      *
      * @param peer The peer's name.
      * @return {@code true} if it does.
      */
     private boolean tells(String peer) {
+        if (topology.relayed()) {
+            return !live.live(peer, core.now());
+        }
         long own = RendezvousHash.score(name, peer);
         long before =
-                names.stream()
+                addresses.keySet().stream()
                         .filter(each -> !each.equals(peer))
                         .filter(each -> RendezvousHash.score(each, peer) > own)
                         .count();
@@ -210,13 +234,44 @@
                 name, incarnation, version(), own(), shares(), placed, core.targets().leaving());
     }
 
+    /**
+     * Takes in a report that came from its gateway.
+     *
+     * @param report The report.
+     */
+    private void takeDirect(GatewayReport report) {
+        if (topology.relayed()) {
+            topology.asked(core.now());
+            gathered.add(report);
+        }
+        takeReport(report);
+    }
+
+    /**
+     * Takes in reports that a relay gathered.
+     *
+     * @param batch The reports.
+     */
+    private void takeBatch(ReportBatch batch) {
+        long now = core.now();
+        topology.heard(batch.relay(), now);
+        if (topology.relaying(now) && topology.foreign(batch.relay())) {
+            foreign.add(batch);
+        }
+        for (GatewayReport each : ReportBatches.reports(batch)) {
+            if (!each.gateway().equals(name)) {
+                takeReport(each);
+            }
+        }
+    }
+
     /**
      * Takes in a peer's report.
      *
      * @param report The report.
      */
     private void takeReport(GatewayReport report) {
-        if (!names.contains(report.gateway())) {
+        if (!addresses.containsKey(report.gateway())) {
             directory.refreshMembers();
         }
         long now = core.now();
@@ -236,7 +291,7 @@
             news |= core.targets().leavingByPeer(id);
         }
         if (catchUp.heard(report.configurationVersion(), version(), now)) {
-            network.send(report.gateway(), new ConfigurationRequest(name, version()));
+            ask(report.gateway());
         }
         if (news && now - refreshedMillis > REFRESH_MILLIS) {
             refreshedMillis = now;
@@ -273,13 +328,50 @@
         if (stopped) {
             return;
         }
-        network.broadcast(reportWith(core.takePlaced()));
+        connect();
+        GatewayReport own = reportWith(core.takePlaced());
+        if (!topology.relayed()) {
+            network.broadcast(own);
+        } else if (topology.relaying(core.now())) {
+            passOn(own);
+        } else {
+            network.send(topology.relay(core.now()), own);
+        }
+        gathered.clear();
+        foreign.clear();
         reportLater();
     }
 
+    /**
+     * Passes on what others reported, together with this gateway's report.
+     *
+     * @param own This gateway's report.
+     */
+    private void passOn(GatewayReport own) {
+        gathered.add(own);
+        ReportBatch batch = ReportBatches.of(name, gathered);
+        topology.otherRelays(core.now()).forEach(each -> network.send(each, batch));
+        for (String each : topology.neighbours()) {
+            network.send(each, batch);
+            foreign.forEach(other -> network.send(each, other));
+        }
+    }
+
+    /**
+     * Asks a peer for its configuration, or the relay if there is no connection to that peer.
+     *
+     * @param peer The peer's name.
+     */
+    private void ask(String peer) {
+        ConfigurationRequest request = new ConfigurationRequest(name, version());
+        if (!network.send(peer, request)) {
+            network.send(topology.relay(core.now()), request);
+        }
+    }
+
     /** Reports again after a while. */
     private void reportLater() {
-        reactor.delayBackground(ReportPace.intervalMillis(names.size()), this::report);
+        reactor.delayBackground(topology.intervalMillis(), this::report);
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/FieldReader.java
+++ b/src/main/java/org/martenwell/peer/FieldReader.java
@@ -1,6 +1,7 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.martenwell.error.ErrorKind;
@@ -79,6 +80,17 @@
         return unpacker.unpackString();
     }
 
+    /**
+     * Reads bytes.
+     *
+     * @return The bytes, read-only.
+     * @throws IOException If the payload ends early.
+     */
+    ByteBuffer bytes() throws IOException {
+        byte[] bytes = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        return ByteBuffer.wrap(bytes).asReadOnlyBuffer();
+    }
+
     /**
      * Reads a whole number.
      *
--- a/src/main/java/org/martenwell/peer/FieldWriter.java
+++ b/src/main/java/org/martenwell/peer/FieldWriter.java
@@ -1,6 +1,7 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
 
@@ -45,6 +46,19 @@
         packer.packString(text);
     }
 
+    /**
+     * Writes bytes.
+     *
+     * @param bytes The bytes.
+     * @throws IOException Never for a buffer in memory.
+     */
+    void bytes(ByteBuffer bytes) throws IOException {
+        byte[] copy = new byte[bytes.remaining()];
+        bytes.duplicate().get(copy);
+        packer.packBinaryHeader(copy.length);
+        packer.writePayload(copy);
+    }
+
     /**
      * Writes a whole number.
      *
--- a/src/main/java/org/martenwell/peer/GatewayForms.java
+++ b/src/main/java/org/martenwell/peer/GatewayForms.java
@@ -5,6 +5,7 @@
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.OrganisationReport;
 import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.ReportBatch;
 import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.share.ShareSums;
 
@@ -50,6 +51,29 @@
         }
     }
 
+    /**
+     * Writes a batch of reports.
+     *
+     * @param message The message.
+     * @param writer Receives it.
+     * @throws IOException Never for a buffer in memory.
+     */
+    static void write(ReportBatch message, FieldWriter writer) throws IOException {
+        writer.name(message.relay());
+        writer.bytes(message.form());
+    }
+
+    /**
+     * Reads a batch of reports.
+     *
+     * @param reader Gives it.
+     * @return The message.
+     * @throws IOException If it ends early.
+     */
+    static ReportBatch readBatch(FieldReader reader) throws IOException {
+        return new ReportBatch(reader.name(), reader.bytes());
+    }
+
     /**
      * Reads a report.
      *
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -4,6 +4,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.martenwell.balance.GatewayReport;
+import org.martenwell.balance.ReportBatch;
 import org.martenwell.member.Heartbeat;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.schedule.ServiceReport;
@@ -115,6 +116,19 @@
         PeerMessage read(FieldReader reader) throws IOException {
             return GatewayForms.readReport(reader);
         }
+    },
+
+    /** The reports of some gateways. */
+    REPORT_BATCH(9, ReportBatch.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            GatewayForms.write((ReportBatch) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return GatewayForms.readBatch(reader);
+        }
     };
 
     /** The number that stands first in a message. */
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -88,12 +88,14 @@
      *
      * @param peer The peer's name.
      * @param message The message.
+     * @return {@code false} if this is none of the present peers.
      */
-    public void send(String peer, PeerMessage message) {
+    public boolean send(String peer, PeerMessage message) {
         PeerLink link = links.get(peer);
         if (link != null) {
             link.send(message);
         }
+        return link != null;
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/ReportTopologyTest.java
@@ -0,0 +1,71 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.martenwell.directory.GatewayMember;
+
+/** Tests who reports to whom. */
+final class ReportTopologyTest {
+
+    private static final List<String> DOMAINS = List.of("x", "y", "z");
+
+    @Test
+    void testSmallFleetIsAMesh() {
+        ReportTopology topology = topology("x-1", "x", 9);
+        assertThat(topology.relayed()).isFalse();
+        assertThat(topology.connected(0)).hasSize(8).doesNotContain("x-1");
+        assertThat(topology.intervalMillis()).isEqualTo(40);
+    }
+
+    @Test
+    void testAllGatewaysOfADomainChooseOneRelay() {
+        String relay = topology("x-1", "x", 60).relay(0);
+        for (GatewayMember each : members(60)) {
+            if (each.failureDomain().equals("x")) {
+                assertThat(topology(each.name(), "x", 60).relay(0)).isEqualTo(relay);
+            }
+        }
+    }
+
+    @Test
+    void testMessagesOfAnIntervalGrowWithTheFleetAndNotWithItsSquare() {
+        int links = 0;
+        for (GatewayMember each : members(60)) {
+            links += topology(each.name(), each.failureDomain(), 60).connected(0).size();
+        }
+        int members = 57;
+        int relaysToMembers = 57;
+        int betweenRelays = 6;
+        assertThat(links).isEqualTo(members + relaysToMembers + betweenRelays);
+    }
+
+    @Test
+    void testGatewayThatOthersReportToRelaysThoughItIsNotTheFirst() {
+        String relay = topology("x-1", "x", 60).relay(0);
+        String other = relay.equals("x-1") ? "x-2" : "x-1";
+        ReportTopology topology = topology(other, "x", 60);
+        assertThat(topology.relaying(0)).isFalse();
+        topology.asked(10);
+        assertThat(topology.relaying(11)).isTrue();
+        topology.heard(relay, 600);
+        assertThat(topology.relaying(600)).isFalse();
+    }
+
+    private static ReportTopology topology(String name, String domain, int size) {
+        ReportTopology topology = new ReportTopology(name, domain);
+        topology.members(members(size));
+        return topology;
+    }
+
+    private static List<GatewayMember> members(int size) {
+        List<GatewayMember> members = new ArrayList<>();
+        for (int index = 0; index < size; index++) {
+            String domain = DOMAINS.get(index % DOMAINS.size());
+            members.add(new GatewayMember(domain + "-" + (index / 3 + 1), domain, "unused"));
+        }
+        return members;
+    }
+}
--- a/src/test/java/org/martenwell/peer/MessageFormsTest.java
+++ b/src/test/java/org/martenwell/peer/MessageFormsTest.java
@@ -32,6 +32,12 @@
 
 class MessageFormsTest {
 
+    @Property(tries = 500, seed = "2")
+    void testBatchHoldsItsReports(@ForAll("messages") List<PeerMessage> messages) {
+        List<GatewayReport> reports = reports(messages);
+        assertThat(ReportBatches.reports(ReportBatches.of("relay", reports))).isEqualTo(reports);
+    }
+
     @Property(tries = 500, seed = "1")
     void testMessagesArriveAsSent(@ForAll("messages") List<PeerMessage> messages) {
         MessageWriter writer = new MessageWriter();
@@ -146,7 +152,11 @@
                                         .ofMaxSize(5),
                                 names.list().ofMaxSize(5))
                         .as(GatewayReport::new);
+        Arbitrary<PeerMessage> batches =
+                Combinators.combine(names, gatewayReports.list().ofMaxSize(3))
+                        .as((relay, reports) -> ReportBatches.of(relay, reports(reports)));
         return Arbitraries.oneOf(
+                        batches,
                         heartbeats,
                         serviceReports,
                         slotReports,
@@ -158,4 +168,11 @@
                 .ofMinSize(1)
                 .ofMaxSize(6);
     }
+
+    private static List<GatewayReport> reports(List<PeerMessage> messages) {
+        return messages.stream()
+                .filter(GatewayReport.class::isInstance)
+                .map(GatewayReport.class::cast)
+                .toList();
+    }
 }
