--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -54,6 +54,7 @@
      * @param need What the request needs.
      * @param tier Which fair share it is within.
      * @param loads The engines that may be chosen.
+     * @param leaving Engines that get no requests any more and may only hand parts over.
      * @param terms What they hold.
      * @param rate How fast they read.
      * @param now The present time, in milliseconds.
@@ -63,10 +64,11 @@
             PromptNeed need,
             ShareTier tier,
             Collection<TargetLoad> loads,
+            Collection<TargetLoad> leaving,
             EngineTerms terms,
             ReadingRate rate,
             long now) {
-        PromptKeepers keepers = PromptKeepers.of(need.chain(), loads);
+        PromptKeepers keepers = PromptKeepers.of(need.chain(), loads, leaving);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (TargetLoad each : loads) {
--- a/src/main/java/org/martenwell/balance/PromptKeepers.java
+++ b/src/main/java/org/martenwell/balance/PromptKeepers.java
@@ -32,14 +32,18 @@
      * Finds out what engines keep of a prompt.
      *
      * @param chain The prompt's shared parts.
-     * @param loads The engines.
+     * @param loads The engines that may be chosen.
+     * @param leaving Engines that may only hand parts over.
      * @return What they keep.
      */
-    static PromptKeepers of(PromptChain chain, Collection<TargetLoad> loads) {
+    static PromptKeepers of(
+            PromptChain chain, Collection<TargetLoad> loads, Collection<TargetLoad> leaving) {
         PromptKeepers keepers = new PromptKeepers();
         for (TargetLoad each : loads) {
             keepers.add(each, chain);
+            keepers.score(each, chain);
         }
+        leaving.forEach(each -> keepers.add(each, chain));
         return keepers;
     }
 
@@ -82,7 +86,7 @@
     }
 
     /**
-     * Takes in an engine.
+     * Takes in what an engine keeps.
      *
      * @param load The engine.
      * @param chain The prompt's shared parts.
@@ -96,6 +100,15 @@
             most = tokens;
             best = load;
         }
+    }
+
+    /**
+     * Takes in how an engine scores by hash.
+     *
+     * @param load The engine.
+     * @param chain The prompt's shared parts.
+     */
+    private void score(TargetLoad load, PromptChain chain) {
         long score = RendezvousHash.score(load.idHash(), chain.wholeKey());
         if (first == null || score > firstScore) {
             first = load;
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -84,7 +84,15 @@
         ShareUse use = use();
         ShareTier tier = use.tier();
         Optional<EngineChoice> choice =
-                core.engines().choose(need, tier, open, engine, core.targets().rate(service), now);
+                core.engines()
+                        .choose(
+                                need,
+                                tier,
+                                open,
+                                core.targets().leaving(service),
+                                engine,
+                                core.targets().rate(service),
+                                now);
         if (choice.isPresent()) {
             return new Decision(choice, Optional.empty(), use);
         }
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -113,6 +113,24 @@
         return open;
     }
 
+    /**
+     * Returns the targets of a service that are leaving and still there.
+     *
+     * @param service The service.
+     * @return Their loads.
+     */
+    List<TargetLoad> leaving(String service) {
+        List<TargetLoad> found = new ArrayList<>();
+        for (KnownTarget each : targets.values()) {
+            DirectoryTarget target = each.load().target();
+            boolean leaves = target.leaving() || leavingByPeers.contains(target.id());
+            if (leaves && target.service().equals(service)) {
+                found.add(each.load());
+            }
+        }
+        return found;
+    }
+
     /**
      * Returns a target.
      *
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -23,6 +23,8 @@
 
     private final List<TargetLoad> loads = new ArrayList<>();
 
+    private final List<TargetLoad> leaving = new ArrayList<>();
+
     @Test
     void testEngineThatKeepsThePromptIsPreferred() {
         add("one", "domain-a");
@@ -46,6 +48,18 @@
         assertThat(choice.unreadTokens()).isEqualTo(500);
     }
 
+    @Test
+    void testLeavingEngineHandsThePromptOverAndIsNotChosen() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        leaving.add(loads.remove(1));
+        leaving.get(0).memory().keep(chain(), 100_000);
+        EngineChoice choice = choose(ShareTier.PROMISED).orElseThrow();
+        assertThat(choice.load().target().id()).isEqualTo("one");
+        assertThat(choice.copyFrom()).contains(leaving.get(0));
+        assertThat(choice.unreadTokens()).isEqualTo(500);
+    }
+
     @Test
     void testRequestsOfPeersFillPlaces() {
         add("one", "domain-a");
@@ -79,12 +93,13 @@
     void testRequestLargerThanTheMemoryOfABusyEngineIsTriedAtAnEmptyOne() {
         add("one", "domain-a");
         PromptNeed huge = new PromptNeed("o", PromptChain.EMPTY, 200_000, 10, 100_000, 0);
-        assertThat(chooser.choose(huge, ShareTier.PROMISED, loads, TERMS, rate, 0)).isPresent();
+        assertThat(chooser.choose(huge, ShareTier.PROMISED, loads, leaving, TERMS, rate, 0))
+                .isPresent();
     }
 
     private Optional<EngineChoice> choose(ShareTier tier) {
         PromptNeed need = new PromptNeed("o", chain(), 5_500, 100, 400, 0);
-        return chooser.choose(need, tier, loads, TERMS, rate, 0);
+        return chooser.choose(need, tier, loads, leaving, TERMS, rate, 0);
     }
 
     private static PromptChain chain() {
