--- a/src/main/java/org/martenwell/command/Martenwell.java
+++ b/src/main/java/org/martenwell/command/Martenwell.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -17,6 +18,12 @@
     /** The exit code of success. */
     private static final int SUCCESS = 0;
 
+    /** The commands of processes that serve until they are stopped. */
+    private static final Set<String> SERVING = Set.of("router", "gateway", "standin");
+
+    /** The property that tells the log where to write. */
+    private static final String LOG_TARGET = "martenwell.log.target";
+
     /** Asks for help. */
     private static final String HELP = "help";
 
@@ -43,9 +50,21 @@
      * @param arguments The command line.
      */
     public static void main(String[] arguments) {
+        directLogs(arguments);
         System.exit(new Martenwell(System.out, System.err).run(arguments));
     }
 
+    /**
+     * Lets processes that serve log to standard output. Commands that print results there log to
+     * standard error. Must come before anything logs.
+     *
+     * @param arguments The command line.
+     */
+    static void directLogs(String... arguments) {
+        boolean serves = arguments.length > 0 && SERVING.contains(arguments[0]);
+        System.setProperty(LOG_TARGET, serves ? "SYSTEM_OUT" : "SYSTEM_ERR");
+    }
+
     /**
      * Runs one command.
      *
--- a/src/test/java/org/martenwell/command/MartenwellTest.java
+++ b/src/test/java/org/martenwell/command/MartenwellTest.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class MartenwellTest {
@@ -17,7 +18,8 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "router", "check", "apply", "show", "status", "drain", "demo", "standin", "load"
+                "router", "gateway", "check", "apply", "show", "status", "drain", "demo", "standin",
+                "load"
             })
     void testEveryCommandHasHelp(String command) {
         assertThat(run(command, "--help")).isZero();
@@ -69,6 +71,18 @@
         assertThat(run("status", "--operator", "127.0.0.1:1")).isEqualTo(74);
     }
 
+    @ParameterizedTest
+    @CsvSource({"gateway,SYSTEM_OUT", "router,SYSTEM_OUT", "show,SYSTEM_ERR", "demo,SYSTEM_ERR"})
+    void testProcessesThatServeLogToStandardOutput(String command, String target) {
+        String before = System.getProperty("martenwell.log.target", "SYSTEM_ERR");
+        try {
+            Martenwell.directLogs(command);
+            assertThat(System.getProperty("martenwell.log.target")).isEqualTo(target);
+        } finally {
+            System.setProperty("martenwell.log.target", before);
+        }
+    }
+
     private int run(String... arguments) {
         return new Martenwell(stream(out), stream(errors)).run(arguments);
     }
