--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -18,6 +18,13 @@
     /** Looks soon whether gateways have joined, because one that is not known reported. */
     void refreshMembers();
 
+    /**
+     * Takes another gateway out of the directory, because it is gone; not if it has joined again.
+     *
+     * @param name The gateway's name.
+     */
+    void removeMember(String name);
+
     /** Takes this gateway out of the directory, because it stops. */
     void leave();
 }
--- a/src/main/java/org/martenwell/directory/ObjectStore.java
+++ b/src/main/java/org/martenwell/directory/ObjectStore.java
@@ -42,9 +42,10 @@
      *
      * @param kind The kind.
      * @param name The name.
+     * @param revision The revision at which it must still be, or empty if any will do.
      * @return Completes once it is gone.
      */
-    Promise<Void> remove(String kind, String name);
+    Promise<Void> remove(String kind, String name, Optional<Long> revision);
 
     /** Closes the connections. */
     void close();
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -33,6 +34,9 @@
     /** How long until this gateway makes itself known again after a failure, in milliseconds. */
     private static final long JOIN_MILLIS = 500;
 
+    /** How long after joining a list may lack this gateway, in milliseconds. */
+    private static final long JOINED_MILLIS = 8_000;
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -60,6 +64,12 @@
     /** The version in force. */
     private long version;
 
+    /** The gateways as they were last listed. */
+    private Map<String, StoredEntry> members = Map.of();
+
+    /** When this gateway last joined, in milliseconds. */
+    private long joinedMillis;
+
     /** Whether this gateway stops. */
     private boolean leaving;
 
@@ -83,6 +93,7 @@
         this.reader = reader;
         this.self = self;
         this.listener = listener;
+        this.joinedMillis = reactor.currentTimeMillis();
         Random random = new Random(self.name().hashCode());
         this.configurations =
                 new KindFollower(
@@ -127,10 +138,28 @@
         gateways.refresh();
     }
 
+    @Override
+    public void removeMember(String name) {
+        StoredEntry entry = members.get(name);
+        if (entry != null) {
+            store.remove(reader.gatewayKind(), name, Optional.of(entry.revision()));
+            gateways.refresh();
+        }
+    }
+
     @Override
     public void leave() {
         leaving = true;
-        store.remove(reader.gatewayKind(), self.name());
+        store.remove(reader.gatewayKind(), self.name(), Optional.empty());
+    }
+
+    /** Makes this gateway known again if another one took it for gone. */
+    private void joinAgainIfRemoved() {
+        boolean old = reactor.currentTimeMillis() - joinedMillis > JOINED_MILLIS;
+        if (old && !members.containsKey(self.name())) {
+            joinedMillis = reactor.currentTimeMillis();
+            join();
+        }
     }
 
     /** Makes this gateway known. */
@@ -142,6 +171,7 @@
         value.put(PEER_ADDRESS, self.peerAddress());
         value.put(FAILURE_DOMAIN, self.failureDomain());
         store.put(reader.gatewayKind(), self.name(), value)
+                .whenResult(() -> joinedMillis = reactor.currentTimeMillis())
                 .whenException(exception -> reactor.delayBackground(JOIN_MILLIS, this::join));
     }
 
@@ -200,6 +230,8 @@
      * @param entries All objects of their kind.
      */
     private void takeGateways(Map<String, StoredEntry> entries) {
+        members = entries;
+        joinAgainIfRemoved();
         Map<String, GatewayMember> all = new HashMap<>();
         for (StoredEntry each : entries.values()) {
             String address = each.value().path(PEER_ADDRESS).asText("");
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -30,6 +30,9 @@
 /** Tells peers what this gateway does and takes in what they tell. */
 final class PeerReporter implements ManagedService, PeerListener {
 
+    /** How often it is looked for gateways that are gone, in milliseconds. */
+    private static final long SWEEP_MILLIS = 5_000;
+
     /** How many gateways tell one that starts what engines keep. */
     private static final int TELLERS = 3;
 
@@ -66,6 +69,9 @@
     /** Which peers were heard from a moment ago. */
     private final LivePeers live;
 
+    /** Finds gateways that are gone. */
+    private final MemberSweep sweep = new MemberSweep();
+
     /** Who reports to whom. */
     private final ReportTopology topology;
 
@@ -112,6 +118,7 @@
     @Override
     public Promise<Void> start() {
         reportLater();
+        reactor.delayBackground(SWEEP_MILLIS, this::sweep);
         return network.start();
     }
 
@@ -369,6 +376,18 @@
         }
     }
 
+    /** Removes gateways from the directory that ended without leaving it. */
+    private void sweep() {
+        if (stopped) {
+            return;
+        }
+        for (String each : sweep.gone(addresses.keySet(), live, core.now())) {
+            core.log().changed("member-gone", each);
+            directory.removeMember(each);
+        }
+        reactor.delayBackground(SWEEP_MILLIS, this::sweep);
+    }
+
     /** Reports again after a while. */
     private void reportLater() {
         reactor.delayBackground(topology.intervalMillis(), this::report);
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -48,7 +48,7 @@
     }
 
     @Override
-    public Promise<Void> remove(String kind, String name) {
+    public Promise<Void> remove(String kind, String name, Optional<Long> revision) {
         return Promise.complete();
     }
 
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/MemberSweepTest.java
@@ -0,0 +1,57 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Tests which gateways are taken for gone. */
+final class MemberSweepTest {
+
+    private static final long GONE_MILLIS = 30_000;
+
+    private static final List<String> FLEET = List.of("a", "b", "c", "gone");
+
+    @Test
+    void testGoneGatewayIsRemovedByOneOfTheOthers() {
+        List<String> removers = new ArrayList<>();
+        for (String self : List.of("a", "b", "c")) {
+            if (sweepTwice(self, GONE_MILLIS, "a", "b", "c").equals(List.of("gone"))) {
+                removers.add(self);
+            }
+        }
+        assertThat(removers).hasSize(1);
+    }
+
+    @Test
+    void testGatewayThatIsSilentForAMomentStays() {
+        for (String self : List.of("a", "b", "c")) {
+            assertThat(sweepTwice(self, GONE_MILLIS - 1, "a", "b", "c")).isEmpty();
+        }
+    }
+
+    @Test
+    void testGatewayThatHearsFewRemovesNobody() {
+        assertThat(sweepTwice("a", GONE_MILLIS, "a", "b")).isEmpty();
+    }
+
+    /** Sweeps, waits while some gateways are heard, and sweeps again. */
+    private static List<String> sweepTwice(String self, long waitMillis, String... heard) {
+        LivePeers live = new LivePeers(self);
+        MemberSweep sweep = new MemberSweep();
+        List<String> peers = FLEET.stream().filter(each -> !each.equals(self)).toList();
+        hear(live, self, 0, heard);
+        assertThat(sweep.gone(peers, live, 0)).isEmpty();
+        hear(live, self, waitMillis, heard);
+        return sweep.gone(peers, live, waitMillis);
+    }
+
+    private static void hear(LivePeers live, String self, long now, String... heard) {
+        for (String each : heard) {
+            if (!each.equals(self)) {
+                live.heard(each, now);
+            }
+        }
+    }
+}
--- a/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
@@ -178,6 +178,9 @@
         @Override
         public void refreshMembers() {}
 
+        @Override
+        public void removeMember(String name) {}
+
         @Override
         public void leave() {}
     }
