--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -78,11 +78,8 @@
     /** The peers' addresses by name. */
     private Map<String, String> addresses = Map.of();
 
-    /** The reports that this gateway passes on with its next one. */
-    private final List<GatewayReport> gathered = new ArrayList<>();
-
-    /** The batches of other failure domains that it passes on with its next report. */
-    private final List<ReportBatch> foreign = new ArrayList<>();
+    /** What this gateway passes on with its next report. */
+    private final RelayedReports relayed;
 
     /** Whether the gateway stopped. */
     private boolean stopped;
@@ -101,6 +98,7 @@
         this.core = core;
         this.incarnation = random.nextLong();
         this.live = new LivePeers(name);
+        this.relayed = new RelayedReports(name);
         this.topology = new ReportTopology(name, settings.failureDomain());
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
@@ -249,7 +247,7 @@
     private void takeDirect(GatewayReport report) {
         if (topology.relayed()) {
             topology.asked(core.now());
-            gathered.add(report);
+            relayed.take(report);
         }
         takeReport(report);
     }
@@ -263,7 +261,7 @@
         long now = core.now();
         topology.heard(batch.relay(), now);
         if (topology.relaying(now) && topology.foreign(batch.relay())) {
-            foreign.add(batch);
+            relayed.take(batch);
         }
         for (GatewayReport each : ReportBatches.reports(batch)) {
             if (!each.gateway().equals(name)) {
@@ -344,8 +342,7 @@
         } else {
             network.send(topology.relay(core.now()), own);
         }
-        gathered.clear();
-        foreign.clear();
+        relayed.clear();
         reportLater();
     }
 
@@ -355,12 +352,11 @@
      * @param own This gateway's report.
      */
     private void passOn(GatewayReport own) {
-        gathered.add(own);
-        ReportBatch batch = ReportBatches.of(name, gathered);
+        ReportBatch batch = relayed.batchWith(own);
         topology.otherRelays(core.now()).forEach(each -> network.send(each, batch));
         for (String each : topology.neighbours()) {
             network.send(each, batch);
-            foreign.forEach(other -> network.send(each, other));
+            relayed.foreign().forEach(other -> network.send(each, other));
         }
     }
 
--- a/src/main/java/org/martenwell/peer/GatewayForms.java
+++ b/src/main/java/org/martenwell/peer/GatewayForms.java
@@ -60,6 +60,7 @@
      */
     static void write(ReportBatch message, FieldWriter writer) throws IOException {
         writer.name(message.relay());
+        writer.flag(message.passedOn());
         writer.bytes(message.form());
     }
 
@@ -71,7 +72,7 @@
      * @throws IOException If it ends early.
      */
     static ReportBatch readBatch(FieldReader reader) throws IOException {
-        return new ReportBatch(reader.name(), reader.bytes());
+        return new ReportBatch(reader.name(), reader.flag(), reader.bytes());
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/ReportBatches.java
+++ b/src/main/java/org/martenwell/peer/ReportBatches.java
@@ -26,7 +26,8 @@
         MessageWriter writer = new MessageWriter();
         ByteArrayOutputStream form = new ByteArrayOutputStream();
         reports.forEach(each -> form.writeBytes(writer.write(each)));
-        return new ReportBatch(relay, ByteBuffer.wrap(form.toByteArray()).asReadOnlyBuffer());
+        return new ReportBatch(
+                relay, false, ByteBuffer.wrap(form.toByteArray()).asReadOnlyBuffer());
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -0,0 +1,187 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.promise.Promise;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.martenwell.balance.RunningRequest;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.directory.FleetDirectory;
+import org.martenwell.directory.GatewayMember;
+import org.martenwell.service.IpAddress;
+import org.martenwell.service.LoopThread;
+import org.martenwell.service.LoopbackPorts;
+import org.martenwell.settings.GatewaySettings;
+
+/** Tests that the gateways of a large fleet know each other's loads, also when relays end. */
+final class LargeFleetReportsTest {
+
+    /** More gateways than a mesh has. */
+    private static final int SIZE = 18;
+
+    private static final List<String> DOMAINS = List.of("x", "y");
+
+    /** How often a condition is looked at before a test fails. */
+    private static final int MAX_LOOKS = 2_000;
+
+    private final LoopThread thread = LoopThread.start("test-reports");
+
+    private final List<String> addresses = LoopbackPorts.free(SIZE);
+
+    private final Map<String, GatewayMember> members = new LinkedHashMap<>();
+
+    private final Map<String, PeerReporter> reporters = new LinkedHashMap<>();
+
+    private final Map<String, GatewayCore> cores = new HashMap<>();
+
+    @AfterEach
+    void stop() {
+        reporters.values().forEach(each -> thread.call(each::stop));
+        thread.stop();
+    }
+
+    @Test
+    void testLoadOfOneIsKnownToAllAlsoBehindAnEndOfRelays() {
+        startAll();
+        run(() -> load("x-0").sent(new RunningRequest(5, 7, 0, 0)));
+        await(() -> knownToAll(1));
+        String relay = relayOf("y");
+        run(() -> reporters.remove(relay).stop());
+        run(() -> load("x-0").sent(new RunningRequest(5, 7, 0, 0)));
+        await(() -> knownToAll(2));
+    }
+
+    private void startAll() {
+        for (int index = 0; index < SIZE; index++) {
+            String domain = DOMAINS.get(index % DOMAINS.size());
+            String name = domain + "-" + index;
+            members.put(name, new GatewayMember(name, domain, addresses.get(index)));
+        }
+        members.values().forEach(this::start);
+        run(() -> reporters.values().forEach(each -> each.members(members)));
+    }
+
+    private void start(GatewayMember member) {
+        run(
+                () -> {
+                    GatewaySettings settings = settings(member);
+                    GatewayLog log = new GatewayLog(thread.loop());
+                    GatewayCore core =
+                            new GatewayCore(thread.loop(), null, settings, new Random(1), log);
+                    core.targets().update(Map.of("t", target()));
+                    PeerReporter reporter =
+                            new PeerReporter(
+                                    thread.loop(), settings, core, new Random(member.hashCode()));
+                    reporter.directory(new NoDirectory());
+                    cores.put(member.name(), core);
+                    reporters.put(member.name(), reporter);
+                });
+        thread.call(reporters.get(member.name())::start);
+    }
+
+    private static DirectoryTarget target() {
+        return new DirectoryTarget("t", "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
+    }
+
+    private GatewaySettings settings(GatewayMember member) {
+        return new GatewaySettings(
+                member.name(),
+                member.failureDomain(),
+                "none",
+                "127.0.0.1:1",
+                "127.0.0.1:1",
+                member.peerAddress(),
+                "127.0.0.1:1",
+                "a key of at least thirty-two characters",
+                Optional.empty(),
+                1,
+                1,
+                100,
+                10,
+                4);
+    }
+
+    private TargetLoad load(String name) {
+        return cores.get(name).targets().find("t").orElseThrow().load();
+    }
+
+    private String relayOf(String domain) {
+        ReportTopology topology = new ReportTopology("none", domain);
+        topology.members(members.values());
+        return topology.relay(0);
+    }
+
+    private boolean knownToAll(int requests) {
+        AtomicBoolean known = new AtomicBoolean();
+        run(
+                () ->
+                        known.set(
+                                reporters.keySet().stream()
+                                        .allMatch(name -> requestsAt(name) == requests)));
+        return known.get();
+    }
+
+    private int requestsAt(String name) {
+        return load(name).all(thread.loop().currentTimeMillis()).requests();
+    }
+
+    private void run(Runnable action) {
+        thread.call(
+                () -> {
+                    action.run();
+                    return Promise.complete();
+                });
+    }
+
+    /** Waits for a condition for as many looks as the slowest machine needs. */
+    private static void await(BooleanSupplier condition) {
+        for (int look = 0; look < MAX_LOOKS && !condition.getAsBoolean(); look++) {
+            try {
+                Thread.sleep(10);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+                throw new AssertionError(exception);
+            }
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    /** A directory that is never asked for anything. */
+    private static final class NoDirectory implements FleetDirectory {
+
+        @Override
+        public Promise<Void> start() {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Void> stop() {
+            return Promise.complete();
+        }
+
+        @Override
+        public void passedOn(String document) {}
+
+        @Override
+        public void refresh() {}
+
+        @Override
+        public void refreshMembers() {}
+
+        @Override
+        public void removeMember(String name) {}
+
+        @Override
+        public void leave() {}
+    }
+}
