--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -128,6 +128,16 @@
         return exchange == null && !receiving;
     }
 
+    /**
+     * Returns whether no request has been served for some time.
+     *
+     * @param millis The time before which the connection must have become idle, in milliseconds.
+     * @return {@code true} if it is idle and has been since then.
+     */
+    boolean idleSince(long millis) {
+        return idle() && sinceMillis <= millis;
+    }
+
     /**
      * Closes the connection if it exceeds its time.
      *
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -13,6 +13,9 @@
 /** Takes callers' connections. */
 public final class CallerServer implements ManagedService {
 
+    /** How long a connection must have rested to be closed in a stop, in milliseconds. */
+    private static final long LEAST_REST_MILLIS = 300;
+
     /** How often the time limits of connections are checked, in milliseconds. */
     private static final long CHECK_MILLIS = 200;
 
@@ -78,10 +81,11 @@
         draining = true;
     }
 
-    /** Closes the connections on which no request is served. */
+    /** Closes the connections that have rested; one that was just opened may bring its request. */
     public void closeIdle() {
+        long before = reactor.currentTimeMillis() - LEAST_REST_MILLIS;
         Set.copyOf(connections).stream()
-                .filter(CallerConnection::idle)
+                .filter(each -> each.idleSince(before))
                 .forEach(CallerConnection::abort);
     }
 
