--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -37,6 +38,9 @@
     /** Spreads attempts. */
     private final Random random;
 
+    /** Returns how long changes are gathered before the next watch, in milliseconds. */
+    private final LongSupplier gatherMillis;
+
     /** Is told of all objects after each change. */
     private final Consumer<Map<String, StoredEntry>> listener;
 
@@ -62,6 +66,8 @@
      * @param store The store.
      * @param kind The kind.
      * @param random Spreads attempts.
+     * @param gatherMillis Returns how long changes are gathered before the next watch, in
+     *     milliseconds; where many watch and many objects change, each change costs many calls.
      * @param listener Is told of all objects after each change.
      */
     public KindFollower(
@@ -69,11 +75,13 @@
             ObjectStore store,
             String kind,
             Random random,
+            LongSupplier gatherMillis,
             Consumer<Map<String, StoredEntry>> listener) {
         this.reactor = reactor;
         this.store = store;
         this.kind = kind;
         this.random = random;
+        this.gatherMillis = gatherMillis;
         this.listener = listener;
     }
 
@@ -187,10 +195,12 @@
             }
         }
         revision = Math.max(revision, changes.revision());
-        if (!changes.changes().isEmpty()) {
+        if (changes.changes().isEmpty()) {
+            step(present);
+        } else {
             listener.accept(Map.copyOf(entries));
+            stepLater(present, gatherMillis.getAsLong());
         }
-        step(present);
     }
 
     /**
@@ -201,6 +211,16 @@
     private void retryLater(int present) {
         long jittered = delayMillis / 2 + random.nextLong(delayMillis);
         delayMillis = Math.min(LONGEST_DELAY_MILLIS, delayMillis * 2);
-        reactor.delayBackground(jittered, () -> step(present));
+        stepLater(present, jittered);
+    }
+
+    /**
+     * Makes the next call after a while.
+     *
+     * @param present The round.
+     * @param millis The time until then, in milliseconds.
+     */
+    private void stepLater(int present, long millis) {
+        reactor.delayBackground(millis, () -> step(present));
     }
 }
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -34,6 +34,12 @@
     /** How long until this gateway makes itself known again after a failure, in milliseconds. */
     private static final long JOIN_MILLIS = 500;
 
+    /** How much each gateway adds to the time for which changes are gathered, in milliseconds. */
+    private static final long GATHER_MILLIS_A_MEMBER = 5;
+
+    /** The longest time for which changes are gathered, in milliseconds. */
+    private static final long MOST_GATHER_MILLIS = 300;
+
     /** How long after joining a list may lack this gateway, in milliseconds. */
     private static final long JOINED_MILLIS = 8_000;
 
@@ -101,9 +107,16 @@
                         store,
                         reader.configurationKind(),
                         random,
+                        this::gatherMillis,
                         this::takeConfigurations);
         this.targets =
-                new KindFollower(reactor, store, reader.targetKind(), random, this::takeTargets);
+                new KindFollower(
+                        reactor,
+                        store,
+                        reader.targetKind(),
+                        random,
+                        this::gatherMillis,
+                        this::takeTargets);
         this.gateways =
                 new KindPoller(reactor, store, reader.gatewayKind(), random, this::takeGateways);
     }
@@ -153,6 +166,16 @@
         store.remove(reader.gatewayKind(), self.name(), Optional.empty());
     }
 
+    /**
+     * Returns how long changes are gathered before the next watch: the more gateways watch, the
+     * longer, so that the calls of all of them together stay bounded.
+     *
+     * @return The time in milliseconds.
+     */
+    private long gatherMillis() {
+        return Math.min(MOST_GATHER_MILLIS, GATHER_MILLIS_A_MEMBER * members.size());
+    }
+
     /** Makes this gateway known again if another one took it for gone. */
     private void joinAgainIfRemoved() {
         boolean old = reactor.currentTimeMillis() - joinedMillis > JOINED_MILLIS;
--- a/src/test/java/org/martenwell/directory/KindPollerTest.java
+++ b/src/test/java/org/martenwell/directory/KindPollerTest.java
@@ -67,6 +67,7 @@
                         store,
                         "kind",
                         new Random(1),
+                        () -> 0,
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         follower.start();
         loop.run();
