--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -134,6 +134,15 @@
         return Optional.ofNullable(configuration);
     }
 
+    /**
+     * Returns the version of the configuration in force.
+     *
+     * @return The version, 0 if none is known.
+     */
+    long version() {
+        return configuration == null ? 0 : configuration.version();
+    }
+
     /**
      * Returns the routes in force.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -2,18 +2,12 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.martenwell.balance.GatewayReport;
-import org.martenwell.balance.LoadSums;
-import org.martenwell.balance.OrganisationReport;
-import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.ReportBatch;
-import org.martenwell.balance.TargetLoad;
-import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.hash.RendezvousHash;
@@ -25,7 +19,6 @@
 import org.martenwell.peer.ReportBatches;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.GatewaySettings;
-import org.martenwell.share.ShareSums;
 
 /** Tells peers what this gateway does and takes in what they tell. */
 final class PeerReporter implements ManagedService, PeerListener {
@@ -45,9 +38,6 @@
     /** The gateway's name. */
     private final String name;
 
-    /** A number that is different after each start. */
-    private final long incarnation;
-
     /** What the gateway does. */
     private final GatewayCore core;
 
@@ -72,6 +62,15 @@
     /** Finds gateways that are gone. */
     private final MemberSweep sweep = new MemberSweep();
 
+    /** Makes reports. */
+    private final ReportMaker maker;
+
+    /** Takes reports in. */
+    private final ReportIntake intake;
+
+    /** Tells gateways that joined from those that left. */
+    private final UnlistedPeers unlisted = new UnlistedPeers();
+
     /** Who reports to whom. */
     private final ReportTopology topology;
 
@@ -96,7 +95,8 @@
         this.reactor = reactor;
         this.name = settings.name();
         this.core = core;
-        this.incarnation = random.nextLong();
+        this.maker = new ReportMaker(core, name, random.nextLong());
+        this.intake = new ReportIntake(core);
         this.live = new LivePeers(name);
         this.relayed = new RelayedReports(name);
         this.topology = new ReportTopology(name, settings.failureDomain());
@@ -176,11 +176,11 @@
         } else if (message instanceof ReportBatch batch) {
             takeBatch(batch);
         } else if (message instanceof ConfigurationRequest request) {
-            if (version() > request.above()) {
-                network.send(request.router(), new ConfigurationAnswer(version(), document));
+            if (core.version() > request.above()) {
+                network.send(request.router(), new ConfigurationAnswer(core.version(), document));
             }
         } else if (message instanceof ConfigurationAnswer answer) {
-            if (answer.version() > version()) {
+            if (answer.version() > core.version()) {
                 directory.passedOn(answer.text());
             }
         }
@@ -188,7 +188,7 @@
 
     @Override
     public void connected(String peer) {
-        network.send(peer, reportWith(tells(peer) ? kept() : List.of()));
+        network.send(peer, tells(peer) ? maker.full() : maker.with(List.of()));
     }
 
     /**
@@ -211,34 +211,6 @@
         return before < TELLERS;
     }
 
-    /**
-     * Returns what engines keep, as far as this gateway knows.
-     *
-     * @return The parts.
-     */
-    private List<PlacedPart> kept() {
-        List<PlacedPart> kept = new ArrayList<>();
-        for (KnownTarget each : core.targets().all()) {
-            String id = each.load().target().id();
-            each.load()
-                    .memory()
-                    .kept()
-                    .forEach((key, tokens) -> kept.add(new PlacedPart(id, key, tokens)));
-        }
-        return kept;
-    }
-
-    /**
-     * Makes a report.
-     *
-     * @param placed What engines keep that peers are told.
-     * @return The report.
-     */
-    private GatewayReport reportWith(List<PlacedPart> placed) {
-        return new GatewayReport(
-                name, incarnation, version(), own(), shares(), placed, core.targets().leaving());
-    }
-
     /**
      * Takes in a report that came from its gateway.
      *
@@ -276,65 +248,28 @@
      * @param report The report.
      */
     private void takeReport(GatewayReport report) {
-        if (!addresses.containsKey(report.gateway())) {
-            directory.refreshMembers();
-        }
         long now = core.now();
-        live.heard(report.gateway(), now);
-        Map<String, LoadSums> loads = new HashMap<>();
-        report.loads().forEach(each -> loads.put(each.target(), each.sums()));
-        for (KnownTarget each : core.targets().all()) {
-            String id = each.load().target().id();
-            each.load().peer(report.gateway(), loads.getOrDefault(id, LoadSums.NONE), now);
-        }
-        Map<String, ShareSums> shares = new HashMap<>();
-        report.shares().forEach(each -> shares.put(each.organisation(), each.sums()));
-        core.shares().peer(report.gateway(), shares, now);
-        report.placed().forEach(this::takePlaced);
-        boolean news = false;
-        for (String id : report.leaving()) {
-            news |= core.targets().leavingByPeer(id);
+        String peer = report.gateway();
+        live.heard(peer, now);
+        if (unlisted.joined(peer, report.incarnation(), addresses.containsKey(peer))) {
+            directory.refreshMembers();
         }
-        if (catchUp.heard(report.configurationVersion(), version(), now)) {
-            ask(report.gateway());
+        if (catchUp.heard(report.configurationVersion(), core.version(), now)) {
+            ask(peer);
         }
-        if (news && now - refreshedMillis > REFRESH_MILLIS) {
+        if (intake.take(report) && now - refreshedMillis > REFRESH_MILLIS) {
             refreshedMillis = now;
             directory.refresh();
         }
     }
 
-    /**
-     * Notes that a target keeps a part of prompts.
-     *
-     * @param part The part.
-     */
-    private void takePlaced(PlacedPart part) {
-        core.targets().find(part.target()).ifPresent(target -> takePlaced(target.load(), part));
-    }
-
-    /**
-     * Notes what a target keeps of a part.
-     *
-     * @param load The target.
-     * @param part The part.
-     */
-    private void takePlaced(TargetLoad load, PlacedPart part) {
-        if (part.tokens() > 0) {
-            core.sharedKeys().seen(part.key());
-            load.memory().keep(part.key(), part.tokens(), core.keptCapacity(load));
-        } else {
-            load.memory().drop(part.key());
-        }
-    }
-
     /** Tells peers what this gateway does. */
     private void report() {
         if (stopped) {
             return;
         }
         connect();
-        GatewayReport own = reportWith(core.takePlaced());
+        GatewayReport own = maker.next();
         if (!topology.relayed()) {
             network.broadcast(own);
         } else if (topology.relaying(core.now())) {
@@ -366,7 +301,7 @@
      * @param peer The peer's name.
      */
     private void ask(String peer) {
-        ConfigurationRequest request = new ConfigurationRequest(name, version());
+        ConfigurationRequest request = new ConfigurationRequest(name, core.version());
         if (!network.send(peer, request)) {
             network.send(topology.relay(core.now()), request);
         }
@@ -388,44 +323,4 @@
     private void reportLater() {
         reactor.delayBackground(topology.intervalMillis(), this::report);
     }
-
-    /**
-     * Returns what this gateway put on targets.
-     *
-     * @return The loads; targets without any of its requests are left out.
-     */
-    private List<TargetLoadReport> own() {
-        List<TargetLoadReport> loads = new ArrayList<>();
-        for (KnownTarget each : core.targets().all()) {
-            LoadSums own = each.load().own();
-            if (own.requests() > 0) {
-                loads.add(new TargetLoadReport(each.load().target().id(), own));
-            }
-        }
-        return loads;
-    }
-
-    /**
-     * Returns what organisations asked and got here.
-     *
-     * @return The sums.
-     */
-    private List<OrganisationReport> shares() {
-        List<OrganisationReport> shares = new ArrayList<>();
-        core.shares()
-                .own(core.now())
-                .forEach(
-                        (organisation, sums) ->
-                                shares.add(new OrganisationReport(organisation, sums)));
-        return shares;
-    }
-
-    /**
-     * Returns the version of the configuration in force.
-     *
-     * @return The version, 0 if none is known.
-     */
-    private long version() {
-        return core.configuration().map(each -> each.version()).orElse(0L);
-    }
 }
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/ReportMaker.java
@@ -0,0 +1,118 @@
+package org.martenwell.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.martenwell.balance.GatewayReport;
+import org.martenwell.balance.LoadSums;
+import org.martenwell.balance.OrganisationReport;
+import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.TargetLoadReport;
+
+/** Makes the reports of this gateway. */
+final class ReportMaker {
+
+    /** What the gateway does. */
+    private final GatewayCore core;
+
+    /** The gateway's name. */
+    private final String name;
+
+    /** A number that is different after each start. */
+    private final long incarnation;
+
+    /**
+     * Creates a maker.
+     *
+     * @param core What the gateway does.
+     * @param name The gateway's name.
+     * @param incarnation A number that is different after each start.
+     */
+    ReportMaker(GatewayCore core, String name, long incarnation) {
+        this.core = core;
+        this.name = name;
+        this.incarnation = incarnation;
+    }
+
+    /**
+     * Makes a report with what engines keep since the last one.
+     *
+     * @return The report.
+     */
+    GatewayReport next() {
+        return with(core.takePlaced());
+    }
+
+    /**
+     * Makes a report with all that engines keep, as far as this gateway knows.
+     *
+     * @return The report.
+     */
+    GatewayReport full() {
+        return with(kept());
+    }
+
+    /**
+     * Makes a report.
+     *
+     * @param placed What engines keep that peers are told.
+     * @return The report.
+     */
+    GatewayReport with(List<PlacedPart> placed) {
+        return new GatewayReport(
+                name,
+                incarnation,
+                core.version(),
+                loads(),
+                shares(),
+                placed,
+                core.targets().leaving());
+    }
+
+    /**
+     * Returns what engines keep, as far as this gateway knows.
+     *
+     * @return The parts.
+     */
+    private List<PlacedPart> kept() {
+        List<PlacedPart> kept = new ArrayList<>();
+        for (KnownTarget each : core.targets().all()) {
+            String id = each.load().target().id();
+            each.load()
+                    .memory()
+                    .kept()
+                    .forEach((key, tokens) -> kept.add(new PlacedPart(id, key, tokens)));
+        }
+        return kept;
+    }
+
+    /**
+     * Returns what this gateway put on targets.
+     *
+     * @return The loads; targets without any of its requests are left out.
+     */
+    private List<TargetLoadReport> loads() {
+        List<TargetLoadReport> loads = new ArrayList<>();
+        for (KnownTarget each : core.targets().all()) {
+            LoadSums own = each.load().own();
+            if (own.requests() > 0) {
+                loads.add(new TargetLoadReport(each.load().target().id(), own));
+            }
+        }
+        return loads;
+    }
+
+    /**
+     * Returns what organisations asked and got here.
+     *
+     * @return The sums.
+     */
+    private List<OrganisationReport> shares() {
+        List<OrganisationReport> shares = new ArrayList<>();
+        core.shares()
+                .own(core.now())
+                .forEach(
+                        (organisation, sums) ->
+                                shares.add(new OrganisationReport(organisation, sums)));
+        return shares;
+    }
+}
--- a/src/test/java/org/martenwell/daemon/FailureTest.java
+++ b/src/test/java/org/martenwell/daemon/FailureTest.java
@@ -1,13 +1,13 @@
 package org.martenwell.daemon;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.martenwell.service.Conditions.await;
 
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
@@ -154,16 +154,4 @@
         return fleet.runs().stream()
                 .collect(Collectors.toMap(RunRecord::requestId, Function.identity()));
     }
-
-    /** Waits long enough for any machine; nothing is asserted about how long it takes. */
-    private static void await(BooleanSupplier condition) {
-        for (int look = 0; look < 600 && !condition.getAsBoolean(); look++) {
-            try {
-                Thread.sleep(50);
-            } catch (InterruptedException exception) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
 }
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -1,6 +1,6 @@
 package org.martenwell.gateway;
 
-import static org.assertj.core.api.Assertions.assertThat;
+import static org.martenwell.service.Conditions.await;
 
 import io.activej.promise.Promise;
 import java.util.HashMap;
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.balance.RunningRequest;
@@ -31,9 +30,6 @@
 
     private static final List<String> DOMAINS = List.of("x", "y");
 
-    /** How often a condition is looked at before a test fails. */
-    private static final int MAX_LOOKS = 2_000;
-
     private final LoopThread thread = LoopThread.start("test-reports");
 
     private final List<String> addresses = LoopbackPorts.free(SIZE);
@@ -143,19 +139,6 @@
                 });
     }
 
-    /** Waits for a condition for as many looks as the slowest machine needs. */
-    private static void await(BooleanSupplier condition) {
-        for (int look = 0; look < MAX_LOOKS && !condition.getAsBoolean(); look++) {
-            try {
-                Thread.sleep(10);
-            } catch (InterruptedException exception) {
-                Thread.currentThread().interrupt();
-                throw new AssertionError(exception);
-            }
-        }
-        assertThat(condition.getAsBoolean()).isTrue();
-    }
-
     /** A directory that is never asked for anything. */
     private static final class NoDirectory implements FleetDirectory {
 
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/UnlistedPeersTest.java
@@ -0,0 +1,29 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests which reports are a reason to list gateways again. */
+final class UnlistedPeersTest {
+
+    private final UnlistedPeers peers = new UnlistedPeers();
+
+    @Test
+    void testGatewayThatWasNeverListedHasJoined() {
+        assertThat(peers.joined("a", 1, false)).isTrue();
+        assertThat(peers.joined("a", 1, true)).isFalse();
+    }
+
+    @Test
+    void testGatewayThatLeftAndStillReportsHasNotJoined() {
+        peers.joined("a", 1, true);
+        assertThat(peers.joined("a", 1, false)).isFalse();
+    }
+
+    @Test
+    void testGatewayThatStartedAgainHasJoined() {
+        peers.joined("a", 1, true);
+        assertThat(peers.joined("a", 2, false)).isTrue();
+    }
+}
