--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -151,7 +151,10 @@
      * @param now The present time, in milliseconds.
      */
     public void peer(String peer, LoadSums sums, long now) {
-        PeerLoad before = peers.put(peer, new PeerLoad(sums, now));
+        PeerLoad before =
+                sums.equals(LoadSums.NONE)
+                        ? peers.remove(peer)
+                        : peers.put(peer, new PeerLoad(sums, now));
         if (before != null) {
             peerSums = peerSums.minus(before.sums());
         }
--- a/src/main/java/org/martenwell/gateway/ReportIntake.java
+++ b/src/main/java/org/martenwell/gateway/ReportIntake.java
@@ -1,11 +1,14 @@
 package org.martenwell.gateway;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.TargetLoad;
+import org.martenwell.balance.TargetLoadReport;
 import org.martenwell.share.ShareSums;
 
 /** Takes in what peers report: loads, shares, what engines keep, and which targets leave. */
@@ -14,6 +17,9 @@
     /** What the gateway does. */
     private final GatewayCore core;
 
+    /** The targets that peers last had requests on, by peer. */
+    private final Map<String, Set<String>> loaded = new HashMap<>();
+
     /**
      * Creates an intake.
      *
@@ -48,15 +54,29 @@
      * @param report The peer's report.
      */
     private void takeLoads(GatewayReport report) {
-        Map<String, LoadSums> loads = new HashMap<>();
-        report.loads().forEach(each -> loads.put(each.target(), each.sums()));
-        for (KnownTarget each : core.targets().all()) {
-            String id = each.load().target().id();
-            LoadSums sums = loads.getOrDefault(id, LoadSums.NONE);
-            each.load().peer(report.gateway(), sums, core.now());
+        Set<String> present = new HashSet<>();
+        for (TargetLoadReport each : report.loads()) {
+            present.add(each.target());
+            takeLoad(report.gateway(), each.target(), each.sums());
+        }
+        Set<String> before = loaded.put(report.gateway(), present);
+        if (before != null) {
+            before.removeAll(present);
+            before.forEach(each -> takeLoad(report.gateway(), each, LoadSums.NONE));
         }
     }
 
+    /**
+     * Takes in what a peer put on a target.
+     *
+     * @param peer The peer's name.
+     * @param target The target's id.
+     * @param sums What it put there.
+     */
+    private void takeLoad(String peer, String target, LoadSums sums) {
+        core.targets().find(target).ifPresent(known -> known.load().peer(peer, sums, core.now()));
+    }
+
     /**
      * Takes in what a target keeps of a part of prompts.
      *
--- a/src/main/java/org/martenwell/gateway/ReportTopology.java
+++ b/src/main/java/org/martenwell/gateway/ReportTopology.java
@@ -25,7 +25,7 @@
     private static final long MESH_MILLIS = 40;
 
     /** How often gateways report to relays at most, in milliseconds. */
-    private static final long RELAYED_MILLIS = 120;
+    private static final long RELAYED_MILLIS = 150;
 
     /** How much each gateway adds to the interval of a very large fleet, in milliseconds. */
     private static final long MILLIS_A_MEMBER = 2;
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -71,6 +71,28 @@
         assertThat(choose(ShareTier.BEYOND)).isEmpty();
     }
 
+    @Test
+    void testSumsFollowRequestsAndWordsOfPeers() {
+        add("one", "domain-a");
+        TargetLoad load = loads.get(0);
+        RunningRequest first = new RunningRequest(100, 10, 0, 0);
+        RunningRequest second = new RunningRequest(200, 20, 0, 0);
+        load.sent(first);
+        load.sent(second);
+        load.peer("peer", new LoadSums(3, 30, 300), 0);
+        load.peer("other", new LoadSums(1, 1, 1), 0);
+        assertThat(load.all(0)).isEqualTo(new LoadSums(6, 331, 331));
+        load.begun(first);
+        load.peer("peer", new LoadSums(2, 0, 200), 10);
+        load.peer("other", LoadSums.NONE, 10);
+        assertThat(load.all(10)).isEqualTo(new LoadSums(4, 200, 230));
+        load.ended(first);
+        load.ended(first);
+        load.ended(second);
+        assertThat(load.all(10)).isEqualTo(new LoadSums(2, 0, 200));
+        assertThat(load.all(5_000)).isEqualTo(LoadSums.NONE);
+    }
+
     @Test
     void testOldWordOfAPeerIsForgotten() {
         add("one", "domain-a");
