Keep targets that lapsed while the store was away for 1.8 s after its return

KindFollower took the first list after an outage as whole, so that for that time a service could have no target at all.

Change: what is missing in the first list after a list had failed (not only a watch that was cut, behind which targets really leave) is kept for 1.8 s (LapsedEntries), below the 2 s in which a target that is gone must get no more.

Ruled out: keeping what is missing behind a cut watch; a compaction cuts watches too, and what left in it is gone.

--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -13,7 +13,8 @@
  * Follows the objects of one kind: lists them, then watches them, and lists them again when the
  * store has lost its history or a watch broke. A store that loses its history may have told nothing
  * for a while before, though its revision rose, so that going on from there would miss changes.
- * While the store does not answer, what was last known stays.
+ * While the store does not answer, what was last known stays, and what is missing when it is back
+ * stays for a while longer; see {@link LapsedEntries}.
  */
 public final class KindFollower implements ManagedService {
 
@@ -26,6 +27,9 @@
     /** The longest delay after a failure, in milliseconds. */
     private static final long LONGEST_DELAY_MILLIS = 800;
 
+    /** How long what is missing after an outage is kept, in milliseconds. */
+    private static final long LAPSED_MILLIS = 1_800;
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -47,6 +51,12 @@
     /** The objects by name. */
     private Map<String, StoredEntry> entries = new HashMap<>();
 
+    /** The objects that were missing after the last outage. */
+    private LapsedEntries lapsed = LapsedEntries.NONE;
+
+    /** Whether the last list failed, so that the store is away. */
+    private boolean away;
+
     /** The revision from which to go on. */
     private long revision;
 
@@ -133,6 +143,7 @@
                                 return;
                             }
                             if (failure != null) {
+                                away = true;
                                 retryLater(present);
                             } else {
                                 listed(present, listing);
@@ -149,12 +160,35 @@
     private void listed(int present, KindListing listing) {
         delayMillis = FIRST_DELAY_MILLIS;
         listDue = false;
+        if (away) {
+            away = false;
+            keepLapsed(listing.entries());
+        }
         entries = listing.entries();
         revision = listing.revision();
-        listener.accept(Map.copyOf(entries));
+        tell();
         step(present);
     }
 
+    /**
+     * Keeps for a while what is missing after an outage.
+     *
+     * @param listed The objects that the store holds now.
+     */
+    private void keepLapsed(Map<String, StoredEntry> listed) {
+        long now = reactor.currentTimeMillis();
+        Map<String, StoredEntry> before = lapsed.under(entries, now);
+        lapsed = LapsedEntries.of(before, listed, now + LAPSED_MILLIS);
+        if (!lapsed.isEmpty()) {
+            reactor.delayBackground(LAPSED_MILLIS, this::tell);
+        }
+    }
+
+    /** Tells the listener of all objects. */
+    private void tell() {
+        listener.accept(lapsed.under(entries, reactor.currentTimeMillis()));
+    }
+
     /**
      * Waits for changes.
      *
@@ -198,7 +232,7 @@
         if (changes.changes().isEmpty()) {
             step(present);
         } else {
-            listener.accept(Map.copyOf(entries));
+            tell();
             stepLater(present, gatherMillis.getAsLong());
         }
     }
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -12,8 +12,8 @@
 /** A store whose lists answer what the test has laid down, in order. */
 final class ScriptedStore implements ObjectStore {
 
-    /** What the next lists answer; the last one is answered again. */
-    private final Deque<EntryPage> pages = new ArrayDeque<>();
+    /** What the next lists answer, empty for a failure; the last one is answered again. */
+    private final Deque<Optional<EntryPage>> pages = new ArrayDeque<>();
 
     /** The revisions from which watches began. */
     private final List<Long> watched = new ArrayList<>();
@@ -24,7 +24,12 @@
         for (String each : names) {
             entries.add(new StoredEntry(each, revision, JsonNodeFactory.instance.objectNode()));
         }
-        pages.add(new EntryPage(entries, more, revision));
+        pages.add(Optional.of(new EntryPage(entries, more, revision)));
+    }
+
+    /** Lays down that the next list fails. */
+    void fails() {
+        pages.add(Optional.empty());
     }
 
     List<Long> watched() {
@@ -33,7 +38,9 @@
 
     @Override
     public Promise<EntryPage> list(String kind, Optional<String> after, Freshness freshness) {
-        return Promise.of(pages.size() > 1 ? pages.poll() : pages.element());
+        Optional<EntryPage> page = pages.size() > 1 ? pages.poll() : pages.element();
+        return page.map(Promise::of)
+                .orElseGet(() -> Promise.ofException(new IllegalStateException("Away.")));
     }
 
     @Override
