Look at an engine's room before at what it keeps, and less often at waiting requests

Each waiting request was tried every 5 ms, each time hashing and looking up its prompt at all 63 engines.

Change: engines without a place, memory or time are left out first; the prompt is looked at only if one is left; the more requests wait, the longer it is until the next look (5 to 25 ms).

Ruled out: nothing by a profile yet; the cost is reasoned from counts.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -1,6 +1,8 @@
 package org.martenwell.balance;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.martenwell.route.EngineTerms;
 import org.martenwell.share.ShareTier;
@@ -49,39 +51,67 @@
     }
 
     /**
-     * Chooses an engine.
+     * Returns the engines that may have room for a request. What they keep of its prompt is not
+     * looked at, which takes most of the time of a choice, so that a request that waits in a busy
+     * fleet costs little.
      *
      * @param need What the request needs.
      * @param tier Which fair share it is within.
-     * @param loads The engines that may be chosen.
-     * @param leaving Engines that get no requests any more and may only hand parts over.
+     * @param loads The engines.
      * @param terms What they hold.
      * @param rate How fast they read.
      * @param now The present time, in milliseconds.
-     * @return The choice or empty if none has room.
+     * @return The engines with a place, memory, and a backlog that leaves time.
      */
-    public Optional<EngineChoice> choose(
+    public List<TargetLoad> withRoom(
             PromptNeed need,
             ShareTier tier,
             Collection<TargetLoad> loads,
-            Collection<TargetLoad> leaving,
             EngineTerms terms,
             ReadingRate rate,
             long now) {
-        PromptKeepers keepers = PromptKeepers.of(need.chain(), loads, leaving);
+        double longestWait = allowedWait(need, tier, 0, rate, now);
+        List<TargetLoad> found = new ArrayList<>();
+        for (TargetLoad each : loads) {
+            LoadSums sums = each.all(now);
+            if (hasRoom(each, sums, need, tier, terms)
+                    && rate.millis(sums.unreadTokens()) <= longestWait) {
+                found.add(each);
+            }
+        }
+        return found;
+    }
+
+    /**
+     * Chooses an engine.
+     *
+     * @param need What the request needs.
+     * @param tier Which fair share it is within.
+     * @param candidates The engines with room, as {@link #withRoom} tells.
+     * @param keepers What engines keep of the prompt.
+     * @param terms What engines hold.
+     * @param rate How fast they read.
+     * @param now The present time, in milliseconds.
+     * @return The choice or empty if none reaches the first event in time.
+     */
+    public Optional<EngineChoice> choose(
+            PromptNeed need,
+            ShareTier tier,
+            Collection<TargetLoad> candidates,
+            PromptKeepers keepers,
+            EngineTerms terms,
+            ReadingRate rate,
+            long now) {
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
-        for (TargetLoad each : loads) {
+        for (TargetLoad each : candidates) {
             LoadSums sums = each.all(now);
             double backlog = rate.millis(sums.unreadTokens());
             long kept = keepers.keptTokens(each);
             boolean copied = terms.copies() && keepers.most() - kept >= LEAST_COPY_TOKENS;
             long unread = need.promptTokens() - (copied ? keepers.most() : kept);
             double reading = rate.millis(unread) + (copied ? COPY_MILLIS : 0);
-            boolean room =
-                    hasRoom(each, sums, need, tier, terms)
-                            && backlog <= allowedWait(need, tier, reading, rate, now);
-            if (!room) {
+            if (backlog > allowedWait(need, tier, reading, rate, now)) {
                 continue;
             }
             double cost =
--- a/src/main/java/org/martenwell/balance/PromptKeepers.java
+++ b/src/main/java/org/martenwell/balance/PromptKeepers.java
@@ -8,7 +8,7 @@
 import org.martenwell.prompt.PromptChain;
 
 /** What engines keep of one prompt, and which of them comes first for it by hash. */
-final class PromptKeepers {
+public final class PromptKeepers {
 
     /** How many tokens each engine keeps that keeps any. */
     private final Map<TargetLoad, Long> kept = new HashMap<>();
@@ -36,7 +36,7 @@
      * @param leaving Engines that may only hand parts over.
      * @return What they keep.
      */
-    static PromptKeepers of(
+    public static PromptKeepers of(
             PromptChain chain, Collection<TargetLoad> loads, Collection<TargetLoad> leaving) {
         PromptKeepers keepers = new PromptKeepers();
         for (TargetLoad each : loads) {
--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -11,9 +11,15 @@
  */
 final class EngineQueue {
 
-    /** How often waiting requests are looked at, in milliseconds. */
+    /** How often waiting requests are looked at, if there are few, in milliseconds. */
     private static final long LOOK_MILLIS = 5;
 
+    /** The longest time between looks, in milliseconds. */
+    private static final long LONGEST_LOOK_MILLIS = 25;
+
+    /** How many waiting requests make a look a millisecond later. */
+    private static final int REQUESTS_A_MILLI = 4;
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -64,10 +70,20 @@
     private void lookLater() {
         if (!lookDue && !waiting.isEmpty()) {
             lookDue = true;
-            reactor.delayBackground(LOOK_MILLIS, this::look);
+            reactor.delayBackground(lookMillis(), this::look);
         }
     }
 
+    /**
+     * Returns the time until the next look: the more requests wait, the longer, so that looking at
+     * them takes a bounded part of the processor.
+     *
+     * @return The time in milliseconds.
+     */
+    private long lookMillis() {
+        return Math.min(LONGEST_LOOK_MILLIS, LOOK_MILLIS + waiting.size() / REQUESTS_A_MILLI);
+    }
+
     /** Lets waiting requests try again. */
     private void look() {
         lookDue = false;
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -3,7 +3,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.martenwell.balance.EngineChoice;
+import org.martenwell.balance.EngineChooser;
+import org.martenwell.balance.PromptKeepers;
 import org.martenwell.balance.PromptNeed;
+import org.martenwell.balance.ReadingRate;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.error.ErrorKind;
@@ -83,16 +86,7 @@
         long now = core.now();
         ShareUse use = use();
         ShareTier tier = use.tier();
-        Optional<EngineChoice> choice =
-                core.engines()
-                        .choose(
-                                need,
-                                tier,
-                                open,
-                                core.targets().leaving(service),
-                                engine,
-                                core.targets().rate(service),
-                                now);
+        Optional<EngineChoice> choice = choose(open, tier, now);
         if (choice.isPresent()) {
             return new Decision(choice, Optional.empty(), use);
         }
@@ -109,6 +103,26 @@
         return new Decision(choice, Optional.empty(), use);
     }
 
+    /**
+     * Chooses an engine with room.
+     *
+     * @param open The engines that take requests.
+     * @param tier Which fair share the request is within.
+     * @param now The present time, in milliseconds.
+     * @return The choice or empty if none has room.
+     */
+    private Optional<EngineChoice> choose(List<TargetLoad> open, ShareTier tier, long now) {
+        ReadingRate rate = core.targets().rate(service);
+        EngineChooser chooser = core.engines();
+        List<TargetLoad> candidates = chooser.withRoom(need, tier, open, engine, rate, now);
+        if (candidates.isEmpty()) {
+            return Optional.empty();
+        }
+        PromptKeepers keepers =
+                PromptKeepers.of(need.chain(), open, core.targets().leaving(service));
+        return chooser.choose(need, tier, candidates, keepers, engine, rate, now);
+    }
+
     /**
      * Notes what sending the request to an engine changes.
      *
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -115,13 +115,29 @@
     void testRequestLargerThanTheMemoryOfABusyEngineIsTriedAtAnEmptyOne() {
         add("one", "domain-a");
         PromptNeed huge = new PromptNeed("o", PromptChain.EMPTY, 200_000, 10, 100_000, 0);
-        assertThat(chooser.choose(huge, ShareTier.PROMISED, loads, leaving, TERMS, rate, 0))
-                .isPresent();
+        assertThat(choose(huge, ShareTier.PROMISED)).isPresent();
+    }
+
+    @Test
+    void testEngineThatReadsTooLongIsNoChoiceThoughItMayHaveRoom() {
+        add("one", "domain-a");
+        loads.get(0).sent(new RunningRequest(20_000, 0, 0, 0));
+        PromptNeed small = new PromptNeed("o", PromptChain.EMPTY, 10, 10, 400, 0);
+        PromptNeed large = new PromptNeed("o", PromptChain.EMPTY, 30_000, 10, 400, 0);
+        assertThat(choose(small, ShareTier.PROMISED)).isPresent();
+        assertThat(chooser.withRoom(large, ShareTier.PROMISED, loads, TERMS, rate, 0)).hasSize(1);
+        assertThat(choose(large, ShareTier.PROMISED)).isEmpty();
     }
 
     private Optional<EngineChoice> choose(ShareTier tier) {
         PromptNeed need = new PromptNeed("o", chain(), 5_500, 100, 400, 0);
-        return chooser.choose(need, tier, loads, leaving, TERMS, rate, 0);
+        return choose(need, tier);
+    }
+
+    private Optional<EngineChoice> choose(PromptNeed need, ShareTier tier) {
+        List<TargetLoad> candidates = chooser.withRoom(need, tier, loads, TERMS, rate, 0);
+        PromptKeepers keepers = PromptKeepers.of(need.chain(), loads, leaving);
+        return chooser.choose(need, tier, candidates, keepers, TERMS, rate, 0);
     }
 
     private static PromptChain chain() {
