Read fewer shared parts again: take back what was not read, copy on retries, agree on new prompts

Tests: PlacedPromptTest, EngineChooserTest (two new); written with the change and not run against the old code, which lacks the types that they name.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -32,11 +32,8 @@
     /** How long a copy of parts of a prompt takes, in milliseconds. */
     private static final double COPY_MILLIS = 12;
 
-    /** The smallest copy that is worth asking for, in tokens. */
-    private static final long LEAST_COPY_TOKENS = 16;
-
-    /** What an engine gains by being the first by hash for a prompt, in milliseconds. */
-    private static final double PREFERRED_MILLIS = 6;
+    /** What an engine gains at least by being the first by hash for a prompt, in milliseconds. */
+    private static final double LEAST_PREFERENCE_MILLIS = 6;
 
     /** The failure domain of this gateway. */
     private final String failureDomain;
@@ -102,15 +99,16 @@
             EngineTerms terms,
             ReadingRate rate,
             long now) {
+        double preference = preferenceMillis(need, keepers, rate);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (TargetLoad each : candidates) {
             LoadSums sums = each.all(now);
             double backlog = rate.millis(sums.unreadTokens());
-            long kept = keepers.keptTokens(each);
-            boolean copied = terms.copies() && keepers.most() - kept >= LEAST_COPY_TOKENS;
-            long unread = need.promptTokens() - (copied ? keepers.most() : kept);
-            double reading = rate.millis(unread) + (copied ? COPY_MILLIS : 0);
+            Optional<TargetLoad> source = terms.copies() ? keepers.source(each) : Optional.empty();
+            long kept = source.isPresent() ? keepers.most() : keepers.keptTokens(each);
+            long unread = need.promptTokens() - kept;
+            double reading = rate.millis(unread) + (source.isPresent() ? COPY_MILLIS : 0);
             if (backlog > allowedWait(need, tier, reading, rate, now)) {
                 continue;
             }
@@ -120,17 +118,31 @@
                             + FULL_MILLIS * sums.requests() / slots(each, terms)
                             + FAILING_MILLIS * each.health().failureShare(now)
                             + (each.target().failureDomain().equals(failureDomain) ? 0 : FAR_MILLIS)
-                            - (keepers.isFirst(each) ? PREFERRED_MILLIS : 0);
+                            - (keepers.isFirst(each) ? preference : 0);
             if (cost < bestCost) {
                 bestCost = cost;
-                best =
-                        new EngineChoice(
-                                each, unread, backlog, copied ? keepers.best() : Optional.empty());
+                best = new EngineChoice(each, unread, backlog, source);
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns what an engine gains by being the first by hash for a prompt. Parts that nobody is
+     * known to keep may be on their way to an engine from another gateway, which chooses by the
+     * same hash; reading them twice costs as much again.
+     *
+     * @param need What the request needs.
+     * @param keepers What engines keep of the prompt.
+     * @param rate How fast engines read.
+     * @return The gain in milliseconds.
+     */
+    private static double preferenceMillis(
+            PromptNeed need, PromptKeepers keepers, ReadingRate rate) {
+        long unkept = Math.max(0, need.chain().totalTokens() - keepers.most());
+        return Math.max(LEAST_PREFERENCE_MILLIS, rate.millis(unkept));
+    }
+
     /**
      * Tells whether an engine has a place and memory for a request.
      *
--- a/src/main/java/org/martenwell/balance/PromptKeepers.java
+++ b/src/main/java/org/martenwell/balance/PromptKeepers.java
@@ -10,6 +10,9 @@
 /** What engines keep of one prompt, and which of them comes first for it by hash. */
 public final class PromptKeepers {
 
+    /** The smallest copy that is worth asking for, in tokens. */
+    private static final long LEAST_COPY_TOKENS = 16;
+
     /** How many tokens each engine keeps that keeps any. */
     private final Map<TargetLoad, Long> kept = new HashMap<>();
 
@@ -53,7 +56,7 @@
      * @param load The engine.
      * @return The kept part in tokens.
      */
-    long keptTokens(TargetLoad load) {
+    public long keptTokens(TargetLoad load) {
         return kept.getOrDefault(load, 0L);
     }
 
@@ -62,17 +65,19 @@
      *
      * @return The kept part in tokens.
      */
-    long most() {
+    public long most() {
         return most;
     }
 
     /**
-     * Returns the engine that keeps most of the prompt.
+     * Returns the engine from which another one should copy parts of the prompt.
      *
-     * @return The engine or empty if none keeps anything.
+     * @param load The engine that would copy.
+     * @return The engine that keeps most, or empty if a copy would bring too little.
      */
-    Optional<TargetLoad> best() {
-        return Optional.ofNullable(best);
+    public Optional<TargetLoad> source(TargetLoad load) {
+        boolean worthwhile = most - keptTokens(load) >= LEAST_COPY_TOKENS;
+        return worthwhile ? Optional.ofNullable(best) : Optional.empty();
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -33,6 +33,9 @@
     /** The engines' service. */
     private final String service;
 
+    /** What the engine of the present attempt is taken to keep, until its answer begins. */
+    private Optional<PlacedPrompt> placed = Optional.empty();
+
     /**
      * What becomes of a request now.
      *
@@ -133,10 +136,13 @@
         if (first) {
             core.shares().begun(need.organisation(), need.cost(), core.now());
         }
-        if (load.memory().keptTokens(need.chain()) < need.chain().totalTokens()) {
-            core.placed(load.target().id(), need.chain());
-        }
-        load.memory().keep(need.chain(), core.keptCapacity(load));
+        placed = Optional.of(PlacedPrompt.at(core, load, need.chain()));
+    }
+
+    /** Notes that the engine has not read the prompt, as far as is known. */
+    void notRead() {
+        placed.ifPresent(PlacedPrompt::takeBack);
+        placed = Optional.empty();
     }
 
     /**
@@ -145,6 +151,7 @@
      * @param running The request at its engine.
      */
     void begun(RunningRequest running) {
+        placed = Optional.empty();
         core.targets().rate(service).observe(running, core.now() - running.sentMillis());
     }
 
@@ -179,17 +186,21 @@
      * @return The engine.
      */
     private Optional<EngineChoice> leastLoaded(List<TargetLoad> open, long now) {
-        return core.services().choose(open, now).map(this::anyway);
+        return core.services().choose(open, now).map(load -> anyway(load, open));
     }
 
     /**
      * Chooses an engine that has no room.
      *
      * @param load The engine.
+     * @param open The engines that take requests.
      * @return The choice.
      */
-    private EngineChoice anyway(TargetLoad load) {
-        long unread = need.promptTokens() - load.memory().keptTokens(need.chain());
-        return new EngineChoice(load, unread, Double.MAX_VALUE, Optional.empty());
+    private EngineChoice anyway(TargetLoad load, List<TargetLoad> open) {
+        PromptKeepers keepers =
+                PromptKeepers.of(need.chain(), open, core.targets().leaving(service));
+        Optional<TargetLoad> source = engine.copies() ? keepers.source(load) : Optional.empty();
+        long kept = source.isPresent() ? keepers.most() : keepers.keptTokens(load);
+        return new EngineChoice(load, need.promptTokens() - kept, Double.MAX_VALUE, source);
     }
 }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -426,6 +426,7 @@
     private void refusedByTarget(SendAttempt from, int status) {
         boolean other = status == MISDIRECTED;
         core.log().attemptFailed(requestId(), targetId(from), other ? "other" : "full");
+        engines.ifPresent(EngineRouting::notRead);
         from.target().load().health().close(core.now(), other ? OTHER_MILLIS : FULL_MILLIS);
         if (mayRetry()) {
             trySend();
@@ -444,6 +445,7 @@
         attempt = null;
         core.log().attemptFailed(requestId(), targetId(from), failure.name());
         from.target().load().health().failed(core.now());
+        engines.ifPresent(EngineRouting::notRead);
         if (!failure.sent()) {
             retryUnreachable();
             return;
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -36,6 +36,28 @@
         assertThat(choice.copyFrom()).isEmpty();
     }
 
+    @Test
+    void testPromptThatNobodyKeepsGoesToTheFirstByHashThoughAnotherIsLessBusy() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        PromptNeed need = new PromptNeed("o", chain(), 5_500, 100, 400, 0);
+        TargetLoad first = choose(need, ShareTier.PROMISED).orElseThrow().load();
+        first.sent(new RunningRequest(2_000, 100, 0, 0));
+        assertThat(choose(need, ShareTier.PROMISED).orElseThrow().load()).isSameAs(first);
+        first.sent(new RunningRequest(8_000, 100, 0, 0));
+        assertThat(choose(need, ShareTier.PROMISED).orElseThrow().load()).isNotSameAs(first);
+    }
+
+    @Test
+    void testEngineCopiesFromTheOneThatKeepsMostUnlessItKeepsAsMuch() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        loads.get(1).memory().keep(chain(), 100_000);
+        PromptKeepers keepers = PromptKeepers.of(chain(), loads, leaving);
+        assertThat(keepers.source(loads.get(0))).contains(loads.get(1));
+        assertThat(keepers.source(loads.get(1))).isEmpty();
+    }
+
     @Test
     void testBusyKeeperHandsThePromptOver() {
         add("one", "domain-a");
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
@@ -0,0 +1,85 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.martenwell.balance.PlacedPart;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.exchange.ConnectionLimits;
+import org.martenwell.prompt.PromptChain;
+import org.martenwell.prompt.PromptPart;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.ServiceTerms;
+import org.martenwell.service.IpAddress;
+import org.martenwell.settings.GatewaySettings;
+
+/** Tests what an engine is taken to keep behind a request that it did not run. */
+final class PlacedPromptTest {
+
+    private static final PromptPart GENERAL = new PromptPart("general", 100);
+
+    private static final PromptPart SPECIAL = new PromptPart("special", 200);
+
+    private static final PromptPart OWN = new PromptPart("own", 300);
+
+    private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
+
+    private final GatewayCore core =
+            new GatewayCore(loop, null, settings(), new Random(1), new GatewayLog(loop));
+
+    private final TargetLoad load =
+            new TargetLoad(
+                    new DirectoryTarget("t", "s", IpAddress.of("127.0.0.1:1"), "x", 10, false));
+
+    private final PromptChain chain = PromptChain.of("m", List.of(GENERAL, SPECIAL, OWN));
+
+    @Test
+    void testPartsThatWereNotReadAreTakenBackAndPeersAreTold() {
+        core.configure(configuration());
+        load.memory().keep(PromptChain.key("m", GENERAL.id()), GENERAL.tokens(), 100_000);
+        PlacedPrompt placed = PlacedPrompt.at(core, load, chain);
+        assertThat(load.memory().keptTokens(chain)).isEqualTo(300);
+        core.takePlaced();
+        placed.takeBack();
+        assertThat(load.memory().keptTokens(chain)).isEqualTo(100);
+        assertThat(core.takePlaced())
+                .containsExactly(new PlacedPart("t", PromptChain.key("m", SPECIAL.id()), 0));
+    }
+
+    private static GatewayConfiguration configuration() {
+        EngineTerms engine = new EngineTerms(10, 100_000, true);
+        return new GatewayConfiguration(
+                1,
+                List.of(),
+                Map.of("s", new ServiceTerms("s", 10, Optional.of(engine))),
+                ConnectionLimits.DEFAULTS,
+                0,
+                false,
+                Map.of());
+    }
+
+    private static GatewaySettings settings() {
+        return new GatewaySettings(
+                "self",
+                "x",
+                "none",
+                "127.0.0.1:1",
+                "127.0.0.1:1",
+                "127.0.0.1:1",
+                "127.0.0.1:1",
+                "a key of at least thirty-two characters",
+                Optional.empty(),
+                1,
+                1,
+                100,
+                10,
+                4);
+    }
+}
