Let the gateway with the most processor time of a failure domain be its relay

Change: gateways tell in the directory how much processor time they have (settings `processor`, from the platform's limits); relays are chosen by that first, then by hash. A prompt's size is summed once.

--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -31,6 +31,9 @@
     /** The field of a gateway's failure domain. */
     private static final String FAILURE_DOMAIN = "failureDomain";
 
+    /** The field of a gateway's processor time. */
+    private static final String PROCESSORS = "processors";
+
     /** How long until this gateway makes itself known again after a failure, in milliseconds. */
     private static final long JOIN_MILLIS = 500;
 
@@ -193,6 +196,7 @@
         ObjectNode value = JsonNodeFactory.instance.objectNode();
         value.put(PEER_ADDRESS, self.peerAddress());
         value.put(FAILURE_DOMAIN, self.failureDomain());
+        value.put(PROCESSORS, self.processors());
         store.put(reader.gatewayKind(), self.name(), value)
                 .whenResult(() -> joinedMillis = reactor.currentTimeMillis())
                 .whenException(exception -> reactor.delayBackground(JOIN_MILLIS, this::join));
@@ -260,7 +264,8 @@
             String address = each.value().path(PEER_ADDRESS).asText("");
             if (!address.isEmpty()) {
                 String domain = each.value().path(FAILURE_DOMAIN).asText("");
-                all.put(each.name(), new GatewayMember(each.name(), domain, address));
+                double processors = each.value().path(PROCESSORS).asDouble(0);
+                all.put(each.name(), new GatewayMember(each.name(), domain, address, processors));
             }
         }
         listener.members(all);
--- a/src/main/java/org/martenwell/gateway/ReportTopology.java
+++ b/src/main/java/org/martenwell/gateway/ReportTopology.java
@@ -188,19 +188,27 @@
     }
 
     /**
-     * Sorts the gateways of a failure domain by how well they fit as its relay.
+     * Sorts the gateways of a failure domain by how well they fit as its relay. A relay signs and
+     * writes all reports once for each gateway of its domain, so those with the most processor time
+     * come first.
      *
      * @param members The gateways.
      * @param of The failure domain.
      * @return Their names, the best first.
      */
     private static List<String> sorted(Collection<GatewayMember> members, String of) {
-        Comparator<String> byScore =
-                Comparator.comparingLong(name -> RendezvousHash.score(name, of));
+        Comparator<GatewayMember> byProcessors =
+                Comparator.comparingDouble(GatewayMember::processors);
+        Comparator<GatewayMember> byScore =
+                Comparator.comparingLong(member -> RendezvousHash.score(member.name(), of));
         return members.stream()
                 .filter(member -> member.failureDomain().equals(of))
+                .sorted(
+                        byProcessors
+                                .reversed()
+                                .thenComparing(byScore.reversed())
+                                .thenComparing(GatewayMember::name))
                 .map(GatewayMember::name)
-                .sorted(byScore.reversed().thenComparing(Comparator.naturalOrder()))
                 .toList();
     }
 }
--- a/src/main/java/org/martenwell/prompt/PromptChain.java
+++ b/src/main/java/org/martenwell/prompt/PromptChain.java
@@ -19,6 +19,9 @@
     /** The sizes in tokens. */
     private final List<Long> tokens;
 
+    /** The size of all parts, in tokens; it is asked for again and again. */
+    private final long totalTokens;
+
     /**
      * Creates a chain.
      *
@@ -28,6 +31,7 @@
     private PromptChain(List<Long> keys, List<Long> tokens) {
         this.keys = List.copyOf(keys);
         this.tokens = List.copyOf(tokens);
+        this.totalTokens = tokens.stream().mapToLong(Long::longValue).sum();
     }
 
     /**
@@ -102,6 +106,6 @@
      * @return The size in tokens.
      */
     public long totalTokens() {
-        return tokens.stream().mapToLong(Long::longValue).sum();
+        return totalTokens;
     }
 }
--- a/src/main/java/org/martenwell/settings/GatewaySettings.java
+++ b/src/main/java/org/martenwell/settings/GatewaySettings.java
@@ -14,6 +14,7 @@
  * @param directoryAddress Where the directory is.
  * @param peerKey The key that peers share.
  * @param metricsAddress Where it tells its metrics, if anywhere.
+ * @param processor The processor time that it may use, if it is known.
  * @param stopSeconds Within which time a stopping gateway ends, in seconds.
  * @param retryShare How many retries the fleet may make for each request.
  * @param retryAllowance How many retries the fleet may make besides in a window.
@@ -30,6 +31,7 @@
         String directoryAddress,
         String peerKey,
         Optional<String> metricsAddress,
+        Optional<ProcessorSettings> processor,
         double stopSeconds,
         double retryShare,
         double retryAllowance,
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -61,7 +61,7 @@
         for (int index = 0; index < SIZE; index++) {
             String domain = DOMAINS.get(index % DOMAINS.size());
             String name = domain + "-" + index;
-            members.put(name, new GatewayMember(name, domain, addresses.get(index)));
+            members.put(name, new GatewayMember(name, domain, addresses.get(index), 1));
         }
         members.values().forEach(this::start);
         run(() -> reporters.values().forEach(each -> each.members(members)));
@@ -100,6 +100,7 @@
                 "127.0.0.1:1",
                 "a key of at least thirty-two characters",
                 Optional.empty(),
+                Optional.empty(),
                 1,
                 1,
                 100,
--- a/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
+++ b/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.TargetLoad;
@@ -18,7 +17,6 @@
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.ServiceTerms;
 import org.martenwell.service.IpAddress;
-import org.martenwell.settings.GatewaySettings;
 
 /** Tests what an engine is taken to keep behind a request that it did not run. */
 final class PlacedPromptTest {
@@ -31,8 +29,7 @@
 
     private final Eventloop loop = Eventloop.builder().withCurrentThread().build();
 
-    private final GatewayCore core =
-            new GatewayCore(loop, null, settings(), new Random(1), new GatewayLog(loop));
+    private final GatewayCore core = GatewayCores.of(loop);
 
     private final TargetLoad load =
             new TargetLoad(
@@ -64,22 +61,4 @@
                 false,
                 Map.of());
     }
-
-    private static GatewaySettings settings() {
-        return new GatewaySettings(
-                "self",
-                "x",
-                "none",
-                "127.0.0.1:1",
-                "127.0.0.1:1",
-                "127.0.0.1:1",
-                "127.0.0.1:1",
-                "a key of at least thirty-two characters",
-                Optional.empty(),
-                1,
-                1,
-                100,
-                10,
-                4);
-    }
 }
--- a/src/test/java/org/martenwell/gateway/ReportTopologyTest.java
+++ b/src/test/java/org/martenwell/gateway/ReportTopologyTest.java
@@ -30,6 +30,18 @@
         }
     }
 
+    @Test
+    void testGatewayWithTheMostProcessorTimeIsTheRelay() {
+        List<GatewayMember> members = members(60);
+        String relay = topology("x-1", "x", 60).relay(0);
+        String other = relay.equals("x-1") ? "x-2" : "x-1";
+        members.removeIf(each -> each.name().equals(other));
+        members.add(new GatewayMember(other, "x", "unused", 1.5));
+        ReportTopology topology = new ReportTopology("x-3", "x");
+        topology.members(members);
+        assertThat(topology.relay(0)).isEqualTo(other);
+    }
+
     @Test
     void testMessagesOfAnIntervalGrowWithTheFleetAndNotWithItsSquare() {
         int links = 0;
@@ -64,7 +76,7 @@
         List<GatewayMember> members = new ArrayList<>();
         for (int index = 0; index < size; index++) {
             String domain = DOMAINS.get(index % DOMAINS.size());
-            members.add(new GatewayMember(domain + "-" + (index / 3 + 1), domain, "unused"));
+            members.add(new GatewayMember(domain + "-" + (index / 3 + 1), domain, "unused", 1));
         }
         return members;
     }
