Watch the store at a pace that follows the size of the fleet

What is urgent comes from peers in between, as before.

Ruled out: gathering longer than 1 s; a target that leaves must get nothing after 2 s.

--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -18,9 +18,6 @@
  */
 public final class KindFollower implements ManagedService {
 
-    /** How long the store may wait for a change, in milliseconds. */
-    private static final long WAIT_MILLIS = 5_000;
-
     /** The first delay after a failure, in milliseconds. */
     private static final long FIRST_DELAY_MILLIS = 40;
 
@@ -42,8 +39,8 @@
     /** Spreads attempts. */
     private final Random random;
 
-    /** Returns how long changes are gathered before the next watch, in milliseconds. */
-    private final LongSupplier gatherMillis;
+    /** Returns how the store is watched. */
+    private final Supplier<WatchPace> pace;
 
     /** Is told of all objects after each change. */
     private final Consumer<Map<String, StoredEntry>> listener;
@@ -76,8 +73,7 @@
      * @param store The store.
      * @param kind The kind.
      * @param random Spreads attempts.
-     * @param gatherMillis Returns how long changes are gathered before the next watch, in
-     *     milliseconds; where many watch and many objects change, each change costs many calls.
+     * @param pace Returns how the store is watched.
      * @param listener Is told of all objects after each change.
      */
     public KindFollower(
@@ -85,13 +81,13 @@
             ObjectStore store,
             String kind,
             Random random,
-            LongSupplier gatherMillis,
+            Supplier<WatchPace> pace,
             Consumer<Map<String, StoredEntry>> listener) {
         this.reactor = reactor;
         this.store = store;
         this.kind = kind;
         this.random = random;
-        this.gatherMillis = gatherMillis;
+        this.pace = pace;
         this.listener = listener;
     }
 
@@ -195,7 +191,7 @@
      * @param present The round.
      */
     private void watch(int present) {
-        store.watch(kind, revision, WAIT_MILLIS)
+        store.watch(kind, revision, pace.get().waitMillis())
                 .subscribe(
                         (changes, failure) -> {
                             if (present != round) {
@@ -233,7 +229,7 @@
             step(present);
         } else {
             tell();
-            stepLater(present, gatherMillis.getAsLong());
+            stepLater(present, pace.get().gatherMillis());
         }
     }
 
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -37,12 +37,6 @@
     /** How long until this gateway makes itself known again after a failure, in milliseconds. */
     private static final long JOIN_MILLIS = 500;
 
-    /** How much each gateway adds to the time for which changes are gathered, in milliseconds. */
-    private static final long GATHER_MILLIS_A_MEMBER = 5;
-
-    /** The longest time for which changes are gathered, in milliseconds. */
-    private static final long MOST_GATHER_MILLIS = 300;
-
     /** How long after joining a list may lack this gateway, in milliseconds. */
     private static final long JOINED_MILLIS = 8_000;
 
@@ -110,7 +104,7 @@
                         store,
                         reader.configurationKind(),
                         random,
-                        this::gatherMillis,
+                        this::pace,
                         this::takeConfigurations);
         this.targets =
                 new KindFollower(
@@ -118,7 +112,7 @@
                         store,
                         reader.targetKind(),
                         random,
-                        this::gatherMillis,
+                        this::pace,
                         this::takeTargets);
         this.gateways =
                 new KindPoller(reactor, store, reader.gatewayKind(), random, this::takeGateways);
@@ -170,13 +164,12 @@
     }
 
     /**
-     * Returns how long changes are gathered before the next watch: the more gateways watch, the
-     * longer, so that the calls of all of them together stay bounded.
+     * Returns how the store is watched.
      *
-     * @return The time in milliseconds.
+     * @return The pace.
      */
-    private long gatherMillis() {
-        return Math.min(MOST_GATHER_MILLIS, GATHER_MILLIS_A_MEMBER * members.size());
+    private WatchPace pace() {
+        return WatchPace.of(members.size());
     }
 
     /** Makes this gateway known again if another one took it for gone. */
--- a/src/test/java/org/martenwell/directory/KindPollerTest.java
+++ b/src/test/java/org/martenwell/directory/KindPollerTest.java
@@ -67,7 +67,7 @@
                         store,
                         "kind",
                         new Random(1),
-                        () -> 0,
+                        () -> WatchPace.of(0),
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         follower.start();
         loop.run();
--- a/src/test/java/org/martenwell/directory/LapsedEntriesTest.java
+++ b/src/test/java/org/martenwell/directory/LapsedEntriesTest.java
@@ -87,7 +87,7 @@
                         store,
                         "kind",
                         new Random(1),
-                        () -> 0,
+                        () -> WatchPace.of(0),
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         follower.start();
         loop.run();
--- /dev/null
+++ b/src/test/java/org/martenwell/directory/WatchPaceTest.java
@@ -0,0 +1,30 @@
+package org.martenwell.directory;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Tests how the size of a fleet changes the pace at which it watches a store. */
+final class WatchPaceTest {
+
+    /** The shortest time in which a target that leaves must get no more requests. */
+    private static final long DRAIN_MILLIS = 2_000;
+
+    @Test
+    void testSmallFleetHearsOfChangesAtOnce() {
+        assertThat(WatchPace.of(0).gatherMillis()).isZero();
+        assertThat(WatchPace.of(9).gatherMillis()).isLessThan(DRAIN_MILLIS / 10);
+    }
+
+    @Test
+    void testCallsOfAllGatewaysGrowSlowerThanTheFleet() {
+        double small = 7.0 / WatchPace.of(7).waitMillis();
+        double large = 61.0 / WatchPace.of(61).waitMillis();
+        assertThat(large / small).isLessThan(61.0 / 7 * 0.6);
+    }
+
+    @Test
+    void testNoFleetGathersForHalfOfTheTimeInWhichATargetMustDrain() {
+        assertThat(WatchPace.of(10_000).gatherMillis()).isLessThan(DRAIN_MILLIS / 2);
+    }
+}
