Give the two readers of a store's kinds one source

Change: KindSource lists, watches and spreads; both take it. No behaviour changes: a delay behind a failure is spread from the same numbers in the same order. Both readers are internal to their package now.

--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -1,10 +1,8 @@
 package org.martenwell.directory;
 
 import io.activej.promise.Promise;
-import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.martenwell.service.ManagedService;
@@ -16,7 +14,7 @@
  * While the store does not answer, what was last known stays, and what is missing when it is back
  * stays for a while longer; see {@link LapsedEntries}.
  */
-public final class KindFollower implements ManagedService {
+final class KindFollower implements ManagedService {
 
     /** The first delay after a failure, in milliseconds. */
     private static final long FIRST_DELAY_MILLIS = 40;
@@ -27,17 +25,8 @@
     /** How long what is missing after an outage is kept, in milliseconds. */
     private static final long LAPSED_MILLIS = 1_800;
 
-    /** The loop. */
-    private final NioReactor reactor;
-
-    /** The store. */
-    private final ObjectStore store;
-
-    /** The kind. */
-    private final String kind;
-
-    /** Spreads attempts. */
-    private final Random random;
+    /** Where the objects come from. */
+    private final KindSource source;
 
     /** Returns how the store is watched. */
     private final Supplier<WatchPace> pace;
@@ -69,24 +58,15 @@
     /**
      * Creates a follower.
      *
-     * @param reactor The loop.
-     * @param store The store.
-     * @param kind The kind.
-     * @param random Spreads attempts.
+     * @param source Where the objects come from.
      * @param pace Returns how the store is watched.
      * @param listener Is told of all objects after each change.
      */
-    public KindFollower(
-            NioReactor reactor,
-            ObjectStore store,
-            String kind,
-            Random random,
+    KindFollower(
+            KindSource source,
             Supplier<WatchPace> pace,
             Consumer<Map<String, StoredEntry>> listener) {
-        this.reactor = reactor;
-        this.store = store;
-        this.kind = kind;
-        this.random = random;
+        this.source = source;
         this.pace = pace;
         this.listener = listener;
     }
@@ -132,7 +112,7 @@
      * @param present The round.
      */
     private void list(int present) {
-        KindListing.of(store, kind, Freshness.CURRENT)
+        source.list(Freshness.CURRENT)
                 .subscribe(
                         (listing, failure) -> {
                             if (present != round) {
@@ -172,17 +152,17 @@
      * @param listed The objects that the store holds now.
      */
     private void keepLapsed(Map<String, StoredEntry> listed) {
-        long now = reactor.currentTimeMillis();
+        long now = source.now();
         Map<String, StoredEntry> before = lapsed.under(entries, now);
         lapsed = LapsedEntries.of(before, listed, now + LAPSED_MILLIS);
         if (!lapsed.isEmpty()) {
-            reactor.delayBackground(LAPSED_MILLIS, this::tell);
+            source.later(LAPSED_MILLIS, this::tell);
         }
     }
 
     /** Tells the listener of all objects. */
     private void tell() {
-        listener.accept(lapsed.under(entries, reactor.currentTimeMillis()));
+        listener.accept(lapsed.under(entries, source.now()));
     }
 
     /**
@@ -191,7 +171,7 @@
      * @param present The round.
      */
     private void watch(int present) {
-        store.watch(kind, revision, pace.get().waitMillis())
+        source.watch(revision, pace.get().waitMillis())
                 .subscribe(
                         (changes, failure) -> {
                             if (present != round) {
@@ -229,7 +209,7 @@
             step(present);
         } else {
             tell();
-            stepLater(present, pace.get().gatherMillis());
+            source.later(pace.get().gatherMillis(), () -> step(present));
         }
     }
 
@@ -239,18 +219,7 @@
      * @param present The round.
      */
     private void retryLater(int present) {
-        long jittered = delayMillis / 2 + random.nextLong(delayMillis);
+        source.spread(delayMillis, () -> step(present));
         delayMillis = Math.min(LONGEST_DELAY_MILLIS, delayMillis * 2);
-        stepLater(present, jittered);
-    }
-
-    /**
-     * Makes the next call after a while.
-     *
-     * @param present The round.
-     * @param millis The time until then, in milliseconds.
-     */
-    private void stepLater(int present, long millis) {
-        reactor.delayBackground(millis, () -> step(present));
     }
 }
--- a/src/main/java/org/martenwell/directory/KindPoller.java
+++ b/src/main/java/org/martenwell/directory/KindPoller.java
@@ -1,9 +1,7 @@
 package org.martenwell.directory;
 
 import io.activej.promise.Promise;
-import io.activej.reactor.nio.NioReactor;
 import java.util.Map;
-import java.util.Random;
 import java.util.function.Consumer;
 import org.martenwell.service.ManagedService;
 
@@ -13,7 +11,7 @@
  * cost each a small and constant number of calls. Who learns of an object in another way asks for a
  * fresh list by {@link #refresh}.
  */
-public final class KindPoller implements ManagedService {
+final class KindPoller implements ManagedService {
 
     /** How long after the first list another fresh one follows, in milliseconds. */
     private static final long SETTLE_MILLIS = 1_500;
@@ -27,17 +25,8 @@
     /** How long it is from a failure to the next list, in milliseconds. */
     private static final long FAILURE_MILLIS = 400;
 
-    /** The loop. */
-    private final NioReactor reactor;
-
-    /** The store. */
-    private final ObjectStore store;
-
-    /** The kind. */
-    private final String kind;
-
-    /** Spreads lists. */
-    private final Random random;
+    /** Where the objects come from. */
+    private final KindSource source;
 
     /** Is told of all objects after each change. */
     private final Consumer<Map<String, StoredEntry>> listener;
@@ -60,22 +49,11 @@
     /**
      * Creates a poller.
      *
-     * @param reactor The loop.
-     * @param store The store.
-     * @param kind The kind.
-     * @param random Spreads lists.
+     * @param source Where the objects come from.
      * @param listener Is told of all objects after each change.
      */
-    public KindPoller(
-            NioReactor reactor,
-            ObjectStore store,
-            String kind,
-            Random random,
-            Consumer<Map<String, StoredEntry>> listener) {
-        this.reactor = reactor;
-        this.store = store;
-        this.kind = kind;
-        this.random = random;
+    KindPoller(KindSource source, Consumer<Map<String, StoredEntry>> listener) {
+        this.source = source;
         this.listener = listener;
     }
 
@@ -93,7 +71,7 @@
 
     /** Asks for a fresh list, unless one began a moment ago. */
     public void refresh() {
-        if (reactor.currentTimeMillis() - beganMillis >= REFRESH_MILLIS) {
+        if (source.now() - beganMillis >= REFRESH_MILLIS) {
             list(Freshness.CURRENT);
         }
     }
@@ -105,8 +83,8 @@
      */
     private void list(Freshness freshness) {
         int present = ++round;
-        beganMillis = reactor.currentTimeMillis();
-        KindListing.of(store, kind, freshness)
+        beganMillis = source.now();
+        source.list(freshness)
                 .subscribe(
                         (listing, failure) -> {
                             if (present != round) {
@@ -150,9 +128,8 @@
      */
     private void listLater(long millis, Freshness freshness) {
         int present = round;
-        long jittered = millis / 2 + random.nextLong(millis);
-        reactor.delayBackground(
-                jittered,
+        source.spread(
+                millis,
                 () -> {
                     if (present == round) {
                         list(freshness);
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -100,22 +100,18 @@
         Random random = new Random(self.name().hashCode());
         this.configurations =
                 new KindFollower(
-                        reactor,
-                        store,
-                        reader.configurationKind(),
-                        random,
+                        new KindSource(reactor, store, reader.configurationKind(), random),
                         this::pace,
                         this::takeConfigurations);
         this.targets =
                 new KindFollower(
-                        reactor,
-                        store,
-                        reader.targetKind(),
-                        random,
+                        new KindSource(reactor, store, reader.targetKind(), random),
                         this::pace,
                         this::takeTargets);
         this.gateways =
-                new KindPoller(reactor, store, reader.gatewayKind(), random, this::takeGateways);
+                new KindPoller(
+                        new KindSource(reactor, store, reader.gatewayKind(), random),
+                        this::takeGateways);
     }
 
     @Override
--- a/src/test/java/org/martenwell/directory/KindPollerTest.java
+++ b/src/test/java/org/martenwell/directory/KindPollerTest.java
@@ -63,10 +63,7 @@
         store.answers(9, false, "two");
         KindFollower follower =
                 new KindFollower(
-                        loop,
-                        store,
-                        "kind",
-                        new Random(1),
+                        new KindSource(loop, store, "kind", new Random(1)),
                         () -> WatchPace.of(0),
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         follower.start();
@@ -79,10 +76,7 @@
     private KindPoller startedPoller() {
         KindPoller poller =
                 new KindPoller(
-                        loop,
-                        store,
-                        "kind",
-                        new Random(1),
+                        new KindSource(loop, store, "kind", new Random(1)),
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         poller.start();
         loop.run();
--- a/src/test/java/org/martenwell/directory/LapsedEntriesTest.java
+++ b/src/test/java/org/martenwell/directory/LapsedEntriesTest.java
@@ -83,10 +83,7 @@
     private void follow() {
         KindFollower follower =
                 new KindFollower(
-                        loop,
-                        store,
-                        "kind",
-                        new Random(1),
+                        new KindSource(loop, store, "kind", new Random(1)),
                         () -> WatchPace.of(0),
                         entries -> told.add(new TreeSet<>(entries.keySet())));
         follower.start();
