Test what becomes of requests when no engine has room

Cause: that a retry copies its prompt and that a refused prompt is taken back was tested at the parts, not where a request is decided.

Change: EngineRoutingTest, three tests; the cores and configurations of such tests stand once (GatewayCores). The product's code is unchanged.

--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -0,0 +1,96 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.activej.eventloop.Eventloop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.martenwell.balance.EngineChoice;
+import org.martenwell.balance.PromptNeed;
+import org.martenwell.balance.RunningRequest;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.prompt.PromptChain;
+import org.martenwell.prompt.PromptPart;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.service.IpAddress;
+
+/** Tests what becomes of requests when no engine has room, and of beliefs behind a refusal. */
+final class EngineRoutingTest {
+
+    private static final EngineTerms TERMS = new EngineTerms(1, 100_000, true);
+
+    private final Eventloop loop =
+            Eventloop.builder().withTimeProvider(() -> 1).withCurrentThread().build();
+
+    private final GatewayCore core = GatewayCores.of(loop);
+
+    private final PromptChain chain =
+            PromptChain.of("m", List.of(new PromptPart("shared", 5_000), new PromptPart("own", 9)));
+
+    private final EngineRouting routing =
+            new EngineRouting(
+                    core,
+                    new PromptNeed("o", chain, 5_009, 10, 400, core.now()),
+                    TERMS,
+                    GatewayCores.SERVICE);
+
+    private final List<TargetLoad> loads = new ArrayList<>();
+
+    @BeforeEach
+    void start() {
+        core.configure(GatewayCores.configuration(TERMS));
+        core.targets().update(Map.of("one", target("one"), "two", target("two")));
+        core.targets().all().forEach(each -> loads.add(each.load()));
+        loads.sort((one, two) -> one.target().id().compareTo(two.target().id()));
+    }
+
+    @Test
+    void testRetryWithoutRoomCopiesThePrompt() {
+        fill(loads.get(0), 1);
+        fill(loads.get(1), 2);
+        loads.get(1).memory().keep(chain, 100_000);
+        EngineChoice choice = routing.decide(loads, 1, null).choice().orElseThrow();
+        assertThat(choice.load()).isSameAs(loads.get(0));
+        assertThat(choice.copyFrom()).contains(loads.get(1));
+        assertThat(choice.unreadTokens()).isEqualTo(9);
+    }
+
+    @Test
+    void testFirstTryWithoutRoomWaitsAndIsThenRefused() {
+        fill(loads.get(0), 1);
+        fill(loads.get(1), 1);
+        EngineRouting.Decision waits = routing.decide(loads, 0, GatewayCores.route(60_000));
+        assertThat(waits.choice()).isEmpty();
+        assertThat(waits.refusal()).isEmpty();
+        EngineRouting.Decision ends = routing.decide(loads, 0, GatewayCores.route(0));
+        assertThat(ends.refusal()).contains(ErrorKind.WAIT_TOO_LONG);
+    }
+
+    @Test
+    void testRefusedPromptIsNotTakenToBeKeptAndABegunOneIs() {
+        routing.sent(loads.get(0), true);
+        routing.notRead();
+        assertThat(loads.get(0).memory().keptTokens(chain)).isZero();
+        routing.sent(loads.get(0), false);
+        routing.begun(new RunningRequest(5_009, 10, core.now(), 0));
+        routing.notRead();
+        assertThat(loads.get(0).memory().keptTokens(chain)).isEqualTo(5_000);
+    }
+
+    /** Fills an engine with requests. */
+    private static void fill(TargetLoad load, int requests) {
+        for (int request = 0; request < requests; request++) {
+            load.sent(new RunningRequest(0, 0, 0, 0));
+        }
+    }
+
+    private static DirectoryTarget target(String id) {
+        return new DirectoryTarget(
+                id, GatewayCores.SERVICE, IpAddress.of("127.0.0.1:1"), "x", 1, false);
+    }
+}
--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -1,13 +1,25 @@
 package org.martenwell.gateway;
 
 import io.activej.reactor.nio.NioReactor;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import org.martenwell.exchange.ConnectionLimits;
+import org.martenwell.route.EngineTerms;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.Route;
+import org.martenwell.route.RouteType;
+import org.martenwell.route.ServiceTerms;
+import org.martenwell.route.WeightedService;
 import org.martenwell.settings.GatewaySettings;
 
 /** Makes cores of gateways for tests that need no connections. */
 final class GatewayCores {
 
+    /** The name of the only service. */
+    static final String SERVICE = "s";
+
     private GatewayCores() {}
 
     /** Makes a core that knows no configuration and no targets. */
@@ -15,6 +27,35 @@
         return new GatewayCore(loop, null, settings(), new Random(1), new GatewayLog(loop));
     }
 
+    /** Makes a configuration of one service of engines without routes. */
+    static GatewayConfiguration configuration(EngineTerms engine) {
+        return new GatewayConfiguration(
+                1,
+                List.of(),
+                Map.of(SERVICE, new ServiceTerms(SERVICE, 10, Optional.of(engine))),
+                ConnectionLimits.DEFAULTS,
+                0,
+                false,
+                Map.of());
+    }
+
+    /** Makes a route of streams to that service. */
+    static Route route(long objectiveMillis) {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                RouteType.STREAMING,
+                60_000,
+                objectiveMillis,
+                0,
+                List.of(new WeightedService(SERVICE, 1)),
+                2,
+                false,
+                true,
+                0);
+    }
+
     private static GatewaySettings settings() {
         return new GatewaySettings(
                 "self",
--- a/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
+++ b/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
@@ -4,18 +4,13 @@
 
 import io.activej.eventloop.Eventloop;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
-import org.martenwell.exchange.ConnectionLimits;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.prompt.PromptPart;
 import org.martenwell.route.EngineTerms;
-import org.martenwell.route.GatewayConfiguration;
-import org.martenwell.route.ServiceTerms;
 import org.martenwell.service.IpAddress;
 
 /** Tests what an engine is taken to keep behind a request that it did not run. */
@@ -33,13 +28,19 @@
 
     private final TargetLoad load =
             new TargetLoad(
-                    new DirectoryTarget("t", "s", IpAddress.of("127.0.0.1:1"), "x", 10, false));
+                    new DirectoryTarget(
+                            "t",
+                            GatewayCores.SERVICE,
+                            IpAddress.of("127.0.0.1:1"),
+                            "x",
+                            10,
+                            false));
 
     private final PromptChain chain = PromptChain.of("m", List.of(GENERAL, SPECIAL, OWN));
 
     @Test
     void testPartsThatWereNotReadAreTakenBackAndPeersAreTold() {
-        core.configure(configuration());
+        core.configure(GatewayCores.configuration(new EngineTerms(10, 100_000, true)));
         load.memory().keep(PromptChain.key("m", GENERAL.id()), GENERAL.tokens(), 100_000);
         PlacedPrompt placed = PlacedPrompt.at(core, load, chain);
         assertThat(load.memory().keptTokens(chain)).isEqualTo(300);
@@ -49,16 +50,4 @@
         assertThat(core.takePlaced())
                 .containsExactly(new PlacedPart("t", PromptChain.key("m", SPECIAL.id()), 0));
     }
-
-    private static GatewayConfiguration configuration() {
-        EngineTerms engine = new EngineTerms(10, 100_000, true);
-        return new GatewayConfiguration(
-                1,
-                List.of(),
-                Map.of("s", new ServiceTerms("s", 10, Optional.of(engine))),
-                ConnectionLimits.DEFAULTS,
-                0,
-                false,
-                Map.of());
-    }
 }
