--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -24,7 +24,12 @@
 
     /** Makes a core that knows no configuration and no targets. */
     static GatewayCore of(NioReactor loop) {
-        return new GatewayCore(loop, null, settings(), new Random(1), new GatewayLog(loop));
+        return new GatewayCore(
+                loop,
+                null,
+                settings("self", "x", "127.0.0.1:1"),
+                new Random(1),
+                new GatewayLog(loop));
     }
 
     /** Makes a configuration of one service of engines without routes. */
@@ -56,14 +61,15 @@
                 0);
     }
 
-    private static GatewaySettings settings() {
+    /** Makes the settings of a gateway that runs on no deployment. */
+    static GatewaySettings settings(String name, String failureDomain, String peerAddress) {
         return new GatewaySettings(
-                "self",
-                "x",
+                name,
+                failureDomain,
                 "none",
                 "127.0.0.1:1",
                 "127.0.0.1:1",
-                "127.0.0.1:1",
+                peerAddress,
                 "127.0.0.1:1",
                 "a key of at least thirty-two characters",
                 Optional.empty(),
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -70,7 +69,9 @@
     private void start(GatewayMember member) {
         run(
                 () -> {
-                    GatewaySettings settings = settings(member);
+                    GatewaySettings settings =
+                            GatewayCores.settings(
+                                    member.name(), member.failureDomain(), member.peerAddress());
                     GatewayLog log = new GatewayLog(thread.loop());
                     GatewayCore core =
                             new GatewayCore(thread.loop(), null, settings, new Random(1), log);
@@ -89,25 +90,6 @@
         return new DirectoryTarget("t", "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
     }
 
-    private GatewaySettings settings(GatewayMember member) {
-        return new GatewaySettings(
-                member.name(),
-                member.failureDomain(),
-                "none",
-                "127.0.0.1:1",
-                "127.0.0.1:1",
-                member.peerAddress(),
-                "127.0.0.1:1",
-                "a key of at least thirty-two characters",
-                Optional.empty(),
-                Optional.empty(),
-                1,
-                1,
-                100,
-                10,
-                4);
-    }
-
     private TargetLoad load(String name) {
         return cores.get(name).targets().find("t").orElseThrow().load();
     }
