--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -75,8 +75,8 @@
     }
 
     /**
-     * Returns the time until the next look: the more requests wait, the longer, up to a limit, since
-     * each look tries all of them.
+     * Returns the time until the next look: the more requests wait, the longer, so that looking at
+     * them takes a bounded part of the processor.
      *
      * @return The time in milliseconds.
      */
