--- a/src/main/java/org/martenwell/command/DemoCommand.java
+++ b/src/main/java/org/martenwell/command/DemoCommand.java
@@ -33,9 +33,6 @@
     /** How many routers to run unless told. */
     private static final int DEFAULT_ROUTERS = 3;
 
-    /** The property that sets how much is logged. */
-    private static final String LOG_LEVEL = "martenwell.log.level";
-
     @Override
     public String arguments() {
         return "[--seconds N] [--routers N] [--summary FILE]";
@@ -56,9 +53,6 @@
 
     @Override
     public void run(CommandLine line, PrintStream out) {
-        if (System.getProperty(LOG_LEVEL) == null) {
-            System.setProperty(LOG_LEVEL, "WARN");
-        }
         int seconds = OptionSet.number(line, SECONDS, DEFAULT_SECONDS, 1, 3_600);
         int routers = OptionSet.number(line, ROUTERS, DEFAULT_ROUTERS, 1, 64);
         DemoSummary summary = new Demo(routers, seconds, out).run();
--- a/src/main/java/org/martenwell/command/Martenwell.java
+++ b/src/main/java/org/martenwell/command/Martenwell.java
@@ -9,8 +9,11 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.appender.ConsoleAppender;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.observe.LogConfiguration;
 
 /** The entry point of the executable. */
 public final class Martenwell {
@@ -21,8 +24,8 @@
     /** The commands of processes that serve until they are stopped. */
     private static final Set<String> SERVING = Set.of("router", "gateway", "standin");
 
-    /** The property that tells the log where to write. */
-    private static final String LOG_TARGET = "martenwell.log.target";
+    /** The command that shows a summary, among which lines about requests would be lost. */
+    private static final String DEMO = "demo";
 
     /** Asks for help. */
     private static final String HELP = "help";
@@ -50,19 +53,32 @@
      * @param arguments The command line.
      */
     public static void main(String[] arguments) {
-        directLogs(arguments);
+        String command = arguments.length > 0 ? arguments[0] : HELP;
+        LogConfiguration.install(logTarget(command), logLevel(command));
         System.exit(new Martenwell(System.out, System.err).run(arguments));
     }
 
     /**
-     * Lets processes that serve log to standard output. Commands that print results there log to
-     * standard error. Must come before anything logs.
+     * Returns where a command logs: processes that serve to standard output, commands that print
+     * results there to standard error.
      *
-     * @param arguments The command line.
+     * @param command The command's name.
+     * @return Where its lines go.
+     */
+    static ConsoleAppender.Target logTarget(String command) {
+        return SERVING.contains(command)
+                ? ConsoleAppender.Target.SYSTEM_OUT
+                : ConsoleAppender.Target.SYSTEM_ERR;
+    }
+
+    /**
+     * Returns how much a command logs.
+     *
+     * @param command The command's name.
+     * @return The level.
      */
-    static void directLogs(String... arguments) {
-        boolean serves = arguments.length > 0 && SERVING.contains(arguments[0]);
-        System.setProperty(LOG_TARGET, serves ? "SYSTEM_OUT" : "SYSTEM_ERR");
+    private static Level logLevel(String command) {
+        return command.equals(DEMO) ? Level.WARN : Level.INFO;
     }
 
     /**
--- a/src/test/java/org/martenwell/command/MartenwellTest.java
+++ b/src/test/java/org/martenwell/command/MartenwellTest.java
@@ -74,13 +74,7 @@
     @ParameterizedTest
     @CsvSource({"gateway,SYSTEM_OUT", "router,SYSTEM_OUT", "show,SYSTEM_ERR", "demo,SYSTEM_ERR"})
     void testProcessesThatServeLogToStandardOutput(String command, String target) {
-        String before = System.getProperty("martenwell.log.target", "SYSTEM_ERR");
-        try {
-            Martenwell.directLogs(command);
-            assertThat(System.getProperty("martenwell.log.target")).isEqualTo(target);
-        } finally {
-            System.setProperty("martenwell.log.target", before);
-        }
+        assertThat(Martenwell.logTarget(command)).hasToString(target);
     }
 
     private int run(String... arguments) {
