Share out only what a fleet has had time to produce

Change: gateways tell over how long they have counted; the capacity that is shared out is the part of the window that the longest of them has counted, half a second at least. Counting begins anew behind a window without requests.

Ruled out: scaling each gateway's own sums up: a gateway that starts alone would count its first request eight times.

--- a/src/main/java/org/martenwell/balance/GatewayReport.java
+++ b/src/main/java/org/martenwell/balance/GatewayReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.martenwell.message.PeerMessage;
+import org.martenwell.share.ShareCounts;
 
 /**
  * What a gateway tells its peers some times a second. Loads and shares are whole, so that a lost
@@ -21,7 +22,7 @@
         long incarnation,
         long configurationVersion,
         List<TargetLoadReport> loads,
-        List<OrganisationReport> shares,
+        ShareCounts shares,
         List<PlacedPart> placed,
         List<String> leaving)
         implements PeerMessage {}
--- a/src/main/java/org/martenwell/balance/ReadingRate.java
+++ b/src/main/java/org/martenwell/balance/ReadingRate.java
@@ -7,7 +7,7 @@
 public final class ReadingRate {
 
     /** The rate that is assumed first, in tokens a millisecond. */
-    private static final double FIRST_RATE = 80;
+    static final double FIRST_RATE = 80;
 
     /** The time to the first event of an empty prompt that is assumed first, in milliseconds. */
     private static final double FIRST_BASE_MILLIS = 40;
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.martenwell.balance.EngineChoice;
@@ -33,6 +34,9 @@
     /** The engines' service. */
     private final String service;
 
+    /** Which fair share the request was within when it was last decided. */
+    private ShareTier tier = ShareTier.PROMISED;
+
     /** What the engine of the present attempt is taken to keep, until its answer begins. */
     private Optional<PlacedPrompt> placed = Optional.empty();
 
@@ -88,8 +92,9 @@
     Decision decide(List<TargetLoad> open, int attempts, Route route) {
         long now = core.now();
         ShareUse use = use();
-        ShareTier tier = use.tier();
-        Optional<EngineChoice> choice = choose(open, tier, now);
+        tier = use.tier();
+        List<TargetLoad> allowed = allowed(open);
+        Optional<EngineChoice> choice = choose(open, allowed, now);
         if (choice.isPresent()) {
             return new Decision(choice, Optional.empty(), use);
         }
@@ -97,7 +102,7 @@
             // It has waited enough already.
             return new Decision(leastLoaded(open, now), Optional.empty(), use);
         }
-        if (tier == ShareTier.BEYOND) {
+        if (tier == ShareTier.BEYOND || allowed.isEmpty()) {
             return new Decision(choice, Optional.of(ErrorKind.RATE_EXCEEDED), use);
         }
         if (now - need.arrivedMillis() >= WAIT_SHARE * route.objectiveMillis()) {
@@ -106,37 +111,68 @@
         return new Decision(choice, Optional.empty(), use);
     }
 
+    /**
+     * Returns the engines that the request may use.
+     *
+     * @param open The engines that take requests.
+     * @return All of them within the organisation's share, else those that are not reserved.
+     */
+    private List<TargetLoad> allowed(List<TargetLoad> open) {
+        return tier == ShareTier.PROMISED
+                ? open
+                : core.reserve().spare(open, core.tokensWithinShares());
+    }
+
     /**
      * Chooses an engine with room.
      *
      * @param open The engines that take requests.
-     * @param tier Which fair share the request is within.
+     * @param allowed Those that the request may use.
      * @param now The present time, in milliseconds.
      * @return The choice or empty if none has room.
      */
-    private Optional<EngineChoice> choose(List<TargetLoad> open, ShareTier tier, long now) {
+    private Optional<EngineChoice> choose(
+            List<TargetLoad> open, List<TargetLoad> allowed, long now) {
         ReadingRate rate = core.targets().rate(service);
         EngineChooser chooser = core.engines();
-        List<TargetLoad> candidates = chooser.withRoom(need, tier, open, engine, rate, now);
+        List<TargetLoad> candidates = chooser.withRoom(need, tier, allowed, engine, rate, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
-        PromptKeepers keepers =
-                PromptKeepers.of(need.chain(), open, core.targets().leaving(service));
+        PromptKeepers keepers = PromptKeepers.of(need.chain(), allowed, handingOver(open, allowed));
         return chooser.choose(need, tier, candidates, keepers, engine, rate, now);
     }
 
+    /**
+     * Returns the engines that the request may not use but that may hand parts of its prompt over.
+     *
+     * @param open The engines that take requests.
+     * @param allowed Those that the request may use.
+     * @return The others and those that are leaving.
+     */
+    private List<TargetLoad> handingOver(List<TargetLoad> open, List<TargetLoad> allowed) {
+        List<TargetLoad> others = new ArrayList<>(core.targets().leaving(service));
+        if (allowed.size() < open.size()) {
+            open.stream().filter(each -> !allowed.contains(each)).forEach(others::add);
+        }
+        return others;
+    }
+
     /**
      * Notes what sending the request to an engine changes.
      *
-     * @param load The engine.
+     * @param choice The engine and why it was chosen.
      * @param first Whether it was not sent before.
      */
-    void sent(TargetLoad load, boolean first) {
+    void sent(EngineChoice choice, boolean first) {
         if (first) {
             core.shares().begun(need.organisation(), need.cost(), core.now());
         }
-        placed = Optional.of(PlacedPrompt.at(core, load, need.chain()));
+        if (first && tier == ShareTier.PROMISED) {
+            double promptMillis = core.targets().rate(service).millis(choice.unreadTokens());
+            core.reserve().sent(promptMillis, need.cost());
+        }
+        placed = Optional.of(PlacedPrompt.at(core, choice.load(), need.chain()));
     }
 
     /** Notes that the engine has not read the prompt, as far as is known. */
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -7,6 +7,7 @@
 import java.util.Random;
 import org.martenwell.admission.FleetRetryBudget;
 import org.martenwell.balance.EngineChooser;
+import org.martenwell.balance.EngineReserve;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.ServiceChooser;
 import org.martenwell.balance.TargetLoad;
@@ -28,6 +29,9 @@
     /** The most placed parts that wait to be told to peers. */
     private static final int MAX_PLACED = 8_000;
 
+    /** How many milliseconds a second has. */
+    private static final double SECOND_MILLIS = 1_000;
+
     /** The loop. */
     private final NioReactor reactor;
 
@@ -46,6 +50,9 @@
     /** Chooses engines. */
     private final EngineChooser engines;
 
+    /** Keeps engines for requests within fair shares. */
+    private final EngineReserve reserve = new EngineReserve();
+
     /** Chooses targets of plain services. */
     private final ServiceChooser services;
 
@@ -203,10 +210,19 @@
      * @return The capacity in tokens; infinite if the configuration does not say.
      */
     double windowTokens() {
-        long tokensPerSecond = configuration == null ? 0 : configuration.tokensPerSecond();
-        return tokensPerSecond <= 0
+        long promised = promisedTokens();
+        return promised == 0
                 ? Double.POSITIVE_INFINITY
-                : tokensPerSecond * (shareWindowMillis / 1000.0);
+                : promised * (shareWindowMillis / SECOND_MILLIS);
+    }
+
+    /**
+     * Returns what the fleet is promised to produce.
+     *
+     * @return The capacity in tokens a second, 0 if the configuration does not say.
+     */
+    private long promisedTokens() {
+        return configuration().map(GatewayConfiguration::tokensPerSecond).orElse(0L);
     }
 
     /**
@@ -218,6 +234,24 @@
         return engines;
     }
 
+    /**
+     * Returns what keeps engines for requests within fair shares.
+     *
+     * @return The reserve.
+     */
+    EngineReserve reserve() {
+        return reserve;
+    }
+
+    /**
+     * Returns what organisations ask within their fair shares.
+     *
+     * @return The tokens of capacity a millisecond, 0 if the configuration promises no capacity.
+     */
+    double tokensWithinShares() {
+        return promisedTokens() * shares.askedWithin() / SECOND_MILLIS;
+    }
+
     /**
      * Returns the chooser of targets of plain services.
      *
--- a/src/main/java/org/martenwell/gateway/ReportIntake.java
+++ b/src/main/java/org/martenwell/gateway/ReportIntake.java
@@ -9,7 +9,6 @@
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.TargetLoadReport;
-import org.martenwell.share.ShareSums;
 
 /** Takes in what peers report: loads, shares, what engines keep, and which targets leave. */
 final class ReportIntake {
@@ -38,7 +37,7 @@
     boolean take(GatewayReport report) {
         takeLoads(report);
         if (!report.shares().isEmpty()) {
-            takeShares(report);
+            core.shares().peer(report.gateway(), report.shares(), core.now());
         }
         report.placed().forEach(this::takePlaced);
         boolean news = false;
@@ -48,17 +47,6 @@
         return news;
     }
 
-    /**
-     * Takes in what organisations asked and got at a peer.
-     *
-     * @param report The peer's report.
-     */
-    private void takeShares(GatewayReport report) {
-        Map<String, ShareSums> shares = new HashMap<>();
-        report.shares().forEach(each -> shares.put(each.organisation(), each.sums()));
-        core.shares().peer(report.gateway(), shares, core.now());
-    }
-
     /**
      * Takes in what a peer put on targets.
      *
--- a/src/main/java/org/martenwell/gateway/ReportMaker.java
+++ b/src/main/java/org/martenwell/gateway/ReportMaker.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
-import org.martenwell.balance.OrganisationReport;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.TargetLoadReport;
+import org.martenwell.share.ShareCounts;
 
 /** Makes the reports of this gateway. */
 final class ReportMaker {
@@ -52,7 +52,7 @@
         if (shares) {
             sharesToldMillis = now;
         }
-        return with(core.takePlaced(), shares ? shares() : List.of());
+        return with(core.takePlaced(), shares ? core.shares().own(core.now()) : ShareCounts.NONE);
     }
 
     /**
@@ -61,7 +61,7 @@
      * @return The report.
      */
     GatewayReport full() {
-        return with(kept(), shares());
+        return with(kept(), core.shares().own(core.now()));
     }
 
     /**
@@ -70,7 +70,7 @@
      * @return The report.
      */
     GatewayReport withoutKept() {
-        return with(List.of(), shares());
+        return with(List.of(), core.shares().own(core.now()));
     }
 
     /**
@@ -80,7 +80,7 @@
      * @param shares What organisations asked and got, or empty if peers are not told.
      * @return The report.
      */
-    private GatewayReport with(List<PlacedPart> placed, List<OrganisationReport> shares) {
+    private GatewayReport with(List<PlacedPart> placed, ShareCounts shares) {
         return new GatewayReport(
                 name,
                 incarnation,
@@ -123,19 +123,4 @@
         }
         return loads;
     }
-
-    /**
-     * Returns what organisations asked and got here.
-     *
-     * @return The sums.
-     */
-    private List<OrganisationReport> shares() {
-        List<OrganisationReport> shares = new ArrayList<>();
-        core.shares()
-                .own(core.now())
-                .forEach(
-                        (organisation, sums) ->
-                                shares.add(new OrganisationReport(organisation, sums)));
-        return shares;
-    }
 }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -271,7 +271,7 @@
     private void sendChosen(EngineRouting routing, EngineChoice choice, ShareUse use) {
         core.log().sent(requestId(), choice, attempts + 1, routing.organisation(), use);
         RunningRequest running = routing.running(choice);
-        routing.sent(choice.load(), attempts == 0);
+        routing.sent(choice, attempts == 0);
         send(choice.load(), running, choice.copyFrom());
     }
 
--- a/src/main/java/org/martenwell/peer/GatewayForms.java
+++ b/src/main/java/org/martenwell/peer/GatewayForms.java
@@ -1,12 +1,14 @@
 package org.martenwell.peer;
 
 import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
-import org.martenwell.balance.OrganisationReport;
 import org.martenwell.balance.PlacedPart;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.balance.TargetLoadReport;
+import org.martenwell.share.ShareCounts;
 import org.martenwell.share.ShareSums;
 
 /** The forms of messages between gateways. */
@@ -33,12 +35,7 @@
             writer.number(each.sums().unreadTokens());
             writer.number(each.sums().memoryTokens());
         }
-        writer.count(message.shares().size());
-        for (OrganisationReport each : message.shares()) {
-            writer.name(each.organisation());
-            writer.number(Math.round(each.sums().asked()));
-            writer.number(Math.round(each.sums().begun()));
-        }
+        write(message.shares(), writer);
         writer.count(message.placed().size());
         for (PlacedPart each : message.placed()) {
             writer.name(each.target());
@@ -51,6 +48,23 @@
         }
     }
 
+    /**
+     * Writes what organisations asked and got.
+     *
+     * @param shares The counts.
+     * @param writer Receives them.
+     * @throws IOException Never for a buffer in memory.
+     */
+    private static void write(ShareCounts shares, FieldWriter writer) throws IOException {
+        writer.number(shares.countedMillis());
+        writer.count(shares.sums().size());
+        for (Map.Entry<String, ShareSums> each : shares.sums().entrySet()) {
+            writer.name(each.getKey());
+            writer.number(Math.round(each.getValue().asked()));
+            writer.number(Math.round(each.getValue().begun()));
+        }
+    }
+
     /**
      * Writes a batch of reports.
      *
@@ -88,7 +102,7 @@
                 reader.number(),
                 reader.number(),
                 reader.list(each -> new TargetLoadReport(each.name(), readSums(each))),
-                reader.list(each -> new OrganisationReport(each.name(), readShares(each))),
+                readShares(reader),
                 reader.list(each -> new PlacedPart(each.name(), each.number(), each.number())),
                 reader.list(FieldReader::name));
     }
@@ -105,13 +119,30 @@
     }
 
     /**
-     * Reads what an organisation asked and got.
+     * Reads what organisations asked and got.
      *
      * @param reader Gives it.
-     * @return The sums.
+     * @return The counts.
+     * @throws IOException If they end early.
+     */
+    private static ShareCounts readShares(FieldReader reader) throws IOException {
+        long countedMillis = reader.number();
+        Map<String, ShareSums> sums = new HashMap<>();
+        for (Map.Entry<String, ShareSums> each : reader.list(GatewayForms::readSharesEntry)) {
+            sums.put(each.getKey(), each.getValue());
+        }
+        return new ShareCounts(countedMillis, sums);
+    }
+
+    /**
+     * Reads what one organisation asked and got.
+     *
+     * @param reader Gives it.
+     * @return The organisation's name and its sums.
      * @throws IOException If they end early.
      */
-    private static ShareSums readShares(FieldReader reader) throws IOException {
-        return new ShareSums(reader.number(), reader.number());
+    private static Map.Entry<String, ShareSums> readSharesEntry(FieldReader reader)
+            throws IOException {
+        return Map.entry(reader.name(), new ShareSums(reader.number(), reader.number()));
     }
 }
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -15,6 +15,12 @@
     /** How old a peer's word may be, in milliseconds. */
     private static final long PEER_WORD_MILLIS = 1_500;
 
+    /**
+     * The least time over which the capacity is taken to be shared out, in milliseconds. The first
+     * requests behind a start would else find next to none; one large prompt fits into it.
+     */
+    private static final long LEAST_COUNTED_MILLIS = 500;
+
     /** The window in milliseconds. */
     private final long windowMillis;
 
@@ -25,7 +31,7 @@
     private final Map<String, SlidingSum> begun = new HashMap<>();
 
     /** What peers told, by peer. */
-    private final Map<String, PeerSums> peers = new HashMap<>();
+    private final Map<String, PeerWord> peers = new HashMap<>();
 
     /** What the fleet's organisations asked and got when the level was computed. */
     private Map<String, ShareSums> fleet = Map.of();
@@ -39,13 +45,22 @@
     /** When the level was computed, in milliseconds. */
     private long levelMillis = Long.MIN_VALUE / 2;
 
+    /** Of what the fleet is promised to produce, the part that is asked for within fair shares. */
+    private double askedWithin;
+
+    /** Since when requests are counted without a pause of a window, in milliseconds. */
+    private long countedSince;
+
+    /** When the last request was counted, in milliseconds. */
+    private long countedLast = Long.MIN_VALUE / 2;
+
     /**
      * A peer's word.
      *
-     * @param sums What organisations asked and got there.
+     * @param counts What organisations asked and got there.
      * @param heardMillis When it was heard, in milliseconds.
      */
-    private record PeerSums(Map<String, ShareSums> sums, long heardMillis) {}
+    private record PeerWord(ShareCounts counts, long heardMillis) {}
 
     /**
      * Creates shares of which nothing is used.
@@ -64,6 +79,10 @@
      * @param now The present time, in milliseconds.
      */
     public void asked(String organisation, double tokens, long now) {
+        if (now - countedLast > windowMillis) {
+            countedSince = now;
+        }
+        countedLast = now;
         asked.computeIfAbsent(organisation, name -> new SlidingSum(windowMillis)).add(tokens, now);
     }
 
@@ -82,20 +101,20 @@
      * Takes in a peer's word.
      *
      * @param peer The peer's name.
-     * @param sums What organisations asked and got there in the last window.
+     * @param counts What organisations asked and got there in the last window.
      * @param now The present time, in milliseconds.
      */
-    public void peer(String peer, Map<String, ShareSums> sums, long now) {
-        peers.put(peer, new PeerSums(sums, now));
+    public void peer(String peer, ShareCounts counts, long now) {
+        peers.put(peer, new PeerWord(counts, now));
     }
 
     /**
      * Returns what organisations asked and got here in the last window.
      *
      * @param now The present time, in milliseconds.
-     * @return The sums by organisation.
+     * @return The sums by organisation and over how long they were counted.
      */
-    public Map<String, ShareSums> own(long now) {
+    public ShareCounts own(long now) {
         Map<String, ShareSums> sums = new HashMap<>();
         for (Map.Entry<String, SlidingSum> each : asked.entrySet()) {
             double got = 0;
@@ -107,7 +126,8 @@
                 sums.put(each.getKey(), new ShareSums(wanted, Math.max(0, got)));
             }
         }
-        return sums;
+        boolean paused = now - countedLast > windowMillis;
+        return new ShareCounts(paused ? 0 : Math.min(windowMillis, now - countedSince), sums);
     }
 
     /**
@@ -127,24 +147,62 @@
         return new ShareUse(got / level, got / observedLevel);
     }
 
+    /**
+     * Returns which part of what the fleet is promised to produce was asked for within fair shares
+     * when the shares were last computed.
+     *
+     * @return The part, from 0 to 1.
+     */
+    public double askedWithin() {
+        return askedWithin;
+    }
+
     /**
      * Computes the level.
      *
-     * @param capacity What the fleet produces in a window, in tokens.
+     * @param capacity What the fleet is promised to produce in a window, in tokens.
      * @param now The present time, in milliseconds.
      */
     private void compute(double capacity, long now) {
-        Map<String, ShareSums> all = own(now);
         peers.values().removeIf(each -> now - each.heardMillis() > PEER_WORD_MILLIS);
-        for (PeerSums peer : peers.values()) {
-            peer.sums().forEach((name, sums) -> all.merge(name, sums, ShareSums::plus));
+        ShareCounts own = own(now);
+        long counted = own.countedMillis();
+        Map<String, ShareSums> all = new HashMap<>(own.sums());
+        for (PeerWord each : peers.values()) {
+            counted = Math.max(counted, each.counts().countedMillis());
+            each.counts().sums().forEach((name, sums) -> all.merge(name, sums, ShareSums::plus));
         }
+        computeLevels(all, capacity * countedPart(counted));
+        fleet = all;
+        levelMillis = now;
+    }
+
+    /**
+     * Returns which part of a window's capacity the counted requests may share. A fleet that has
+     * just started has counted for a moment only; a whole window's capacity would be given away to
+     * whoever came first.
+     *
+     * @param countedMillis How long the fleet has counted, in milliseconds.
+     * @return The part, above 0 and at most 1.
+     */
+    private double countedPart(long countedMillis) {
+        long counted = Math.max(LEAST_COUNTED_MILLIS, countedMillis);
+        return Math.min(1, (double) counted / windowMillis);
+    }
+
+    /**
+     * Computes the levels of what is promised and of what is really produced.
+     *
+     * @param all What the fleet's organisations asked and got.
+     * @param capacity What the fleet is promised to produce meanwhile, in tokens.
+     */
+    private void computeLevels(Map<String, ShareSums> all, double capacity) {
         Map<String, Double> demands = new HashMap<>();
         all.forEach((name, sums) -> demands.put(name, sums.asked()));
         double produced = all.values().stream().mapToDouble(ShareSums::begun).sum();
         level = MaxMin.level(demands, capacity);
         observedLevel = MaxMin.level(demands, Math.max(capacity, produced));
-        fleet = all;
-        levelMillis = now;
+        double within = demands.values().stream().mapToDouble(each -> Math.min(each, level)).sum();
+        askedWithin = within / capacity;
     }
 }
--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -34,12 +34,17 @@
 
     /** Makes a configuration of one service of engines without routes. */
     static GatewayConfiguration configuration(EngineTerms engine) {
+        return configuration(engine, 0);
+    }
+
+    /** Makes the same for a fleet that is promised to produce so many tokens a second. */
+    static GatewayConfiguration configuration(EngineTerms engine, long tokensPerSecond) {
         return new GatewayConfiguration(
                 1,
                 List.of(),
                 Map.of(SERVICE, new ServiceTerms(SERVICE, 10, Optional.of(engine))),
                 ConnectionLimits.DEFAULTS,
-                0,
+                tokensPerSecond,
                 false,
                 Map.of());
     }
