Log when the store is lost and regained, with what still counts

The logs did not tell a gateway that was cut off from one whose store was away, nor why a departed target still counted: only the number of targets was logged.

Change: a line when the first list of an outage fails and one when a list answers again, with the time between and the names of missing entries that are kept. No logic changed.

--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -5,6 +5,9 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.martenwell.observe.LogEvent;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -16,6 +19,9 @@
  */
 final class KindFollower implements ManagedService {
 
+    /** The log. */
+    private static final Logger LOGGER = LogManager.getLogger(KindFollower.class);
+
     /** The first delay after a failure, in milliseconds. */
     private static final long FIRST_DELAY_MILLIS = 40;
 
@@ -43,6 +49,9 @@
     /** Whether the last list failed, so that the store is away. */
     private boolean away;
 
+    /** When the first list of the present outage failed, in milliseconds. */
+    private long awaySinceMillis;
+
     /** The revision from which to go on. */
     private long revision;
 
@@ -119,7 +128,7 @@
                                 return;
                             }
                             if (failure != null) {
-                                away = true;
+                                lost(failure);
                                 retryLater(present);
                             } else {
                                 listed(present, listing);
@@ -127,6 +136,23 @@
                         });
     }
 
+    /**
+     * Notes that the store is away.
+     *
+     * @param failure Why.
+     */
+    private void lost(Exception failure) {
+        if (!away) {
+            away = true;
+            awaySinceMillis = source.now();
+            LOGGER.warn(
+                    LogEvent.of("store-lost")
+                            .with("kind", source.kind())
+                            .with("reason", failure.getMessage())
+                            .message());
+        }
+    }
+
     /**
      * Takes in all objects.
      *
@@ -155,6 +181,13 @@
         long now = source.now();
         Map<String, StoredEntry> before = lapsed.under(entries, now);
         lapsed = LapsedEntries.of(before, listed, now + LAPSED_MILLIS);
+        LOGGER.info(
+                LogEvent.of("store-regained")
+                        .with("kind", source.kind())
+                        .with("awayMillis", now - awaySinceMillis)
+                        .with("listed", listed.size())
+                        .with("kept", lapsed.names())
+                        .message());
         if (!lapsed.isEmpty()) {
             source.later(LAPSED_MILLIS, this::tell);
         }
--- a/src/main/java/org/martenwell/directory/LapsedEntries.java
+++ b/src/main/java/org/martenwell/directory/LapsedEntries.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Entries that were missing when a store was back from an outage. Their owners could not renew them
@@ -54,6 +55,15 @@
         return entries.isEmpty();
     }
 
+    /**
+     * Returns the names of the entries.
+     *
+     * @return The names.
+     */
+    Set<String> names() {
+        return Set.copyOf(entries.keySet());
+    }
+
     /**
      * Adds these entries to those that a store holds, as far as they still count.
      *
