--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -15,6 +16,15 @@
     /** What the next lists answer, empty for a failure; the last one is answered again. */
     private final Deque<Optional<EntryPage>> pages = new ArrayDeque<>();
 
+    /** The failure of the list that hangs, or {@code null} if none does. */
+    private SettablePromise<EntryPage> hanging;
+
+    /** Whether the next list hangs. */
+    private boolean hangs;
+
+    /** How many lists were asked for. */
+    private int lists;
+
     /** The revisions from which watches began. */
     private final List<Long> watched = new ArrayList<>();
 
@@ -32,12 +42,32 @@
         pages.add(Optional.empty());
     }
 
+    /** Lets the next list hang until {@link #endHanging}; what is laid down comes after it. */
+    void hangs() {
+        hangs = true;
+    }
+
+    /** Lets the list that hangs fail. */
+    void endHanging() {
+        hanging.setException(new IllegalStateException("Took too long."));
+    }
+
+    int lists() {
+        return lists;
+    }
+
     List<Long> watched() {
         return watched;
     }
 
     @Override
     public Promise<EntryPage> list(String kind, Optional<String> after, Freshness freshness) {
+        lists++;
+        if (hangs) {
+            hangs = false;
+            hanging = new SettablePromise<>();
+            return hanging;
+        }
         Optional<EntryPage> page = pages.size() > 1 ? pages.poll() : pages.element();
         return page.map(Promise::of)
                 .orElseGet(() -> Promise.ofException(new IllegalStateException("Away.")));
