Take what few targets a gateway misses behind a cut for departed

Cause: a gateway that could not reach the store took the store to have been away for everybody, and kept what its first list lacked as ready for 1.8 s. Behind a cut of its own that is a target that has left: class of fault, a local failure taken for a global one.

Change: missing targets are kept only in services that lost at least as many as they have left, as an outage of the store does, which lapses all alike; fewer have left. What is kept ends 2.8 s behind the begin of the last list that failed, since the store can have been back from then on, so that slow lists don't add to it.

Ruled out: asking peers whether the store was away (a peer whose watch waits does not know yet, and behind a cut peers are heard of later than the store answers); reading the history from the last known revision (a target may go without saying that it leaves); dropping the grace altogether (what really lapsed is back within 2 s).

--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -28,15 +29,27 @@
     /** The longest delay after a failure, in milliseconds. */
     private static final long LONGEST_DELAY_MILLIS = 800;
 
-    /** How long what is missing after an outage is kept, in milliseconds. */
+    /**
+     * How long lapsed entries count behind the first list, in milliseconds: owners enter themselves
+     * again within about 2 s of the store's return.
+     */
     private static final long LAPSED_MILLIS = 1_800;
 
+    /**
+     * How long lapsed entries count at most behind the earliest moment at which the store can have
+     * been back, in milliseconds: a gateway that is back must have caught up within 3 s.
+     */
+    private static final long CAUGHT_UP_MILLIS = 2_800;
+
     /** Where the objects come from. */
     private final KindSource source;
 
     /** Returns how the store is watched. */
     private final Supplier<WatchPace> pace;
 
+    /** Returns the group of an object, within which objects stand in for each other. */
+    private final Function<StoredEntry, String> group;
+
     /** Is told of all objects after each change. */
     private final Consumer<Map<String, StoredEntry>> listener;
 
@@ -52,6 +65,9 @@
     /** When the first list of the present outage failed, in milliseconds. */
     private long awaySinceMillis;
 
+    /** When the last list that failed began, in milliseconds; the store was away then. */
+    private long awayAtMillis;
+
     /** The revision from which to go on. */
     private long revision;
 
@@ -69,14 +85,17 @@
      *
      * @param source Where the objects come from.
      * @param pace Returns how the store is watched.
+     * @param group Returns the group of an object, within which objects stand in for each other.
      * @param listener Is told of all objects after each change.
      */
     KindFollower(
             KindSource source,
             Supplier<WatchPace> pace,
+            Function<StoredEntry, String> group,
             Consumer<Map<String, StoredEntry>> listener) {
         this.source = source;
         this.pace = pace;
+        this.group = group;
         this.listener = listener;
     }
 
@@ -121,6 +140,7 @@
      * @param present The round.
      */
     private void list(int present) {
+        long began = source.now();
         source.list(Freshness.CURRENT)
                 .subscribe(
                         (listing, failure) -> {
@@ -128,7 +148,7 @@
                                 return;
                             }
                             if (failure != null) {
-                                lost(failure);
+                                lost(began, failure);
                                 retryLater(present);
                             } else {
                                 listed(present, listing);
@@ -139,9 +159,11 @@
     /**
      * Notes that the store is away.
      *
+     * @param began When the list that failed began, in milliseconds.
      * @param failure Why.
      */
-    private void lost(Exception failure) {
+    private void lost(long began, Exception failure) {
+        awayAtMillis = began;
         if (!away) {
             away = true;
             awaySinceMillis = source.now();
@@ -180,7 +202,8 @@
     private void keepLapsed(Map<String, StoredEntry> listed) {
         long now = source.now();
         Map<String, StoredEntry> before = lapsed.under(entries, now);
-        lapsed = LapsedEntries.of(before, listed, now + LAPSED_MILLIS);
+        long until = Math.min(now + LAPSED_MILLIS, awayAtMillis + CAUGHT_UP_MILLIS);
+        lapsed = LapsedEntries.of(before, listed, group, until);
         LOGGER.info(
                 LogEvent.of("store-regained")
                         .with("kind", source.kind())
@@ -189,7 +212,7 @@
                         .with("kept", lapsed.names())
                         .message());
         if (!lapsed.isEmpty()) {
-            source.later(LAPSED_MILLIS, this::tell);
+            source.later(Math.max(0, until - now), this::tell);
         }
     }
 
--- a/src/main/java/org/martenwell/directory/LapsedEntries.java
+++ b/src/main/java/org/martenwell/directory/LapsedEntries.java
@@ -3,11 +3,16 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
- * Entries that were missing when a store was back from an outage. Their owners could not renew them
- * meanwhile, so they are taken to be there for a while, until their owners had the time to enter
- * themselves again.
+ * Entries that were missing when a store could be reached again. If the store was away, their
+ * owners could not renew them, and they are taken to be there for a while, until their owners had
+ * the time to enter themselves again. If only this gateway was cut off, their owners have left.
+ *
+ * <p>An outage of the store lapses the entries of all owners alike, while few owners leave at a
+ * time. So missing entries are kept only in groups that lost at least as many entries as they have.
  */
 final class LapsedEntries {
 
@@ -32,20 +37,46 @@
     }
 
     /**
-     * Returns the entries that are missing after an outage.
+     * Returns the entries that have lapsed.
      *
-     * @param before The entries before it, by name.
-     * @param after The entries after it, by name.
-     * @param untilMillis Until when the missing ones count, in milliseconds.
-     * @return The missing entries.
+     * @param before The entries when the store was last reached, by name.
+     * @param after The entries that it holds now, by name.
+     * @param group Returns the group of an entry, such as a target's service.
+     * @param untilMillis Until when the lapsed ones count, in milliseconds.
+     * @return Those that are missing, without those that have left.
      */
     static LapsedEntries of(
-            Map<String, StoredEntry> before, Map<String, StoredEntry> after, long untilMillis) {
+            Map<String, StoredEntry> before,
+            Map<String, StoredEntry> after,
+            Function<StoredEntry, String> group,
+            long untilMillis) {
         Map<String, StoredEntry> missing = new HashMap<>(before);
         missing.keySet().removeAll(after.keySet());
+        Map<String, Long> lost = sizes(missing, group);
+        Map<String, Long> present = sizes(after, group);
+        // A departed target that counts as ready got requests until 3.4 s after a cut of 12 s.
+        missing.values()
+                .removeIf(
+                        each -> {
+                            String name = group.apply(each);
+                            return lost.get(name) < present.getOrDefault(name, 0L);
+                        });
         return missing.isEmpty() ? NONE : new LapsedEntries(missing, untilMillis);
     }
 
+    /**
+     * Counts the entries of each group.
+     *
+     * @param entries The entries by name.
+     * @param group Returns the group of an entry.
+     * @return The number of entries by group.
+     */
+    private static Map<String, Long> sizes(
+            Map<String, StoredEntry> entries, Function<StoredEntry, String> group) {
+        return entries.values().stream()
+                .collect(Collectors.groupingBy(group, Collectors.counting()));
+    }
+
     /**
      * Returns whether there are none.
      *
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -102,11 +102,13 @@
                 new KindFollower(
                         new KindSource(reactor, store, reader.configurationKind(), random),
                         this::pace,
+                        entry -> reader.configurationKind(),
                         this::takeConfigurations);
         this.targets =
                 new KindFollower(
                         new KindSource(reactor, store, reader.targetKind(), random),
                         this::pace,
+                        this::service,
                         this::takeTargets);
         this.gateways =
                 new KindPoller(
@@ -168,6 +170,16 @@
         return WatchPace.of(members.size());
     }
 
+    /**
+     * Returns the service of a target.
+     *
+     * @param entry The target's object.
+     * @return The service's name, empty if the object can't be read.
+     */
+    private String service(StoredEntry entry) {
+        return reader.target(entry.name(), entry.value()).map(DirectoryTarget::service).orElse("");
+    }
+
     /** Makes this gateway known again if another one took it for gone. */
     private void joinAgainIfRemoved() {
         boolean old = reactor.currentTimeMillis() - joinedMillis > JOINED_MILLIS;
--- a/src/test/java/org/martenwell/directory/FollowedKind.java
+++ b/src/test/java/org/martenwell/directory/FollowedKind.java
@@ -34,6 +34,7 @@
             new KindFollower(
                     new KindSource(loop, store, "kind", new Random(1)),
                     () -> WatchPace.of(0),
+                    entry -> "group",
                     entries -> told.add(new TreeSet<>(entries.keySet())));
 
     ScriptedStore store() {
