--- a/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
@@ -23,7 +23,7 @@
                 .containsExactly(report("a"), report("one"));
     }
 
-    /** Found on the grown calm day: it was given up for processor time before traffic began. */
+    /** Relays that passed each other's batches on again sent them to and fro for ever. */
     @Test
     void testTwoRelaysOfOneDomainDoNotSendABatchToEachOtherForEver() {
         one.take(ReportBatches.of("foreign", List.of(report("f"))));
--- a/src/test/java/org/martenwell/share/FairSharesTest.java
+++ b/src/test/java/org/martenwell/share/FairSharesTest.java
@@ -81,7 +81,7 @@
         assertThat(shares.use("a", 10, 1_000, 3_000).promised()).isLessThan(1);
     }
 
-    /** Found on chart house's days: worth fell by a third in the second behind a restart. */
+    /** The first second behind a start let a flood take what was meant for the whole window. */
     @Test
     void testFloodOfAFleetThatHasJustStartedIsBeyondItsShare() {
         FairShares shares = new FairShares(WINDOW);
