--- a/src/main/java/org/martenwell/peer/PeerLink.java
+++ b/src/main/java/org/martenwell/peer/PeerLink.java
@@ -4,8 +4,11 @@
 import io.activej.bytebuf.ByteBufPool;
 import io.activej.csp.binary.BinaryChannelSupplier;
 import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.consumer.ChannelConsumer;
+import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
@@ -14,18 +17,31 @@
 import org.martenwell.service.IpAddress;
 
 /**
- * The connection to one peer. It is opened again whenever it breaks, with growing, jittered delay.
+ * The connection to one peer. It is opened again whenever it breaks or nothing arrives on it, with
+ * growing, jittered delay.
  */
 final class PeerLink {
 
-    /** How long a connection may take to open, in milliseconds. */
-    private static final long CONNECT_MILLIS = 1_000;
+    /**
+     * How long a connection may take to open, in milliseconds. A lost packet is sent again after 1
+     * s, so a new attempt is faster than waiting for longer than a few round trips.
+     */
+    private static final long CONNECT_MILLIS = 400;
+
+    /**
+     * How long nothing may arrive, in milliseconds: four pulses of the peer's server in a row may
+     * be lost. Writes tell nothing, since the system takes them while the other side is silent.
+     */
+    private static final long SILENT_MILLIS = 5 * PeerServer.PULSE_MILLIS;
 
     /** The first delay before another attempt, in milliseconds. */
     private static final long FIRST_DELAY_MILLIS = 50;
 
-    /** The longest delay before another attempt, in milliseconds. */
-    private static final long LONGEST_DELAY_MILLIS = 2_000;
+    /**
+     * The longest mean delay before another attempt, in milliseconds, so that peers hear of each
+     * other within 2 s behind a cut.
+     */
+    private static final long LONGEST_DELAY_MILLIS = 1_000;
 
     /** The most bytes that wait to be sent; a peer that takes none loses its connection. */
     private static final int MAX_PENDING_BYTES = 4 << 20;
@@ -117,11 +133,26 @@
 
     /** Opens the connection. */
     void open() {
-        TcpSocket.connect(reactor, IpAddress.of(address), Duration.ofMillis(CONNECT_MILLIS), null)
+        TcpSocket.connect(
+                        reactor,
+                        IpAddress.of(address),
+                        Duration.ofMillis(CONNECT_MILLIS),
+                        settings())
                 .whenResult(this::opened)
                 .whenException(exception -> retryLater());
     }
 
+    /**
+     * Returns the settings of sockets.
+     *
+     * @return The settings.
+     */
+    private static SocketSettings settings() {
+        return SocketSettings.builder()
+                .withImplReadTimeout(Duration.ofMillis(SILENT_MILLIS))
+                .build();
+    }
+
     /** Closes the connection for good. */
     void close() {
         closed = true;
@@ -165,10 +196,19 @@
         BinaryChannelSupplier input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(opened));
         input.decode(ByteBufsDecoders.ofFixedSize(FrameCodec.NONCE_BYTES))
                 .whenResult(nonce -> greeted(opened, nonce.asArray()))
-                .then(() -> input.endOfStream())
+                .then(() -> input.decodeStream(ByteBufsDecoders.ofFixedSize(1)).streamTo(pulses()))
                 .whenComplete(() -> broken(opened));
     }
 
+    /**
+     * Returns what takes the pulses of a peer's server. That they arrive is all that they tell.
+     *
+     * @return The consumer.
+     */
+    private static ChannelConsumer<ByteBuf> pulses() {
+        return ChannelConsumers.ofConsumer(ByteBuf::recycle);
+    }
+
     /**
      * Starts sending.
      *
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -21,15 +21,28 @@
 import org.martenwell.service.Listening;
 import org.martenwell.service.ManagedService;
 
-/** Takes connections from peers. A frame that can't be accepted costs its sender the connection. */
+/**
+ * Takes connections from peers. A frame that can't be accepted costs its sender the connection. As
+ * peers only send, the server sends them pulses, by which they notice a connection that went
+ * silent.
+ */
 final class PeerServer implements ManagedService {
 
+    /** How often a pulse is sent over each connection, in milliseconds. */
+    static final long PULSE_MILLIS = 500;
+
+    /** What a pulse holds; it has no meaning. */
+    private static final byte[] PULSE = {0};
+
     /** The log. */
     private static final Logger LOGGER = LogManager.getLogger(PeerServer.class);
 
     /** Makes nonces, which must not be guessed. */
     private static final SecureRandom NONCES = new SecureRandom();
 
+    /** The loop. */
+    private final NioReactor reactor;
+
     /** The server. */
     private final SimpleServer server;
 
@@ -45,6 +58,9 @@
     /** The open connections. */
     private final Set<ITcpSocket> sockets = new HashSet<>();
 
+    /** Whether the server stopped. */
+    private boolean stopped;
+
     /**
      * Creates a server that does not listen yet.
      *
@@ -60,6 +76,7 @@
             String key,
             PeerTraffic traffic,
             PeerListener listener) {
+        this.reactor = reactor;
         this.key = key;
         this.traffic = traffic;
         this.listener = listener;
@@ -68,15 +85,33 @@
 
     @Override
     public Promise<Void> start() {
+        pulseLater();
         return Listening.start(server);
     }
 
     @Override
     public Promise<Void> stop() {
+        stopped = true;
         Set.copyOf(sockets).forEach(ITcpSocket::close);
         return server.close().toVoid();
     }
 
+    /**
+     * Sends a pulse over each connection, again and again. A connection that breaks ends itself.
+     */
+    private void pulse() {
+        if (stopped) {
+            return;
+        }
+        Set.copyOf(sockets).forEach(each -> each.write(ByteBuf.wrapForReading(PULSE)));
+        pulseLater();
+    }
+
+    /** Sends the next pulse after a while. */
+    private void pulseLater() {
+        reactor.delayBackground(PULSE_MILLIS, this::pulse);
+    }
+
     /**
      * Serves one connection.
      *
--- a/src/test/java/org/martenwell/peer/PeerNetworkTest.java
+++ b/src/test/java/org/martenwell/peer/PeerNetworkTest.java
@@ -1,18 +1,26 @@
 package org.martenwell.peer;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.service.Conditions;
+import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopThread;
 import org.martenwell.service.LoopbackPorts;
 
 /** Tests that peers notice connections that went silent without a reset. */
 final class PeerNetworkTest {
 
+    /** How long a read may take until a test fails, in milliseconds. */
+    private static final int READ_MILLIS = 30_000;
+
     private final LoopThread thread = LoopThread.start("test-peers");
 
     private final String address = LoopbackPorts.free(1).get(0);
@@ -42,6 +50,17 @@
         }
     }
 
+    @Test
+    void testServerSendsPulsesBehindItsGreeting() throws IOException {
+        thread.call(network::start);
+        InetSocketAddress server = IpAddress.of(address);
+        try (Socket socket = new Socket(server.getAddress(), server.getPort())) {
+            socket.setSoTimeout(READ_MILLIS);
+            int expected = FrameCodec.NONCE_BYTES + 2;
+            assertThat(socket.getInputStream().readNBytes(expected)).hasSize(expected);
+        }
+    }
+
     /** Takes no notice of anything. */
     private static final class Deaf implements PeerListener {
 
