Count only what was sent within a share against it

Hypothesis: an organisation that took free room is refused within its share for the rest of the window, since all that it got counts against the share.

Change: gateways tell each other a third sum, the tokens that were sent within shares of the promise; the promised part of a share goes by it. The test of FairShares fails on the former rule (BEYOND instead of PROMISED; reasoned from the rule, the former code has no such method to run it on).

--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -167,7 +167,7 @@
      */
     void sent(EngineChoice choice, boolean first) {
         if (first) {
-            core.shares().begun(need.organisation(), need.cost(), core.now());
+            core.shares().begun(need.organisation(), need.cost(), tier, core.now());
         }
         double promptMillis = core.targets().rate(service).millis(choice.unreadTokens());
         core.unseen().sent(EngineChooser.workMillis(promptMillis, engine.slots()), core.now());
--- a/src/main/java/org/martenwell/peer/GatewayForms.java
+++ b/src/main/java/org/martenwell/peer/GatewayForms.java
@@ -62,6 +62,7 @@
             writer.name(each.getKey());
             writer.number(Math.round(each.getValue().asked()));
             writer.number(Math.round(each.getValue().begun()));
+            writer.number(Math.round(each.getValue().within()));
         }
     }
 
@@ -143,6 +144,7 @@
      */
     private static Map.Entry<String, ShareSums> readSharesEntry(FieldReader reader)
             throws IOException {
-        return Map.entry(reader.name(), new ShareSums(reader.number(), reader.number()));
+        return Map.entry(
+                reader.name(), new ShareSums(reader.number(), reader.number(), reader.number()));
     }
 }
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -30,6 +30,9 @@
     /** What organisations got here. */
     private final Map<String, SlidingSum> begun = new HashMap<>();
 
+    /** What organisations got here within their shares of what the fleet is promised to produce. */
+    private final Map<String, SlidingSum> within = new HashMap<>();
+
     /** What peers told, by peer. */
     private final Map<String, PeerWord> peers = new HashMap<>();
 
@@ -87,14 +90,19 @@
     }
 
     /**
-     * Notes that a request was sent to a target, or with a negative amount that it did not run.
+     * Notes that a request was sent to a target.
      *
      * @param organisation The organisation.
      * @param tokens Its tokens.
+     * @param tier Which share the request was within.
      * @param now The present time, in milliseconds.
      */
-    public void begun(String organisation, double tokens, long now) {
+    public void begun(String organisation, double tokens, ShareTier tier, long now) {
         begun.computeIfAbsent(organisation, name -> new SlidingSum(windowMillis)).add(tokens, now);
+        if (tier == ShareTier.PROMISED) {
+            within.computeIfAbsent(organisation, name -> new SlidingSum(windowMillis))
+                    .add(tokens, now);
+        }
     }
 
     /**
@@ -116,20 +124,31 @@
      */
     public ShareCounts own(long now) {
         Map<String, ShareSums> sums = new HashMap<>();
-        for (Map.Entry<String, SlidingSum> each : asked.entrySet()) {
-            double got = 0;
-            if (begun.containsKey(each.getKey())) {
-                got = begun.get(each.getKey()).sum(now);
-            }
-            double wanted = each.getValue().sum(now);
-            if (wanted > 0 || got > 0) {
-                sums.put(each.getKey(), new ShareSums(wanted, Math.max(0, got)));
+        for (String each : asked.keySet()) {
+            ShareSums own =
+                    new ShareSums(
+                            sum(asked, each, now), sum(begun, each, now), sum(within, each, now));
+            if (own.asked() > 0 || own.begun() > 0) {
+                sums.put(each, own);
             }
         }
         boolean paused = now - countedLast > windowMillis;
         return new ShareCounts(paused ? 0 : Math.min(windowMillis, now - countedSince), sums);
     }
 
+    /**
+     * Returns an organisation's sum.
+     *
+     * @param sums The sums by organisation.
+     * @param organisation The organisation.
+     * @param now The present time, in milliseconds.
+     * @return The sum, 0 if there is none.
+     */
+    private static double sum(Map<String, SlidingSum> sums, String organisation, long now) {
+        SlidingSum found = sums.get(organisation);
+        return found == null ? 0 : found.sum(now);
+    }
+
     /**
      * Tells how much of its fair shares an organisation would have used after a request.
      *
@@ -143,8 +162,10 @@
         if (now - levelMillis >= LEVEL_MILLIS + LEVEL_MILLIS_A_PEER * peers.size()) {
             compute(capacity, now);
         }
-        double got = fleet.getOrDefault(organisation, ShareSums.NONE).begun() + tokens / 2;
-        return new ShareUse(got / level, got / observedLevel);
+        ShareSums got = fleet.getOrDefault(organisation, ShareSums.NONE);
+        // What an organisation took while nobody else needed it does not count against its share.
+        return new ShareUse(
+                (got.within() + tokens / 2) / level, (got.begun() + tokens / 2) / observedLevel);
     }
 
     /**
--- a/src/main/java/org/martenwell/share/ShareSums.java
+++ b/src/main/java/org/martenwell/share/ShareSums.java
@@ -5,11 +5,13 @@
  *
  * @param asked The tokens that its requests asked for.
  * @param begun The tokens of those that were sent to a target.
+ * @param within The tokens of those of them that were within its share of what the fleet is
+ *     promised to produce when they were sent.
  */
-public record ShareSums(double asked, double begun) {
+public record ShareSums(double asked, double begun, double within) {
 
     /** Nothing. */
-    public static final ShareSums NONE = new ShareSums(0, 0);
+    public static final ShareSums NONE = new ShareSums(0, 0, 0);
 
     /**
      * Adds sums.
@@ -18,6 +20,6 @@
      * @return The sums of both.
      */
     public ShareSums plus(ShareSums other) {
-        return new ShareSums(asked + other.asked, begun + other.begun);
+        return new ShareSums(asked + other.asked, begun + other.begun, within + other.within);
     }
 }
--- a/src/test/java/org/martenwell/gateway/ReportMakerTest.java
+++ b/src/test/java/org/martenwell/gateway/ReportMakerTest.java
@@ -5,6 +5,7 @@
 import io.activej.eventloop.Eventloop;
 import org.junit.jupiter.api.Test;
 import org.martenwell.balance.GatewayReport;
+import org.martenwell.share.ShareTier;
 
 /** Tests what gateways tell each other of shares, and how often. */
 final class ReportMakerTest {
@@ -45,7 +46,7 @@
         GatewayCore peer = GatewayCores.of(loop);
         ReportIntake intake = new ReportIntake(peer);
         core.shares().asked("o", 1_000, core.now());
-        core.shares().begun("o", 1_000, core.now());
+        core.shares().begun("o", 1_000, ShareTier.PROMISED, core.now());
         GatewayReport first = maker.next(true);
         intake.take(first);
         intake.take(maker.next(true));
--- a/src/test/java/org/martenwell/peer/MessageFormsTest.java
+++ b/src/test/java/org/martenwell/peer/MessageFormsTest.java
@@ -131,8 +131,8 @@
         Arbitrary<LoadSums> loadSums =
                 Combinators.combine(counts, numbers, numbers).as(LoadSums::new);
         Arbitrary<ShareSums> shareSums =
-                Combinators.combine(counts, counts)
-                        .as((asked, begun) -> new ShareSums(asked, begun));
+                Combinators.combine(counts, counts, counts)
+                        .as((asked, begun, within) -> new ShareSums(asked, begun, within));
         Arbitrary<PeerMessage> gatewayReports =
                 Combinators.combine(
                                 names,
--- a/src/test/java/org/martenwell/share/FairSharesTest.java
+++ b/src/test/java/org/martenwell/share/FairSharesTest.java
@@ -32,7 +32,7 @@
     void testNobodyExceedsItsShareWhileAllDemandsCanBeMet() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("a", 900, 0);
-        shares.begun("a", 900, 0);
+        shares.begun("a", 900, ShareTier.PROMISED, 0);
         assertThat(shares.use("a", 10, 1_000, 3_900).tier()).isEqualTo(ShareTier.PROMISED);
     }
 
@@ -40,10 +40,10 @@
     void testManyPeersAreSummedUpLessOften() {
         FairShares shares = new FairShares(WINDOW);
         for (int peer = 0; peer < 60; peer++) {
-            shares.peer("p" + peer, counts(Map.of("o", new ShareSums(100, 10))), 0);
+            shares.peer("p" + peer, counts(Map.of("o", new ShareSums(100, 10, 10))), 0);
         }
         assertThat(shares.use("o", 0, 600, 0).promised()).isEqualTo(1);
-        shares.peer("p0", counts(Map.of("o", new ShareSums(100, 610))), 1);
+        shares.peer("p0", counts(Map.of("o", new ShareSums(100, 610, 610))), 1);
         assertThat(shares.use("o", 0, 600, 50).promised()).isEqualTo(1);
         assertThat(shares.use("o", 0, 600, 100).promised()).isEqualTo(2);
     }
@@ -52,7 +52,7 @@
     void testFloodingOrganisationIsBeyondItsShareAndOthersAreNot() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("flood", 10_000, 0);
-        shares.begun("flood", 950, 0);
+        shares.begun("flood", 950, ShareTier.PROMISED, 0);
         shares.asked("small", 100, 0);
         assertThat(shares.use("flood", 10, 1_000, 100).tier()).isNotEqualTo(ShareTier.PROMISED);
         assertThat(shares.use("small", 10, 1_000, 100).tier()).isEqualTo(ShareTier.PROMISED);
@@ -62,20 +62,35 @@
     void testWhatIsProducedBeyondThePromiseIsSharedFairlyToo() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("lucky", 10_000, 0);
-        shares.begun("lucky", 3_000, 0);
+        shares.begun("lucky", 3_000, ShareTier.PROMISED, 0);
         shares.asked("refused", 10_000, 0);
-        shares.begun("refused", 600, 0);
+        shares.begun("refused", 600, ShareTier.PROMISED, 0);
         ShareUse refused = shares.use("refused", 10, 1_000, 100);
         assertThat(refused.tier()).isEqualTo(ShareTier.OBSERVED);
         assertThat(shares.use("lucky", 10, 1_000, 100).tier()).isEqualTo(ShareTier.BEYOND);
     }
 
+    /**
+     * The largest organisation paid later for what it got while there was room: it was refused
+     * within its share for the rest of the window.
+     */
+    @Test
+    void testWhatWasTakenBeyondTheShareDoesNotCountAgainstIt() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("large", 10_000, 0);
+        shares.begun("large", 3_000, ShareTier.BEYOND, 0);
+        shares.asked("small", 100, 0);
+        assertThat(shares.use("large", 10, 1_000, 100).tier()).isEqualTo(ShareTier.PROMISED);
+        shares.begun("large", 900, ShareTier.PROMISED, 100);
+        assertThat(shares.use("large", 10, 1_000, 200).tier()).isNotEqualTo(ShareTier.PROMISED);
+    }
+
     @Test
     void testPeersCountAndAreForgotten() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("a", 100, 0);
         Map<String, ShareSums> told =
-                Map.of("a", new ShareSums(5_000, 900), "b", new ShareSums(5_000, 0));
+                Map.of("a", new ShareSums(5_000, 900, 900), "b", new ShareSums(5_000, 0, 0));
         shares.peer("p", counts(told), 0);
         assertThat(shares.use("a", 10, 1_000, 100).promised()).isGreaterThan(1);
         assertThat(shares.use("a", 10, 1_000, 3_000).promised()).isLessThan(1);
@@ -86,7 +101,7 @@
     void testFloodOfAFleetThatHasJustStartedIsBeyondItsShare() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("flood", 900, 0);
-        shares.begun("flood", 400, 0);
+        shares.begun("flood", 400, ShareTier.PROMISED, 0);
         shares.asked("small", 100, 0);
         assertThat(shares.use("flood", 10, 1_000, 300).tier()).isNotEqualTo(ShareTier.PROMISED);
         assertThat(shares.use("small", 10, 1_000, 300).tier()).isEqualTo(ShareTier.PROMISED);
@@ -96,8 +111,8 @@
     void testGatewayThatHasJustStartedGoesByWhatItsPeersHaveCounted() {
         FairShares shares = new FairShares(WINDOW);
         shares.asked("a", 400, 0);
-        shares.begun("a", 400, 0);
-        shares.peer("p", counts(Map.of("b", new ShareSums(500, 500))), 0);
+        shares.begun("a", 400, ShareTier.PROMISED, 0);
+        shares.peer("p", counts(Map.of("b", new ShareSums(500, 500, 500))), 0);
         assertThat(shares.use("a", 10, 1_000, 300).tier()).isEqualTo(ShareTier.PROMISED);
     }
 
