--- a/src/test/java/org/martenwell/observe/LogWriterTest.java
+++ b/src/test/java/org/martenwell/observe/LogWriterTest.java
@@ -6,6 +6,8 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.spi.ExtendedLogger;
@@ -19,6 +21,7 @@
     @Test
     @Timeout(60)
     void testLogStopsOnceItsLinesAreWritten() {
+        Set<Thread> before = Thread.getAllStackTraces().keySet();
         LogWriter writer = started(written);
         JsonLoggerContext context =
                 new JsonLoggerContext(
@@ -27,8 +30,14 @@
         logger.debug("not written");
         logger.info("first");
         logger.error("second");
+        List<Thread> started =
+                Thread.getAllStackTraces().keySet().stream()
+                        .filter(each -> each.getName().equals("log-writer"))
+                        .filter(each -> !before.contains(each))
+                        .toList();
         context.terminate();
         context.terminate();
+        assertThat(started).isNotEmpty().noneMatch(Thread::isAlive);
         assertThat(text().lines())
                 .hasSize(2)
                 .satisfiesExactly(
