Log once a second what a gateway is short of, and whose requests it refuses

A line a second and gateway now tells the loop's delay, connections, processor and collection time, heap, descriptors, and the shares of the organisations that ask most. Bounded: one line a second at any load.

--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -89,6 +89,15 @@
                 .forEach(CallerConnection::abort);
     }
 
+    /**
+     * Returns how many connections are open.
+     *
+     * @return The number of connections.
+     */
+    public int connections() {
+        return connections.size();
+    }
+
     /**
      * Returns the limits in force.
      *
--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -66,6 +66,15 @@
         return waiting.isEmpty();
     }
 
+    /**
+     * Returns how many requests wait.
+     *
+     * @return The number of requests.
+     */
+    int size() {
+        return waiting.size();
+    }
+
     /** Looks at waiting requests soon. */
     private void lookLater() {
         if (!lookDue && !waiting.isEmpty()) {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -77,6 +77,9 @@
     /** Counts and logs. */
     private final GatewayLog log;
 
+    /** Logs what the gateway is short of. */
+    private final StateLog state;
+
     /** Learns what engines keep of prompts. */
     private final KeptPartsLoader keptParts;
 
@@ -111,6 +114,7 @@
         this.callers =
                 new CallerServer(
                         reactor, IpAddress.of(settings.callerAddress()), this::serveCaller);
+        this.state = new StateLog(reactor, core, callers::connections);
         this.readiness =
                 new CallerServer(
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
@@ -136,6 +140,7 @@
                 .then(directory::start)
                 .then(keptChanges::start)
                 .then(core.heap()::start)
+                .then(state::start)
                 .whenResult(() -> log.changed("gateway-listening", settings.callerAddress()));
     }
 
@@ -145,6 +150,7 @@
         core.targets().close();
         return keptChanges
                 .stop()
+                .then(state::stop)
                 .then(core.heap()::stop)
                 .then(directory::stop)
                 .then(peers::stop)
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -58,10 +58,17 @@
      * @param request The id of the caller's attempt.
      * @param kind The kind of the answer.
      * @param route The route or an empty text.
+     * @param organisation The caller's organisation or an empty text.
      * @param attempts To how many targets the request was sent.
      * @param heldMillis How long it was held, in milliseconds.
      */
-    void failed(String request, ErrorKind kind, String route, int attempts, long heldMillis) {
+    void failed(
+            String request,
+            ErrorKind kind,
+            String route,
+            String organisation,
+            int attempts,
+            long heldMillis) {
         metrics.counter("requests_failed_" + kind.code()).inc();
         if (writes()) {
             write(
@@ -69,6 +76,7 @@
                             .with("request", request)
                             .with("kind", kind.code())
                             .with("route", route)
+                            .with("organisation", organisation)
                             .with("attempts", attempts)
                             .with("heldMillis", heldMillis));
         }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -498,7 +498,7 @@
         if (over) {
             return;
         }
-        core.log().failed(requestId(), ErrorKind.CALLER_LEFT, routeName(), attempts, held());
+        logFailure(ErrorKind.CALLER_LEFT);
         cancelAttempt();
         finish();
     }
@@ -519,7 +519,7 @@
      */
     private void giveUp(ErrorKind kind, double retrySeconds) {
         if (exchange.begun()) {
-            core.log().failed(requestId(), ErrorKind.STREAM_BROKEN, routeName(), attempts, held());
+            logFailure(ErrorKind.STREAM_BROKEN);
             abort();
         } else if (mayHaveRun && PROMISES.contains(kind.status())) {
             answer(ErrorKind.TARGET_FAILED, 0);
@@ -541,7 +541,7 @@
      * @param retrySeconds When the caller may come back, in seconds, or 0.
      */
     private void answer(ErrorKind kind, double retrySeconds) {
-        core.log().failed(requestId(), kind, routeName(), attempts, held());
+        logFailure(kind);
         HttpHeaders headers = core.dialect().ownAnswer(facts);
         if (retrySeconds > 0) {
             double spread = retrySeconds * (1 + core.random());
@@ -551,6 +551,16 @@
         finish();
     }
 
+    /**
+     * Logs that the request ends without a target's answer.
+     *
+     * @param kind Why.
+     */
+    private void logFailure(ErrorKind kind) {
+        core.log()
+                .failed(requestId(), kind, routeName(), organisation.orElse(""), attempts, held());
+    }
+
     /** Frees what the request holds. */
     private void finish() {
         if (!over) {
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -178,6 +178,16 @@
         return askedWithin;
     }
 
+    /**
+     * Returns what the shares were when they were last computed.
+     *
+     * @param most Of how many organisations to tell: those that asked most.
+     * @return The shares.
+     */
+    public ShareSummary summary(int most) {
+        return ShareSummary.of(level, observedLevel, fleet, most);
+    }
+
     /**
      * Computes the level.
      *
