--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -19,6 +19,7 @@
 import org.martenwell.prompt.PromptPart;
 import org.martenwell.route.EngineTerms;
 import org.martenwell.service.IpAddress;
+import org.martenwell.share.ShareSums;
 import org.martenwell.share.ShareTier;
 
 /** Tests what becomes of requests when no engine has room, and of beliefs behind a refusal. */
@@ -29,6 +30,9 @@
     /** What the fleet is promised to produce, in tokens a second. */
     private static final long PROMISED_TOKENS = 10_000;
 
+    /** What the request costs, in tokens of capacity. */
+    private static final double COST = 5_029;
+
     private final Eventloop loop =
             Eventloop.builder().withTimeProvider(() -> 1).withCurrentThread().build();
 
@@ -87,6 +91,42 @@
         assertThat(loads.get(0).memory().keptTokens(chain)).isEqualTo(5_000);
     }
 
+    /**
+     * Behind the crash of 15 of 62 engines an organisation that asked for several times its share
+     * got less than half of what another one got. In two of these seconds gateways failed 2,173
+     * times to connect to a dead engine. Each time the request went on to the next engine, it was
+     * counted once more as served, so that the organisation seemed to have used its share up.
+     */
+    @Test
+    void testRequestCountsOnceHoweverManyEnginesWereNotReached() {
+        routing.asked();
+        for (int engine = 0; engine < 3; engine++) {
+            routing.sent(choice(loads.get(engine % 2)), true);
+            routing.notRead();
+        }
+        routing.sent(choice(loads.get(0)), true);
+        assertThat(begunTokens()).isEqualTo(COST);
+    }
+
+    /** Engines that were gone or full made organisations pay for what nobody served. */
+    @Test
+    void testRequestThatNoEngineBeganDoesNotCountAgainstItsShare() {
+        routing.asked();
+        routing.sent(choice(loads.get(0)), true);
+        routing.notRead();
+        assertThat(begunTokens()).isZero();
+    }
+
+    @Test
+    void testRequestThatBrokeOffBehindItsFirstEventStaysCounted() {
+        routing.asked();
+        routing.sent(choice(loads.get(0)), true);
+        routing.begun(new RunningRequest(5_009, 10, core.now(), 0));
+        routing.notRead();
+        routing.sent(choice(loads.get(1)), false);
+        assertThat(begunTokens()).isEqualTo(COST);
+    }
+
     @Test
     void testRequestBeyondItsShareLeavesReservedEnginesAlone() {
         core.configure(GatewayCores.configuration(TERMS, PROMISED_TOKENS));
@@ -108,6 +148,12 @@
         assertThat(refused.refusal()).contains(ErrorKind.RATE_EXCEEDED);
     }
 
+    /** Returns what the organisation got by what this gateway tells its peers. */
+    private double begunTokens() {
+        ShareSums sums = core.shares().own(core.now()).sums().get("o");
+        return sums == null ? 0 : sums.begun();
+    }
+
     /** Lets the organisation ask for and get more than the fleet is promised to produce. */
     private void flood() {
         core.shares().asked("o", 10 * PROMISED_TOKENS, core.now());
