--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -40,6 +40,17 @@
     /** What the engine of the present attempt is taken to keep, until its answer begins. */
     private Optional<PlacedPrompt> placed = Optional.empty();
 
+    /** How the request is counted as served, if it is. */
+    private Optional<Counted> counted = Optional.empty();
+
+    /**
+     * How a request is counted as served.
+     *
+     * @param tier Which share it was within when it was sent.
+     * @param sentMillis When it was sent, in milliseconds.
+     */
+    private record Counted(ShareTier tier, long sentMillis) {}
+
     /**
      * What becomes of a request now.
      *
@@ -163,11 +174,12 @@
      * Notes what sending the request to an engine changes.
      *
      * @param choice The engine and why it was chosen.
-     * @param first Whether it was not sent before.
      */
-    void sent(EngineChoice choice, boolean first) {
+    void sent(EngineChoice choice) {
+        boolean first = counted.isEmpty();
         if (first) {
             core.shares().begun(need.organisation(), need.cost(), tier, core.now());
+            counted = Optional.of(new Counted(tier, core.now()));
         }
         double promptMillis = core.targets().rate(service).millis(choice.unreadTokens());
         core.unseen().sent(EngineChooser.workMillis(promptMillis, engine.slots()), core.now());
@@ -177,10 +189,33 @@
         placed = Optional.of(PlacedPrompt.at(core, choice.load(), need.chain()));
     }
 
-    /** Notes that the engine has not read the prompt, as far as is known. */
+    /**
+     * Notes that the engine has not read the prompt, as far as is known. Behind a crash of engines
+     * an organisation would else pay up to four times for a request that nobody served.
+     */
     void notRead() {
-        placed.ifPresent(PlacedPrompt::takeBack);
+        if (placed.isEmpty()) {
+            return;
+        }
+        placed.get().takeBack();
         placed = Optional.empty();
+        counted.ifPresent(this::takeBack);
+        counted = Optional.empty();
+    }
+
+    /**
+     * Takes back that the request is counted as served.
+     *
+     * @param booked How it is counted.
+     */
+    private void takeBack(Counted booked) {
+        core.shares()
+                .notBegun(
+                        need.organisation(),
+                        need.cost(),
+                        booked.tier(),
+                        booked.sentMillis(),
+                        core.now());
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -275,7 +275,7 @@
     private void sendChosen(EngineRouting routing, EngineChoice choice, ShareUse use) {
         core.log().sent(requestId(), choice, attempts + 1, routing.organisation(), use);
         RunningRequest running = routing.running(choice);
-        routing.sent(choice, attempts == 0);
+        routing.sent(choice);
         send(choice.load(), running, choice.copyFrom());
     }
 
--- a/src/main/java/org/martenwell/share/SlidingSum.java
+++ b/src/main/java/org/martenwell/share/SlidingSum.java
@@ -35,6 +35,21 @@
         sums[(int) Math.floorMod(newest, (long) BUCKETS)] += amount;
     }
 
+    /**
+     * Takes an amount back that was added before.
+     *
+     * @param amount The amount.
+     * @param addedMillis When it was added, in milliseconds.
+     * @param now The present time, in milliseconds.
+     */
+    void takeBack(double amount, long addedMillis, long now) {
+        advance(now);
+        long bucket = addedMillis / bucketMillis;
+        if (newest - bucket < BUCKETS) {
+            sums[(int) Math.floorMod(bucket, (long) BUCKETS)] -= amount;
+        }
+    }
+
     /**
      * Returns the sum.
      *
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -82,10 +82,10 @@
 
     @Test
     void testRefusedPromptIsNotTakenToBeKeptAndABegunOneIs() {
-        routing.sent(choice(loads.get(0)), true);
+        routing.sent(choice(loads.get(0)));
         routing.notRead();
         assertThat(loads.get(0).memory().keptTokens(chain)).isZero();
-        routing.sent(choice(loads.get(0)), false);
+        routing.sent(choice(loads.get(0)));
         routing.begun(new RunningRequest(5_009, 10, core.now(), 0));
         routing.notRead();
         assertThat(loads.get(0).memory().keptTokens(chain)).isEqualTo(5_000);
@@ -101,10 +101,10 @@
     void testRequestCountsOnceHoweverManyEnginesWereNotReached() {
         routing.asked();
         for (int engine = 0; engine < 3; engine++) {
-            routing.sent(choice(loads.get(engine % 2)), true);
+            routing.sent(choice(loads.get(engine % 2)));
             routing.notRead();
         }
-        routing.sent(choice(loads.get(0)), true);
+        routing.sent(choice(loads.get(0)));
         assertThat(begunTokens()).isEqualTo(COST);
     }
 
@@ -112,7 +112,7 @@
     @Test
     void testRequestThatNoEngineBeganDoesNotCountAgainstItsShare() {
         routing.asked();
-        routing.sent(choice(loads.get(0)), true);
+        routing.sent(choice(loads.get(0)));
         routing.notRead();
         assertThat(begunTokens()).isZero();
     }
@@ -120,10 +120,10 @@
     @Test
     void testRequestThatBrokeOffBehindItsFirstEventStaysCounted() {
         routing.asked();
-        routing.sent(choice(loads.get(0)), true);
+        routing.sent(choice(loads.get(0)));
         routing.begun(new RunningRequest(5_009, 10, core.now(), 0));
         routing.notRead();
-        routing.sent(choice(loads.get(1)), false);
+        routing.sent(choice(loads.get(1)));
         assertThat(begunTokens()).isEqualTo(COST);
     }
 
