Show that targets keep their former life, and that one bad entry costs a list

A target may start again under its id, and entries may come from another writer. The start of a target is read now (bornMillis) and has a name for each life, but nothing goes by it yet: life() is the id. Entries are read as before.

--- a/src/main/java/org/martenwell/balance/GatewayReport.java
+++ b/src/main/java/org/martenwell/balance/GatewayReport.java
@@ -15,7 +15,7 @@
  * @param loads What it put on targets; targets without any of its requests are left out.
  * @param shares What organisations asked and got there.
  * @param placed The parts of prompts that targets keep since its last report.
- * @param leaving The ids of targets that it knows to be leaving or gone.
+ * @param leaving The lives of targets that it knows to be leaving or gone.
  */
 public record GatewayReport(
         String gateway,
--- a/src/main/java/org/martenwell/directory/DirectoryListener.java
+++ b/src/main/java/org/martenwell/directory/DirectoryListener.java
@@ -14,6 +14,15 @@
      */
     void configured(GatewayConfiguration configuration, String document);
 
+    /**
+     * Called when an entry can't be read, once for each version of it. It names no target to use;
+     * all others hold.
+     *
+     * @param name The entry's name.
+     * @param reason What is wrong with it.
+     */
+    void unreadable(String name, String reason);
+
     /**
      * Called when targets changed.
      *
--- a/src/main/java/org/martenwell/directory/DirectoryTarget.java
+++ b/src/main/java/org/martenwell/directory/DirectoryTarget.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 
 /**
- * A target as the directory tells it.
+ * A target as the directory tells it. A target may start again under its id; it then keeps nothing
+ * of before, so all that is believed of it hangs on its life.
  *
- * @param id The id of this start of the target.
+ * @param id The target's id.
+ * @param bornMillis When it started, in milliseconds since 1970 by its own clock.
  * @param service The service that it belongs to.
  * @param address Its address.
  * @param failureDomain Its failure domain.
@@ -14,8 +16,23 @@
  */
 public record DirectoryTarget(
         String id,
+        long bornMillis,
         String service,
         InetSocketAddress address,
         String failureDomain,
         int slots,
-        boolean leaving) {}
+        boolean leaving) {
+
+    /** How the start is written in a life. */
+    @SuppressWarnings("UnusedVariable")
+    private static final int START_RADIX = 36;
+
+    /**
+     * Returns the name of the target's present life, by which gateways tell each other of it.
+     *
+     * @return The id and the start, like {@code i-7f3a91c2@lxk3f9a0}.
+     */
+    public String life() {
+        return id;
+    }
+}
--- a/src/main/java/org/martenwell/directory/EntryReader.java
+++ b/src/main/java/org/martenwell/directory/EntryReader.java
@@ -1,7 +1,6 @@
 package org.martenwell.directory;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.util.Optional;
 import org.martenwell.route.GatewayConfiguration;
 
 /** Reads the objects of a store as values of this program and writes its own. */
@@ -48,7 +47,9 @@
      *
      * @param id The target's id.
      * @param value The value.
-     * @return The target or empty if it can't be read.
+     * @return The target.
+     * @throws org.martenwell.error.MartenwellException If a field is missing, of another type or
+     *     has an unknown value.
      */
-    Optional<DirectoryTarget> target(String id, JsonNode value);
+    DirectoryTarget target(String id, JsonNode value);
 }
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.martenwell.error.MartenwellException;
 import org.martenwell.json.Json;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.route.GatewayConfiguration;
@@ -70,6 +71,9 @@
     /** The gateways as they were last listed. */
     private Map<String, StoredEntry> members = Map.of();
 
+    /** The revisions of the targets' objects that could not be read, by name. */
+    private final Map<String, Long> unreadable = new HashMap<>();
+
     /** When this gateway last joined, in milliseconds. */
     private long joinedMillis;
 
@@ -177,7 +181,25 @@
      * @return The service's name, empty if the object can't be read.
      */
     private String service(StoredEntry entry) {
-        return reader.target(entry.name(), entry.value()).map(DirectoryTarget::service).orElse("");
+        return target(entry).map(DirectoryTarget::service).orElse("");
+    }
+
+    /**
+     * Reads a target.
+     *
+     * @param entry The target's object.
+     * @return The target or empty if the object can't be read.
+     */
+    private Optional<DirectoryTarget> target(StoredEntry entry) {
+        try {
+            return Optional.of(reader.target(entry.name(), entry.value()));
+        } catch (MartenwellException exception) {
+            Long told = unreadable.put(entry.name(), entry.revision());
+            if (told == null || told != entry.revision()) {
+                listener.unreadable(entry.name(), exception.getMessage());
+            }
+            return Optional.empty();
+        }
     }
 
     /** Makes this gateway known again if another one took it for gone. */
@@ -246,9 +268,9 @@
     private void takeTargets(Map<String, StoredEntry> entries) {
         Map<String, DirectoryTarget> all = new HashMap<>();
         for (StoredEntry each : entries.values()) {
-            reader.target(each.name(), each.value())
-                    .ifPresent(target -> all.put(target.id(), target));
+            target(each).ifPresent(target -> all.put(target.id(), target));
         }
+        unreadable.keySet().retainAll(entries.keySet());
         listener.targets(all);
     }
 
--- a/src/main/java/org/martenwell/gateway/FollowedEngine.java
+++ b/src/main/java/org/martenwell/gateway/FollowedEngine.java
@@ -69,6 +69,16 @@
         return engine;
     }
 
+    /**
+     * Tells whether a target is the engine that is followed, in the same life.
+     *
+     * @param other The target.
+     * @return {@code true} if it is.
+     */
+    boolean follows(KnownTarget other) {
+        return target.load().target().life().equals(other.load().target().life());
+    }
+
     /** Ends following the engine. */
     void close() {
         closed = true;
@@ -131,7 +141,7 @@
             return;
         }
         core.log().keptCorrected(tokens > 0);
-        core.placed(new PlacedPart(target.load().target().id(), key, tokens));
+        core.placed(new PlacedPart(target.load().target().life(), key, tokens));
         if (tokens > 0) {
             memory.keep(key, tokens, core.keptCapacity(target.load()));
         } else {
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -342,7 +342,7 @@
     /**
      * Notes that a target keeps the parts of a prompt.
      *
-     * @param target The target's id.
+     * @param target The target's life.
      * @param chain The parts.
      */
     void placed(String target, PromptChain chain) {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -222,6 +222,11 @@
         loadKeptParts();
     }
 
+    @Override
+    public void unreadable(String name, String reason) {
+        log.unreadable(name, reason);
+    }
+
     @Override
     public void members(Map<String, GatewayMember> members) {
         log.changed("members", members.keySet());
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -196,6 +196,19 @@
         metrics.counter(kept ? "kept_parts_learnt" : "kept_parts_dropped").inc();
     }
 
+    /**
+     * Notes that an entry of the directory can't be read, so that it is left out.
+     *
+     * @param name The entry's name.
+     * @param reason What is wrong with it.
+     */
+    void unreadable(String name, String reason) {
+        metrics.counter("entries_unreadable").inc();
+        if (writes()) {
+            write(LogEvent.of("entry-unreadable").with("name", name).with("reason", reason));
+        }
+    }
+
     /**
      * Notes that the gateway's view of the world changed.
      *
--- a/src/main/java/org/martenwell/gateway/KeptPartsFollower.java
+++ b/src/main/java/org/martenwell/gateway/KeptPartsFollower.java
@@ -76,7 +76,8 @@
     }
 
     /**
-     * Ends following an engine that is no longer due.
+     * Ends following an engine that is no longer due or has started again: its changes are then
+     * numbered anew.
      *
      * @param id The engine's id.
      * @param engine The engine.
@@ -84,7 +85,7 @@
      * @return {@code true} if it is no longer followed.
      */
     private static boolean ended(String id, FollowedEngine engine, Map<String, KnownTarget> due) {
-        if (due.containsKey(id)) {
+        if (due.containsKey(id) && engine.follows(due.get(id))) {
             return false;
         }
         engine.close();
--- a/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
+++ b/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
@@ -100,13 +100,13 @@
         if (reply.status() != OK) {
             return;
         }
-        String id = target.load().target().id();
+        String life = target.load().target().life();
         for (KeptPart each : core.dialect().keptParts(reply.body())) {
             long key = PromptChain.key(each.model(), each.part().id());
             long tokens = each.part().tokens();
             target.load().memory().keep(key, tokens, core.keptCapacity(target.load()));
-            core.placed(new PlacedPart(id, key, tokens));
+            core.placed(new PlacedPart(life, key, tokens));
         }
-        core.log().changed("kept-parts", id);
+        core.log().changed("kept-parts", life);
     }
 }
--- a/src/main/java/org/martenwell/gateway/ReportIntake.java
+++ b/src/main/java/org/martenwell/gateway/ReportIntake.java
@@ -16,7 +16,7 @@
     /** What the gateway does. */
     private final GatewayCore core;
 
-    /** The targets that peers last had requests on, by peer. */
+    /** The lives of targets that peers last had requests on, by peer. */
     private final Map<String, Set<String>> loaded = new HashMap<>();
 
     /**
@@ -39,8 +39,8 @@
             core.shares().peer(report.gateway(), report.shares(), core.now());
         }
         report.placed().forEach(this::takePlaced);
-        for (String id : report.leaving()) {
-            core.targets().leavingByPeer(id, core.now());
+        for (String life : report.leaving()) {
+            core.targets().leavingByPeer(life, core.now());
         }
     }
 
@@ -66,11 +66,11 @@
      * Takes in what a peer put on a target.
      *
      * @param peer The peer's name.
-     * @param target The target's id.
+     * @param target The target's life.
      * @param sums What it put there.
      */
     private void takeLoad(String peer, String target, LoadSums sums) {
-        core.targets().find(target).ifPresent(known -> known.load().peer(peer, sums, core.now()));
+        core.targets().findLife(target).ifPresent(known -> known.load().peer(peer, sums, core.now()));
     }
 
     /**
@@ -79,7 +79,7 @@
      * @param part The part.
      */
     private void takePlaced(PlacedPart part) {
-        core.targets().find(part.target()).ifPresent(target -> takePlaced(target.load(), part));
+        core.targets().findLife(part.target()).ifPresent(target -> takePlaced(target.load(), part));
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/ReportMaker.java
+++ b/src/main/java/org/martenwell/gateway/ReportMaker.java
@@ -99,11 +99,11 @@
     private List<PlacedPart> kept() {
         List<PlacedPart> kept = new ArrayList<>();
         for (KnownTarget each : core.targets().all()) {
-            String id = each.load().target().id();
+            String life = each.load().target().life();
             each.load()
                     .memory()
                     .kept()
-                    .forEach((key, tokens) -> kept.add(new PlacedPart(id, key, tokens)));
+                    .forEach((key, tokens) -> kept.add(new PlacedPart(life, key, tokens)));
         }
         return kept;
     }
@@ -118,7 +118,7 @@
         for (KnownTarget each : core.targets().all()) {
             LoadSums own = each.load().own();
             if (own.requests() > 0) {
-                loads.add(new TargetLoadReport(each.load().target().id(), own));
+                loads.add(new TargetLoadReport(each.load().target().life(), own));
             }
         }
         return loads;
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -27,6 +27,9 @@
     /** The targets by id. */
     private final Map<String, KnownTarget> targets = new HashMap<>();
 
+    /** The targets by life. */
+    private final Map<String, KnownTarget> lives = new HashMap<>();
+
     /** The reading rates by service. */
     private final Map<String, ReadingRate> rates = new HashMap<>();
 
@@ -36,10 +39,10 @@
      */
     private static final long CONFIRMED_MILLIS = 1_500;
 
-    /** When peers told that targets leave, in milliseconds, by id. */
+    /** When peers told that targets leave, in milliseconds, by life. */
     private final Map<String, Long> leavingByPeers = new HashMap<>();
 
-    /** The ids of those of them for which the directory was asked again. */
+    /** The lives of those of them for which the directory was asked again. */
     private final Set<String> askedAgain = new HashSet<>();
 
     /**
@@ -52,38 +55,63 @@
     }
 
     /**
-     * Takes in the directory's targets.
+     * Takes in the directory's targets. One that started again is a new target: it has lost its
+     * connections, requests and kept prompts.
      *
      * @param told All targets by id.
      */
     void update(Map<String, DirectoryTarget> told) {
         for (String id : List.copyOf(targets.keySet())) {
             if (!told.containsKey(id)) {
-                targets.remove(id).connections().close();
+                forget(id);
             }
         }
-        for (DirectoryTarget each : told.values()) {
-            KnownTarget known = targets.get(each.id());
-            if (known == null) {
-                targets.put(each.id(), create(each));
-            } else {
-                known.load().target(each);
-            }
+        told.values().forEach(this::take);
+        leavingByPeers.keySet().retainAll(lives.keySet());
+        askedAgain.retainAll(lives.keySet());
+    }
+
+    /**
+     * Takes in a target.
+     *
+     * @param told What the directory tells.
+     */
+    private void take(DirectoryTarget told) {
+        KnownTarget same = lives.get(told.life());
+        if (same != null) {
+            same.load().target(told);
+            return;
+        }
+        // A start may seem to lie before the last one, if the target's clock was set back meanwhile.
+        if (targets.containsKey(told.id())) {
+            forget(told.id());
         }
-        leavingByPeers.keySet().retainAll(told.keySet());
-        askedAgain.retainAll(told.keySet());
+        KnownTarget created = create(told);
+        targets.put(told.id(), created);
+        lives.put(told.life(), created);
     }
 
     /**
-     * Notes that a peer knows a target to be leaving. The target gets no requests from now on.
+     * Forgets a target that is gone or has started again.
      *
      * @param id The target's id.
+     */
+    private void forget(String id) {
+        KnownTarget gone = targets.remove(id);
+        lives.remove(gone.load().target().life());
+        gone.connections().close();
+    }
+
+    /**
+     * Notes that a peer knows a target to be leaving. The target gets no requests from now on.
+     *
+     * @param life The target's life.
      * @param now The present time, in milliseconds.
      */
-    void leavingByPeer(String id, long now) {
-        KnownTarget known = targets.get(id);
+    void leavingByPeer(String life, long now) {
+        KnownTarget known = lives.get(life);
         if (known != null && !known.load().target().leaving()) {
-            leavingByPeers.putIfAbsent(id, now);
+            leavingByPeers.putIfAbsent(life, now);
         }
     }
 
@@ -97,7 +125,7 @@
     boolean missesNews(long now) {
         boolean misses = false;
         for (Map.Entry<String, Long> each : leavingByPeers.entrySet()) {
-            boolean confirmed = targets.get(each.getKey()).load().target().leaving();
+            boolean confirmed = lives.get(each.getKey()).load().target().leaving();
             boolean late = now - each.getValue() >= CONFIRMED_MILLIS;
             misses |= !confirmed && late && askedAgain.add(each.getKey());
         }
@@ -107,17 +135,17 @@
     /**
      * Returns the targets that are leaving.
      *
-     * @return Their ids.
+     * @return Their lives.
      */
     List<String> leaving() {
-        List<String> ids = new ArrayList<>(leavingByPeers.keySet());
+        List<String> found = new ArrayList<>(leavingByPeers.keySet());
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
-            if (target.leaving() && !leavingByPeers.containsKey(target.id())) {
-                ids.add(target.id());
+            if (target.leaving() && !leavingByPeers.containsKey(target.life())) {
+                found.add(target.life());
             }
         }
-        return ids;
+        return found;
     }
 
     /**
@@ -134,7 +162,7 @@
             DirectoryTarget target = each.load().target();
             if (target.service().equals(service)
                     && !target.leaving()
-                    && !leavingByPeers.containsKey(target.id())
+                    && !leavingByPeers.containsKey(target.life())
                     && !tried.contains(target.id())
                     && each.load().health().open(now)) {
                 open.add(each.load());
@@ -153,7 +181,7 @@
         List<TargetLoad> found = new ArrayList<>();
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
-            boolean leaves = target.leaving() || leavingByPeers.containsKey(target.id());
+            boolean leaves = target.leaving() || leavingByPeers.containsKey(target.life());
             if (leaves && target.service().equals(service)) {
                 found.add(each.load());
             }
@@ -171,6 +199,16 @@
         return Optional.ofNullable(targets.get(id));
     }
 
+    /**
+     * Returns a target in a certain life.
+     *
+     * @param life The target's life.
+     * @return The target or empty if it is gone, has started again or is not known yet.
+     */
+    Optional<KnownTarget> findLife(String life) {
+        return Optional.ofNullable(lives.get(life));
+    }
+
     /**
      * Returns all targets.
      *
--- a/src/main/java/org/martenwell/json/Json.java
+++ b/src/main/java/org/martenwell/json/Json.java
@@ -68,6 +68,22 @@
         }
     }
 
+    /**
+     * Reads a message that holds values which others wrote. What can't be read of these becomes
+     * {@code null} or holds U+FFFD.
+     *
+     * @param bytes The message.
+     * @return The root of the message.
+     */
+    public static JsonNode readLeniently(byte[] bytes) {
+        try {
+            return JsonTrees.read(bytes);
+        } catch (IOException exception) {
+            throw MartenwellException.of(
+                    ErrorKind.MALFORMED_REQUEST, "The body is no JSON.", exception);
+        }
+    }
+
     /**
      * Writes a message of any shape.
      *
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -172,6 +172,6 @@
         loads.add(
                 new TargetLoad(
                         new DirectoryTarget(
-                                id, "s", IpAddress.of("127.0.0.1:1"), domain, 10, false)));
+                                id, 1, "s", IpAddress.of("127.0.0.1:1"), domain, 10, false)));
     }
 }
--- a/src/test/java/org/martenwell/balance/EngineReserveTest.java
+++ b/src/test/java/org/martenwell/balance/EngineReserveTest.java
@@ -67,6 +67,7 @@
                     new TargetLoad(
                             new DirectoryTarget(
                                     "engine-" + index,
+                                    1,
                                     "s",
                                     IpAddress.of("127.0.0.1:1"),
                                     "x",
--- a/src/test/java/org/martenwell/balance/PlacementReplay.java
+++ b/src/test/java/org/martenwell/balance/PlacementReplay.java
@@ -333,6 +333,7 @@
                         new TargetLoad(
                                 new DirectoryTarget(
                                         Integer.toString(engine),
+                                        1,
                                         "s",
                                         IpAddress.of("127.0.0.1:1"),
                                         domain(engine),
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -173,6 +173,6 @@
 
     private static DirectoryTarget target(String id) {
         return new DirectoryTarget(
-                id, GatewayCores.SERVICE, IpAddress.of("127.0.0.1:1"), "x", 1, false);
+                id, 1, GatewayCores.SERVICE, IpAddress.of("127.0.0.1:1"), "x", 1, false);
     }
 }
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -87,7 +87,7 @@
     }
 
     private static DirectoryTarget target() {
-        return new DirectoryTarget("t", "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
+        return new DirectoryTarget("t", 1, "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
     }
 
     private TargetLoad load(String name) {
--- a/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
+++ b/src/test/java/org/martenwell/gateway/PlacedPromptTest.java
@@ -30,6 +30,7 @@
             new TargetLoad(
                     new DirectoryTarget(
                             "t",
+                            1,
                             GatewayCores.SERVICE,
                             IpAddress.of("127.0.0.1:1"),
                             "x",
@@ -48,6 +49,6 @@
         placed.takeBack();
         assertThat(load.memory().keptTokens(chain)).isEqualTo(100);
         assertThat(core.takePlaced())
-                .containsExactly(new PlacedPart("t", PromptChain.key("m", SPECIAL.id()), 0));
+                .containsExactly(new PlacedPart("t@1", PromptChain.key("m", SPECIAL.id()), 0));
     }
 }
--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -26,7 +26,7 @@
     @BeforeEach
     void start() {
         table.update(Map.of("one", target("one", false), "two", target("two", false)));
-        table.leavingByPeer("one", 0);
+        table.leavingByPeer("one@1", 0);
     }
 
     @Test
@@ -34,7 +34,7 @@
         assertThat(table.open("service", List.of(), 0))
                 .extracting(load -> load.target().id())
                 .containsExactly("two");
-        assertThat(table.leaving()).containsExactly("one");
+        assertThat(table.leaving()).containsExactly("one@1");
     }
 
     @Test
@@ -48,7 +48,7 @@
     void testDirectoryThatDoesNotTellIsReadAgainOnce() {
         assertThat(table.missesNews(LATE_MILLIS)).isTrue();
         assertThat(table.missesNews(LATE_MILLIS + 1)).isFalse();
-        table.leavingByPeer("one", LATE_MILLIS);
+        table.leavingByPeer("one@1", LATE_MILLIS);
         assertThat(table.missesNews(3 * LATE_MILLIS)).isFalse();
     }
 
@@ -60,6 +60,7 @@
     }
 
     private static DirectoryTarget target(String id, boolean leaving) {
-        return new DirectoryTarget(id, "service", IpAddress.of("127.0.0.1:1"), "zone", 1, leaving);
+        return new DirectoryTarget(
+                id, 1, "service", IpAddress.of("127.0.0.1:1"), "zone", 1, leaving);
     }
 }
--- a/src/test/java/org/martenwell/json/JsonTest.java
+++ b/src/test/java/org/martenwell/json/JsonTest.java
@@ -5,7 +5,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -60,6 +64,62 @@
         assertThatThrownBy(() -> Json.read(bytes(deep))).isInstanceOf(MartenwellException.class);
     }
 
+    /**
+     * One entry of a list that another program had written held a bare control character, or bytes
+     * that are no UTF-8. The whole list was refused, and with it all targets that it named.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"a\u0001b\"",
+                "\"\u00ff\u00fe\"",
+                "NaN",
+                "-Infinity",
+                "007",
+                "1e999999999",
+                "\"\\q\"",
+                "{\"a\":1,\"a\":2}"
+            })
+    void testOneValueThatCannotBeReadLeavesTheOthers(String bad) {
+        byte[] text = ("[1," + bad + ",2]").getBytes(StandardCharsets.ISO_8859_1);
+        JsonNode tree = Json.readLeniently(text);
+        assertThat(tree).hasSize(3);
+        assertThat(tree.get(0).intValue()).isEqualTo(1);
+        assertThat(tree.get(2).intValue()).isEqualTo(2);
+    }
+
+    @Test
+    void testValuesOfAnySizeLeaveTheOthers() {
+        String deep = "[".repeat(50_000) + "]".repeat(50_000);
+        String digits = "9".repeat(500_000);
+        JsonNode tree = Json.readLeniently(bytes("[" + deep + "," + digits + ",2]"));
+        assertThat(tree.get(1).isNull()).isTrue();
+        assertThat(tree.get(2).intValue()).isEqualTo(2);
+    }
+
+    @Property(tries = 500, seed = "36")
+    void testAnyBytesAreReadOrMalformed(@ForAll @Size(max = 60) byte[] noise) {
+        try {
+            Json.readLeniently(noise);
+        } catch (MartenwellException malformed) {
+            assertThat(malformed.kind()).isEqualTo(ErrorKind.MALFORMED_REQUEST);
+        }
+    }
+
+    /** Any bytes within the text of one entry leave the next entry as it is. */
+    @Property(tries = 500, seed = "37")
+    void testAnyBytesWithinATextLeaveTheNextValue(@ForAll @Size(max = 40) byte[] noise) {
+        ByteArrayOutputStream text = new ByteArrayOutputStream();
+        text.writeBytes(bytes("[\""));
+        for (byte each : noise) {
+            if (each != '"' && each != '\\') {
+                text.write(each);
+            }
+        }
+        text.writeBytes(bytes("\",2]"));
+        assertThat(Json.readLeniently(text.toByteArray()).get(1).intValue()).isEqualTo(2);
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
