--- a/src/main/java/org/martenwell/directory/KindFollower.java
+++ b/src/main/java/org/martenwell/directory/KindFollower.java
@@ -234,7 +234,13 @@
     private void take(int present, EntryChanges changes) {
         delayMillis = FIRST_DELAY_MILLIS;
         contact.answered();
-        changes.changes().forEach(this::take);
+        for (EntryChange each : changes.changes()) {
+            if (each.gone()) {
+                entries.remove(each.entry().name());
+            } else {
+                entries.put(each.entry().name(), each.entry());
+            }
+        }
         revision = Math.max(revision, changes.revision());
         if (changes.changes().isEmpty()) {
             step(present);
@@ -244,24 +250,6 @@
         }
     }
 
-    /**
-     * Takes a change in, unless a list told a later one: the pages behind the first are read after
-     * the revision from which changes are watched.
-     *
-     * @param change The change.
-     */
-    private void take(EntryChange change) {
-        StoredEntry known = entries.get(change.entry().name());
-        if (known != null && known.revision() > change.entry().revision()) {
-            return;
-        }
-        if (change.gone()) {
-            entries.remove(change.entry().name());
-        } else {
-            entries.put(change.entry().name(), change.entry());
-        }
-    }
-
     /**
      * Tries again after a delay that grows.
      *
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -206,15 +206,15 @@
     /**
      * Takes back that the request is counted as served.
      *
-     * @param booked How it is counted.
+     * @param request How it is counted.
      */
-    private void takeBack(Counted booked) {
+    private void takeBack(Counted request) {
         core.shares()
                 .notBegun(
                         need.organisation(),
                         need.cost(),
-                        booked.tier(),
-                        booked.sentMillis(),
+                        request.tier(),
+                        request.sentMillis(),
                         core.now());
     }
 
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -72,18 +72,17 @@
     }
 
     /**
-     * Takes in a target.
+     * Takes in a target. Any other start is a new one; it may seem to lie before the last, if the
+     * target's clock was set back. So is another address, to which no connection leads.
      *
      * @param told What the directory tells.
      */
     private void take(DirectoryTarget told) {
         KnownTarget same = lives.get(told.life());
-        if (same != null) {
+        if (same != null && same.load().target().address().equals(told.address())) {
             same.load().target(told);
             return;
         }
-        // A start may seem to lie before the last one, if the target's clock was set back
-        // meanwhile.
         if (targets.containsKey(told.id())) {
             forget(told.id());
         }
@@ -162,8 +161,7 @@
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
             if (target.service().equals(service)
-                    && !target.leaving()
-                    && !leavingByPeers.containsKey(target.life())
+                    && !leaves(target)
                     && !tried.contains(target.id())
                     && each.load().health().open(now)) {
                 open.add(each.load());
@@ -182,14 +180,24 @@
         List<TargetLoad> found = new ArrayList<>();
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
-            boolean leaves = target.leaving() || leavingByPeers.containsKey(target.life());
-            if (leaves && target.service().equals(service)) {
+            if (leaves(target) && target.service().equals(service)) {
                 found.add(each.load());
             }
         }
         return found;
     }
 
+    /**
+     * Tells whether a target is known to be leaving, by the directory or by peers.
+     *
+     * @param target The target.
+     * @return {@code true} if it is.
+     */
+    private boolean leaves(DirectoryTarget target) {
+        return target.leaving()
+                || (!leavingByPeers.isEmpty() && leavingByPeers.containsKey(target.life()));
+    }
+
     /**
      * Returns a target.
      *
--- a/src/test/java/org/martenwell/gateway/TargetLivesTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetLivesTest.java
@@ -87,6 +87,23 @@
         assertThat(core.targets().open(GatewayCores.SERVICE, List.of(), 1)).hasSize(1);
     }
 
+    @Test
+    void testTargetThatMovedHasNoConnectionsToItsFormerAddress() {
+        KnownTarget former = core.targets().find("t").orElseThrow();
+        DirectoryTarget present = target(5, false);
+        tell(
+                new DirectoryTarget(
+                        present.id(),
+                        present.bornMillis(),
+                        present.service(),
+                        IpAddress.of("127.0.0.1:2"),
+                        present.failureDomain(),
+                        present.slots(),
+                        present.leaving()));
+        assertThat(core.targets().find("t").orElseThrow().connections())
+                .isNotSameAs(former.connections());
+    }
+
     /** The clock of a target may be set back, so that its last start seems to be an earlier one. */
     @Test
     void testStartThatSeemsEarlierIsAStartToo() {
--- a/src/test/java/org/martenwell/share/FairSharesTest.java
+++ b/src/test/java/org/martenwell/share/FairSharesTest.java
@@ -135,6 +135,29 @@
         assertThat(shares.askedWithin()).isCloseTo(0.1, within(1e-9));
     }
 
+    @Test
+    void testWhatNoTargetBeganIsTakenBackFromWhenItWasSent() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("a", 900, 0);
+        shares.begun("a", 500, ShareTier.PROMISED, 0);
+        shares.begun("a", 200, ShareTier.BEYOND, 1_000);
+        shares.notBegun("a", 500, ShareTier.PROMISED, 0, 1_500);
+        assertThat(shares.own(1_500).sums().get("a")).isEqualTo(new ShareSums(900, 200, 0));
+        shares.notBegun("a", 200, ShareTier.BEYOND, 1_000, 9_000);
+        assertThat(shares.own(9_000).sums()).isEmpty();
+    }
+
+    @Test
+    void testSummaryTellsOfThoseThatAskMost() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.asked("little", 1, WINDOW);
+        shares.asked("much", 50, WINDOW);
+        shares.begun("much", 20, ShareTier.BEYOND, WINDOW);
+        shares.use("much", 10, 30, WINDOW);
+        assertThat(shares.summary(1))
+                .hasToString("level 29, observed 29, produced 20, much asked 50 got 20 within 0");
+    }
+
     @Test
     void testSumsSlide() {
         SlidingSum sum = new SlidingSum(1_600);
