Refuse a part of new requests while the loop is behind

Change: the loop's mean delay decides which part of new requests is refused at once with 503 and a Retry-After of 0.05 to 0.1 s, none below 30 ms, 0.95 from 125 ms on. Callers come back to other gateways.

Tests: LoopPressureTest (written with the class, which is new; a model of an overloaded loop settles at half).

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -93,6 +93,9 @@
     /** Notices that the heap is nearly full. */
     private final HeapWatch heap;
 
+    /** Notices that the loop is behind. */
+    private final LoopPressure pressure;
+
     /** Whether new requests are refused, because the gateway is about to end. */
     private boolean closing;
 
@@ -128,6 +131,7 @@
                         reactor.currentTimeMillis());
         this.queue = new EngineQueue(reactor);
         this.heap = HeapWatch.of(reactor, log);
+        this.pressure = new LoopPressure(reactor, random);
     }
 
     /**
@@ -413,6 +417,15 @@
         return heap;
     }
 
+    /**
+     * Returns what notices that the loop is behind.
+     *
+     * @return The measure.
+     */
+    LoopPressure pressure() {
+        return pressure;
+    }
+
     /**
      * Returns whether new requests are refused.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -140,6 +140,7 @@
                 .then(directory::start)
                 .then(keptChanges::start)
                 .then(core.heap()::start)
+                .then(core.pressure()::start)
                 .then(state::start)
                 .whenResult(() -> log.changed("gateway-listening", settings.callerAddress()));
     }
@@ -151,6 +152,7 @@
         return keptChanges
                 .stop()
                 .then(state::stop)
+                .then(core.pressure()::stop)
                 .then(core.heap()::stop)
                 .then(directory::stop)
                 .then(peers::stop)
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -27,9 +27,6 @@
     /** How often a line is written, in milliseconds. */
     private static final long LINE_MILLIS = 1_000;
 
-    /** How often the loop's delay is looked at, in milliseconds. */
-    private static final long TICK_MILLIS = 50;
-
     /** Of how many organisations a line tells: those that ask most. */
     private static final int ORGANISATIONS = 3;
 
@@ -45,12 +42,6 @@
     /** What the process uses of its box. */
     private final ProcessUsage usage = new ProcessUsage();
 
-    /** When the loop should look at its delay, in milliseconds. */
-    private long dueMillis;
-
-    /** The loop's longest delay since the last line, in milliseconds. */
-    private long lateMillis;
-
     /** When the last line was written, in milliseconds. */
     private long writtenMillis;
 
@@ -72,9 +63,8 @@
 
     @Override
     public Promise<Void> start() {
-        dueMillis = reactor.currentTimeMillis() + FIRST_MILLIS;
-        writtenMillis = dueMillis;
-        reactor.delayBackground(FIRST_MILLIS, this::tick);
+        writtenMillis = reactor.currentTimeMillis();
+        reactor.delayBackground(FIRST_MILLIS, this::write);
         return Promise.complete();
     }
 
@@ -84,31 +74,18 @@
         return Promise.complete();
     }
 
-    /** Looks at the loop's delay and writes a line if one is due. */
-    private void tick() {
+    /** Writes a line. */
+    private void write() {
         if (stopped) {
             return;
         }
         long now = reactor.currentTimeMillis();
-        lateMillis = Math.max(lateMillis, now - dueMillis);
-        if (now - writtenMillis >= LINE_MILLIS) {
-            write(now);
-        }
-        dueMillis = now + TICK_MILLIS;
-        reactor.delayBackground(TICK_MILLIS, this::tick);
-    }
-
-    /**
-     * Writes a line.
-     *
-     * @param now The present time, in milliseconds.
-     */
-    private void write(long now) {
         ProcessUsage.Interval used = usage.take();
         LOGGER.info(
                 LogEvent.of("state")
                         .with("overMillis", now - writtenMillis)
-                        .with("lateMillis", lateMillis)
+                        .with("lateMillis", core.pressure().takeLongestMillis())
+                        .with("refusedPart", core.pressure().part())
                         .with("connections", connections.getAsInt())
                         .with("serving", core.serving())
                         .with("waiting", core.queue().size())
@@ -119,7 +96,7 @@
                         .with("descriptorLimit", used.descriptorLimit())
                         .with("shares", core.shares().summary(ORGANISATIONS))
                         .message());
-        lateMillis = 0;
         writtenMillis = now;
+        reactor.delayBackground(LINE_MILLIS, this::write);
     }
 }
