Lend nothing beyond shares while an organisation is short of its own

The first one's callers come to a gateway out of processor, and those beyond their shares of what is produced take the room that it leaves.

Within shares nothing changes, so no organisation falls below its share of what is promised. Ruled out: a cap at a multiple of what the one that is short has got; while its counts grow from zero everybody would be refused.

--- a/src/main/java/org/martenwell/share/ShareUse.java
+++ b/src/main/java/org/martenwell/share/ShareUse.java
@@ -6,11 +6,13 @@
  *
  * @param promised The part of its share of what the fleet is promised to produce.
  * @param observed The part of its share of what the fleet really produced, if that is more.
+ * @param othersShort Whether another organisation asks for more than its share of what is produced
+ *     and gets far less.
  */
-public record ShareUse(double promised, double observed) {
+public record ShareUse(double promised, double observed, boolean othersShort) {
 
     /** Nothing used. */
-    public static final ShareUse NONE = new ShareUse(0, 0);
+    public static final ShareUse NONE = new ShareUse(0, 0, false);
 
     /**
      * Returns which share the organisation is within.
@@ -21,6 +23,9 @@
         if (promised <= 1) {
             return ShareTier.PROMISED;
         }
-        return observed <= 1 ? ShareTier.OBSERVED : ShareTier.BEYOND;
+        if (observed <= 1) {
+            return ShareTier.OBSERVED;
+        }
+        return othersShort ? ShareTier.WITHHELD : ShareTier.BEYOND;
     }
 }
