--- a/src/main/java/org/martenwell/balance/TargetHealth.java
+++ b/src/main/java/org/martenwell/balance/TargetHealth.java
@@ -65,8 +65,8 @@
     }
 
     /**
-     * Notes that the target could not be connected to. One such failure closes it: with three, each
-     * of 59 gateways failed three times at each of 15 crashed engines, 2,173 times in 2 s.
+     * Notes that the target could not be connected to. One such failure closes it: with three, 59
+     * gateways failed 2,173 times in 2 s to connect to 15 crashed engines.
      *
      * @param now The present time, in milliseconds.
      */
--- a/src/main/java/org/martenwell/gateway/LoopPressure.java
+++ b/src/main/java/org/martenwell/gateway/LoopPressure.java
@@ -20,12 +20,12 @@
     private static final double WEIGHT = 0.2;
 
     /**
-     * The mean delay from which requests are refused, in milliseconds. Gateways with room stay
-     * below 15 by their lines of a second.
+     * The mean delay from which requests are refused, in milliseconds. A guess: some rounds of a
+     * busy loop, and little against objectives of 250 and more.
      */
     private static final double BEARABLE_MILLIS = 30;
 
-    /** The mean delay at which most are refused, in milliseconds: half of a short objective. */
+    /** The mean delay at which nearly all are refused, in milliseconds: half of 250. */
     private static final double FULL_MILLIS = 130;
 
     /** The largest part that is refused, so that the delay goes on to be that of serving. */
