--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -215,7 +215,7 @@
     private static double allowedWait(
             PromptNeed need, ShareTier tier, double reading, ReadingRate rate, long now) {
         double least = tier.waitPart() * need.objectiveMillis();
-        if (!tier.waits()) {
+        if (tier == ShareTier.BEYOND) {
             return least;
         }
         double left =
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -113,7 +113,7 @@
             // It has waited enough already.
             return new Decision(leastLoaded(open, now), Optional.empty(), use);
         }
-        if (!tier.waits() || allowed.isEmpty()) {
+        if (tier == ShareTier.BEYOND || allowed.isEmpty()) {
             return new Decision(choice, Optional.of(ErrorKind.RATE_EXCEEDED), use);
         }
         if (now - need.arrivedMillis() >= WAIT_SHARE * route.objectiveMillis()) {
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -29,13 +29,6 @@
      */
     private static final double HEARD_TOLERANCE = 1.25;
 
-    /**
-     * The part of its share below which an organisation is short. Between this and 1 nobody is held
-     * back, so that words of peers, which are half a second old, do not refuse what there is room
-     * for.
-     */
-    private static final double SHORT_PART = 0.75;
-
     /** The window in milliseconds. */
     private final long windowMillis;
 
@@ -68,9 +61,6 @@
     /** The level of what the fleet really produced, if that is more than it is promised. */
     private double observedLevel = Double.POSITIVE_INFINITY;
 
-    /** Whether an organisation that asks for more than the observed level is short of it. */
-    private boolean anyShort;
-
     /** When the level was computed, in milliseconds. */
     private long levelMillis = Long.MIN_VALUE / 2;
 
@@ -224,8 +214,7 @@
         // What an organisation took while nobody else needed it does not count against its share.
         return new ShareUse(
                 part(promised, (got.within() + tokens / 2) / level),
-                part(observed, (got.begun() + tokens / 2) / observedLevel),
-                anyShort);
+                part(observed, (got.begun() + tokens / 2) / observedLevel));
     }
 
     /**
@@ -294,16 +283,6 @@
         return Math.min(1, (double) counted / windowMillis);
     }
 
-    /**
-     * Tells whether an organisation is short of its share of what is produced.
-     *
-     * @param sums What it asked and got.
-     * @return {@code true} if it asked for more than the share and got far less.
-     */
-    private boolean isShort(ShareSums sums) {
-        return sums.asked() > observedLevel && sums.begun() < SHORT_PART * observedLevel;
-    }
-
     /**
      * Computes the levels of what is promised and of what is really produced.
      *
@@ -316,7 +295,6 @@
         double produced = all.values().stream().mapToDouble(ShareSums::begun).sum();
         level = MaxMin.level(demands, capacity);
         observedLevel = MaxMin.level(demands, Math.max(capacity, produced));
-        anyShort = all.values().stream().anyMatch(this::isShort);
         double within = demands.values().stream().mapToDouble(each -> Math.min(each, level)).sum();
         askedWithin = within / capacity;
     }
--- a/src/main/java/org/martenwell/share/ShareTier.java
+++ b/src/main/java/org/martenwell/share/ShareTier.java
@@ -10,13 +10,7 @@
     OBSERVED(0.8, 0.25),
 
     /** Beyond both. */
-    BEYOND(0.55, 0.15),
-
-    /**
-     * Beyond both while another organisation is short of its share. It gets no room: through spare
-     * room, one got 6.0 M tokens in six seconds in which another one waited and got 2.8 M.
-     */
-    WITHHELD(0, 0);
+    BEYOND(0.55, 0.15);
 
     /** The part of a target's places that requests may fill. */
     private final double fill;
@@ -35,15 +29,6 @@
         this.waitPart = waitPart;
     }
 
-    /**
-     * Tells whether a request of this tier may wait for room.
-     *
-     * @return {@code true} if it is within a share.
-     */
-    public boolean waits() {
-        return this == PROMISED || this == OBSERVED;
-    }
-
     /**
      * Returns the part of a target's places that requests may fill.
      *
--- a/src/main/java/org/martenwell/share/ShareUse.java
+++ b/src/main/java/org/martenwell/share/ShareUse.java
@@ -6,13 +6,11 @@
  *
  * @param promised The part of its share of what the fleet is promised to produce.
  * @param observed The part of its share of what the fleet really produced, if that is more.
- * @param othersShort Whether another organisation asks for more than its share of what is produced
- *     and gets far less.
  */
-public record ShareUse(double promised, double observed, boolean othersShort) {
+public record ShareUse(double promised, double observed) {
 
     /** Nothing used. */
-    public static final ShareUse NONE = new ShareUse(0, 0, false);
+    public static final ShareUse NONE = new ShareUse(0, 0);
 
     /**
      * Returns which share the organisation is within.
@@ -23,9 +21,6 @@
         if (promised <= 1) {
             return ShareTier.PROMISED;
         }
-        if (observed <= 1) {
-            return ShareTier.OBSERVED;
-        }
-        return othersShort ? ShareTier.WITHHELD : ShareTier.BEYOND;
+        return observed <= 1 ? ShareTier.OBSERVED : ShareTier.BEYOND;
     }
 }
