Read what answers say of their targets, and log and count it

A gateway's log could tell neither that such an answer had come nor for how long a target wanted rest: a refusal is logged as "full" whatever it says.

Each answer's head is read now, whatever the target was asked, also one that belongs to no request any more: over the connections of requests and over those on which kept prompts are followed and listed. What is new is logged as target-leaving and target-rests and counted. Nothing is decided by it yet.

--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -45,6 +45,9 @@
     /** How the target does. */
     private final TargetHealth health = new TargetHealth();
 
+    /** What the target has said of itself. */
+    private final Availability availability;
+
     /**
      * A peer's word.
      *
@@ -59,7 +62,18 @@
      * @param target What the directory tells.
      */
     public TargetLoad(DirectoryTarget target) {
+        this(target, new Availability());
+    }
+
+    /**
+     * Creates the load of a target that has no requests.
+     *
+     * @param target What the directory tells.
+     * @param availability What the target has said of itself.
+     */
+    public TargetLoad(DirectoryTarget target, Availability availability) {
         this.target = target;
+        this.availability = availability;
         this.idHash = RendezvousHash.hash(target.id());
     }
 
@@ -108,6 +122,15 @@
         return health;
     }
 
+    /**
+     * Returns what the target has said of itself.
+     *
+     * @return What it has said.
+     */
+    public Availability availability() {
+        return availability;
+    }
+
     /**
      * Adds a request.
      *
--- a/src/main/java/org/martenwell/exchange/HttpCaller.java
+++ b/src/main/java/org/martenwell/exchange/HttpCaller.java
@@ -32,9 +32,22 @@
      * @param address The address.
      */
     public HttpCaller(NioReactor reactor, InetSocketAddress address) {
+        this(reactor, address, AnswerHeadListener.NONE);
+    }
+
+    /**
+     * Creates a caller.
+     *
+     * @param reactor The loop.
+     * @param address The address.
+     * @param headListener Is told of each answer's head.
+     */
+    public HttpCaller(
+            NioReactor reactor, InetSocketAddress address, AnswerHeadListener headListener) {
         this.reactor = reactor;
         this.connections =
-                new TargetConnections(reactor, address, CONNECT_MILLIS, KeepAlive.PROBED);
+                new TargetConnections(
+                        reactor, address, CONNECT_MILLIS, KeepAlive.PROBED, headListener);
     }
 
     /**
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -30,6 +30,9 @@
     /** The socket. */
     private final TcpSocket socket;
 
+    /** Is told of each answer's head. */
+    private final AnswerHeadListener headListener;
+
     /** Is told when the connection can't be used any more. */
     private final Runnable closeListener;
 
@@ -71,11 +74,17 @@
      *
      * @param reactor The loop.
      * @param socket The open socket.
+     * @param headListener Is told of each answer's head.
      * @param closeListener Is told when the connection can't be used any more.
      */
-    TargetConnection(NioReactor reactor, TcpSocket socket, Runnable closeListener) {
+    TargetConnection(
+            NioReactor reactor,
+            TcpSocket socket,
+            AnswerHeadListener headListener,
+            Runnable closeListener) {
         this.reactor = reactor;
         this.socket = socket;
+        this.headListener = headListener;
         this.closeListener = closeListener;
         read();
     }
@@ -235,6 +244,7 @@
      */
     private void begin(HttpResponse begun) {
         head = begun;
+        headListener.heard(begun);
         boolean interim = begun.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         foreign = interim || !listener.belongs(begun);
         if (foreign) {
--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -28,6 +28,9 @@
     /** How open connections are checked while nothing arrives. */
     private final KeepAlive keepAlive;
 
+    /** Is told of each answer's head. */
+    private final AnswerHeadListener headListener;
+
     /** The idle connections, the last used one first. */
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
 
@@ -41,16 +44,19 @@
      * @param address The target's address.
      * @param connectMillis How long opening a connection may take, in milliseconds.
      * @param keepAlive How open connections are checked while nothing arrives.
+     * @param headListener Is told of each answer's head.
      */
     public TargetConnections(
             NioReactor reactor,
             InetSocketAddress address,
             long connectMillis,
-            KeepAlive keepAlive) {
+            KeepAlive keepAlive,
+            AnswerHeadListener headListener) {
         this.reactor = reactor;
         this.address = address;
         this.connectMillis = connectMillis;
         this.keepAlive = keepAlive;
+        this.headListener = headListener;
     }
 
     /**
@@ -161,7 +167,9 @@
     private TargetConnection open(TcpSocket socket) {
         keepAlive.apply(socket);
         TargetConnection[] connection = new TargetConnection[1];
-        connection[0] = new TargetConnection(reactor, socket, () -> idle.remove(connection[0]));
+        connection[0] =
+                new TargetConnection(
+                        reactor, socket, headListener, () -> idle.remove(connection[0]));
         return connection[0];
     }
 
--- a/src/main/java/org/martenwell/gateway/FollowedEngine.java
+++ b/src/main/java/org/martenwell/gateway/FollowedEngine.java
@@ -53,7 +53,7 @@
     private FollowedEngine(GatewayCore core, KnownTarget target) {
         this.core = core;
         this.target = target;
-        this.caller = new HttpCaller(core.reactor(), target.load().target().address());
+        this.caller = core.targets().caller(target);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -128,7 +128,8 @@
         this.log = log;
         this.harmful =
                 new HarmfulRequests(reactor, settings.name(), log, Clock.systemUTC(), random);
-        this.targets = new TargetTable(reactor, harmful::targetEnded);
+        AnswerNotices notices = new AnswerNotices(reactor, dialect, log, Clock.systemUTC());
+        this.targets = new TargetTable(reactor, harmful::targetEnded, notices::heard);
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -7,6 +7,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.balance.EngineChoice;
+import org.martenwell.balance.NoticeSource;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
@@ -195,6 +196,33 @@
         }
     }
 
+    /**
+     * Notes that a target leaves.
+     *
+     * @param life The target's life.
+     * @param source From where that is known first.
+     */
+    void leaving(String life, NoticeSource source) {
+        String from = source.name().toLowerCase(Locale.ROOT);
+        metrics.counter("targets_leaving_by_" + from).inc();
+        if (writes()) {
+            write(LogEvent.of("target-leaving").with("target", life).with("learntFrom", from));
+        }
+    }
+
+    /**
+     * Notes that a target asked this gateway for rest.
+     *
+     * @param life The target's life.
+     * @param millis For how long, in milliseconds.
+     */
+    void resting(String life, long millis) {
+        metrics.counter("targets_resting").inc();
+        if (writes()) {
+            write(LogEvent.of("target-rests").with("target", life).with("millis", millis));
+        }
+    }
+
     /**
      * Notes that a target ended while it had a request.
      *
--- a/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
+++ b/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
@@ -79,7 +79,7 @@
      * @param target The engine.
      */
     private void ask(KnownTarget target) {
-        HttpCaller caller = new HttpCaller(core.reactor(), target.load().target().address());
+        HttpCaller caller = core.targets().caller(target);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, target.load().target().address().getHostString());
         TargetRequestHead request =
--- a/src/main/java/org/martenwell/gateway/RequestDialect.java
+++ b/src/main/java/org/martenwell/gateway/RequestDialect.java
@@ -61,6 +61,15 @@
      */
     boolean notRun(HttpResponse answer);
 
+    /**
+     * Reads what an answer says of the target that made it.
+     *
+     * @param answer The answer's head.
+     * @param dayMillis The time of day in milliseconds since 1970.
+     * @return What it says.
+     */
+    AnswerNotice notice(HttpResponse answer, long dayMillis);
+
     /**
      * Returns the path at which a target lists the parts of prompts that it keeps.
      *
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -1,6 +1,7 @@
 package org.martenwell.gateway;
 
 import io.activej.reactor.nio.NioReactor;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -10,10 +11,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import org.martenwell.balance.Availabilities;
 import org.martenwell.balance.ReadingRate;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.exchange.HttpCaller;
 import org.martenwell.exchange.KeepAlive;
 import org.martenwell.exchange.TargetConnections;
 
@@ -29,6 +33,12 @@
     /** Is told of targets that ended without having said that they leave. */
     private final Consumer<KnownTarget> endListener;
 
+    /** Is told of each answer's head. */
+    private final BiConsumer<TargetLoad, HttpResponse> headListener;
+
+    /** What targets have said of themselves. */
+    private final Availabilities availabilities = new Availabilities();
+
     /** The targets by id. */
     private final Map<String, KnownTarget> targets = new HashMap<>();
 
@@ -55,10 +65,15 @@
      *
      * @param reactor The loop.
      * @param endListener Is told of targets that ended without having said that they leave.
+     * @param headListener Is told of each answer's head, whatever the target was asked.
      */
-    TargetTable(NioReactor reactor, Consumer<KnownTarget> endListener) {
+    TargetTable(
+            NioReactor reactor,
+            Consumer<KnownTarget> endListener,
+            BiConsumer<TargetLoad, HttpResponse> headListener) {
         this.reactor = reactor;
         this.endListener = endListener;
+        this.headListener = headListener;
     }
 
     /**
@@ -273,8 +288,27 @@
      * @return The target.
      */
     private KnownTarget create(DirectoryTarget told) {
+        TargetLoad load = new TargetLoad(told, availabilities.of(told.life()));
         return new KnownTarget(
-                new TargetLoad(told),
-                new TargetConnections(reactor, told.address(), CONNECT_MILLIS, KeepAlive.NONE));
+                load,
+                new TargetConnections(
+                        reactor,
+                        told.address(),
+                        CONNECT_MILLIS,
+                        KeepAlive.NONE,
+                        head -> headListener.accept(load, head)));
+    }
+
+    /**
+     * Creates what makes calls of this gateway's own to a target.
+     *
+     * @param target The target.
+     * @return The caller, which has connections of its own.
+     */
+    HttpCaller caller(KnownTarget target) {
+        return new HttpCaller(
+                reactor,
+                target.load().target().address(),
+                head -> headListener.accept(target.load(), head));
     }
 }
--- a/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
@@ -116,7 +116,8 @@
     }
 
     private TargetConnections connections(InetSocketAddress address) {
-        return new TargetConnections(thread.loop(), address, 5_000, KeepAlive.NONE);
+        return new TargetConnections(
+                thread.loop(), address, 5_000, KeepAlive.NONE, AnswerHeadListener.NONE);
     }
 
     private String send(TargetConnections connections, String id) throws InterruptedException {
--- a/src/test/java/org/martenwell/gateway/TargetEndsTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetEndsTest.java
@@ -36,7 +36,8 @@
     private final TargetEnds ends =
             new TargetEnds(thread.loop(), (suspect, life) -> ended.add(life));
 
-    private final TargetTable table = new TargetTable(thread.loop(), ends::ended);
+    private final TargetTable table =
+            new TargetTable(thread.loop(), ends::ended, (load, head) -> {});
 
     @AfterEach
     void stop() {
--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -22,7 +22,10 @@
     private static final long LATE_MILLIS = 2_000;
 
     private final TargetTable table =
-            new TargetTable(Eventloop.builder().withCurrentThread().build(), target -> {});
+            new TargetTable(
+                    Eventloop.builder().withCurrentThread().build(),
+                    target -> {},
+                    (load, head) -> {});
 
     @BeforeEach
     void start() {
