Send nothing to a target that has said in an answer that it leaves

Callers' requests reached targets 2 s and more after an answer had told their gateway that the target leaves; they were served, but might have been cut off with it. Where the store was away, that went on for 6 s and more.

Cause: the directory and peers, who have it from the directory, were the only sources. Class: what a target says of itself on one channel is heard on another only. Ruled out: one way to a target that does not ask (all kinds of route fail alike), and an old entry that takes the word back (nothing was known that could be taken back; it would have been, since the entry's state was asked, so that is closed too).

Change: Availability holds what a life has said of itself, with its source; answers, entries and peers' reports write to it, and all ways ask it. Peers hear it with the next report. A target that leaves by its own word ends by nobody's doing, so no request is suspected for it.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -128,8 +128,10 @@
         this.log = log;
         this.harmful =
                 new HarmfulRequests(reactor, settings.name(), log, Clock.systemUTC(), random);
-        AnswerNotices notices = new AnswerNotices(reactor, dialect, log, Clock.systemUTC());
-        this.targets = new TargetTable(reactor, harmful::targetEnded, notices::heard);
+        this.targets =
+                new TargetTable(
+                        reactor,
+                        new TargetNotices(reactor, dialect, harmful, log, Clock.systemUTC()));
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
--- a/src/main/java/org/martenwell/gateway/AnswerNotices.java
+++ b/src/main/java/org/martenwell/gateway/TargetNotices.java
@@ -7,8 +7,8 @@
 import org.martenwell.balance.NoticeSource;
 import org.martenwell.balance.TargetLoad;
 
-/** Takes in what answers say of the targets that made them. */
-final class AnswerNotices {
+/** Takes in what becomes known of targets, above all by what their answers say of them. */
+final class TargetNotices implements TargetTableListener {
 
     /** The loop, for the time. */
     private final NioReactor reactor;
@@ -16,6 +16,9 @@
     /** Reads answers. */
     private final RequestDialect dialect;
 
+    /** Is told of targets that ended. */
+    private final HarmfulRequests harmful;
+
     /** Counts and logs. */
     private final GatewayLog log;
 
@@ -27,31 +30,43 @@
      *
      * @param reactor The loop, for the time.
      * @param dialect Reads answers.
+     * @param harmful Is told of targets that ended.
      * @param log Counts and logs.
      * @param clock The time of day, for dates that answers hold.
      */
-    AnswerNotices(NioReactor reactor, RequestDialect dialect, GatewayLog log, Clock clock) {
+    TargetNotices(
+            NioReactor reactor,
+            RequestDialect dialect,
+            HarmfulRequests harmful,
+            GatewayLog log,
+            Clock clock) {
         this.reactor = reactor;
         this.dialect = dialect;
+        this.harmful = harmful;
         this.log = log;
         this.clock = clock;
     }
 
-    /**
-     * Takes in an answer.
-     *
-     * @param from The target that made it.
-     * @param answer Its head.
-     */
-    void heard(TargetLoad from, HttpResponse answer) {
-        AnswerNotice notice = dialect.notice(answer, clock.millis());
-        Availability availability = from.availability();
+    @Override
+    public void ended(KnownTarget target) {
+        harmful.targetEnded(target);
+    }
+
+    @Override
+    public void leaves(String life, NoticeSource source) {
+        log.leaving(life, source);
+    }
+
+    @Override
+    public void answered(TargetLoad target, HttpResponse head) {
+        AnswerNotice notice = dialect.notice(head, clock.millis());
+        Availability availability = target.availability();
         long now = reactor.currentTimeMillis();
         if (notice.leaving() && availability.leave(NoticeSource.ANSWER, now)) {
-            log.leaving(from.target().life(), NoticeSource.ANSWER);
+            leaves(target.target().life(), NoticeSource.ANSWER);
         }
         if (notice.restMillis() > 0 && availability.rest(notice.restMillis(), now)) {
-            log.resting(from.target().life(), notice.restMillis());
+            log.resting(target.target().life(), notice.restMillis());
         }
     }
 }
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -1,7 +1,6 @@
 package org.martenwell.gateway;
 
 import io.activej.reactor.nio.NioReactor;
-import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -11,9 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
 import org.martenwell.balance.Availabilities;
+import org.martenwell.balance.Availability;
+import org.martenwell.balance.NoticeSource;
 import org.martenwell.balance.ReadingRate;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
@@ -30,11 +29,8 @@
     /** The loop. */
     private final NioReactor reactor;
 
-    /** Is told of targets that ended without having said that they leave. */
-    private final Consumer<KnownTarget> endListener;
-
-    /** Is told of each answer's head. */
-    private final BiConsumer<TargetLoad, HttpResponse> headListener;
+    /** Is told what becomes known of targets. */
+    private final TargetTableListener listener;
 
     /** What targets have said of themselves. */
     private final Availabilities availabilities = new Availabilities();
@@ -49,31 +45,23 @@
     private final Map<String, ReadingRate> rates = new HashMap<>();
 
     /**
-     * How long the own directory may take to tell that a target leaves which a peer told, in
+     * How long the own directory may take to tell that a target leaves which is known already, in
      * milliseconds: twice as long as changes are gathered in the largest fleet.
      */
     private static final long CONFIRMED_MILLIS = 1_500;
 
-    /** When peers told that targets leave, in milliseconds, by life. */
-    private final Map<String, Long> leavingByPeers = new HashMap<>();
-
-    /** The lives of those of them for which the directory was asked again. */
+    /** The lives of leaving targets for which the directory was asked again. */
     private final Set<String> askedAgain = new HashSet<>();
 
     /**
      * Creates an empty table.
      *
      * @param reactor The loop.
-     * @param endListener Is told of targets that ended without having said that they leave.
-     * @param headListener Is told of each answer's head, whatever the target was asked.
+     * @param listener Is told what becomes known of targets.
      */
-    TargetTable(
-            NioReactor reactor,
-            Consumer<KnownTarget> endListener,
-            BiConsumer<TargetLoad, HttpResponse> headListener) {
+    TargetTable(NioReactor reactor, TargetTableListener listener) {
         this.reactor = reactor;
-        this.endListener = endListener;
-        this.headListener = headListener;
+        this.listener = listener;
     }
 
     /**
@@ -89,7 +77,6 @@
             }
         }
         told.values().forEach(this::take);
-        leavingByPeers.keySet().retainAll(lives.keySet());
         askedAgain.retainAll(lives.keySet());
     }
 
@@ -103,17 +90,44 @@
         KnownTarget same = lives.get(told.life());
         if (same != null && same.load().target().address().equals(told.address())) {
             same.load().target(told);
+            noteLeaving(same.load());
             return;
         }
         if (targets.containsKey(told.id())) {
             forget(told.id());
         }
-        at(told.address()).ifPresent(endListener);
+        at(told.address()).ifPresent(listener::ended);
         KnownTarget created = create(told);
+        noteLeaving(created.load());
         targets.put(told.id(), created);
         lives.put(told.life(), created);
     }
 
+    /**
+     * Notes whether the directory tells that a target leaves.
+     *
+     * @param load The target.
+     */
+    private void noteLeaving(TargetLoad load) {
+        if (load.target().leaving()) {
+            leaves(load.target().life(), NoticeSource.DIRECTORY, reactor.currentTimeMillis());
+        }
+    }
+
+    /**
+     * Notes that a target leaves. It gets no requests from now on, whatever else is told later: a
+     * store that was away went on to tell a target as ready for 13 s after its first such answer.
+     *
+     * @param life The target's life.
+     * @param source From where that is known.
+     * @param now The present time, in milliseconds.
+     */
+    private void leaves(String life, NoticeSource source, long now) {
+        if (availabilities.of(life).leave(source, now)) {
+            listener.leaves(life, source);
+        }
+    }
+
     /**
      * Forgets a target that is gone or has started again.
      *
@@ -122,8 +136,8 @@
     private void forget(String id) {
         KnownTarget gone = targets.remove(id);
         lives.remove(gone.load().target().life());
-        if (!leaves(gone.load().target())) {
-            endListener.accept(gone);
+        if (!gone.load().availability().leaves()) {
+            listener.ended(gone);
         }
         gone.connections().close();
     }
@@ -142,31 +156,31 @@
     }
 
     /**
-     * Notes that a peer knows a target to be leaving. The target gets no requests from now on.
+     * Notes that a peer knows a target to be leaving, which this gateway may not know yet.
      *
      * @param life The target's life.
      * @param now The present time, in milliseconds.
      */
     void leavingByPeer(String life, long now) {
-        KnownTarget known = lives.get(life);
-        if (known != null && !known.load().target().leaving()) {
-            leavingByPeers.putIfAbsent(life, now);
-        }
+        leaves(life, NoticeSource.PEER, now);
     }
 
     /**
-     * Tells whether the own directory has not told for too long what a peer told of a target, so
-     * that it may have missed more. Each target counts once.
+     * Tells whether the own directory has not told for too long that a target leaves which is known
+     * to, so that it may have missed more. Each target counts once.
      *
      * @param now The present time, in milliseconds.
      * @return {@code true} if the directory has to be read again.
      */
     boolean missesNews(long now) {
         boolean misses = false;
-        for (Map.Entry<String, Long> each : leavingByPeers.entrySet()) {
-            boolean confirmed = lives.get(each.getKey()).load().target().leaving();
-            boolean late = now - each.getValue() >= CONFIRMED_MILLIS;
-            misses |= !confirmed && late && askedAgain.add(each.getKey());
+        for (KnownTarget each : targets.values()) {
+            Availability availability = each.load().availability();
+            DirectoryTarget target = each.load().target();
+            boolean untold = availability.leaves() && !target.leaving();
+            if (untold && now - availability.leavingSinceMillis() >= CONFIRMED_MILLIS) {
+                misses |= askedAgain.add(target.life());
+            }
         }
         return misses;
     }
@@ -177,11 +191,10 @@
      * @return Their lives.
      */
     List<String> leaving() {
-        List<String> found = new ArrayList<>(leavingByPeers.keySet());
+        List<String> found = new ArrayList<>();
         for (KnownTarget each : targets.values()) {
-            DirectoryTarget target = each.load().target();
-            if (target.leaving() && !leavingByPeers.containsKey(target.life())) {
-                found.add(target.life());
+            if (each.load().availability().leaves()) {
+                found.add(each.load().target().life());
             }
         }
         return found;
@@ -200,7 +213,7 @@
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
             if (target.service().equals(service)
-                    && !leaves(target)
+                    && !each.load().availability().leaves()
                     && !tried.contains(target.id())
                     && each.load().health().open(now)) {
                 open.add(each.load());
@@ -218,25 +231,14 @@
     List<TargetLoad> leaving(String service) {
         List<TargetLoad> found = new ArrayList<>();
         for (KnownTarget each : targets.values()) {
-            DirectoryTarget target = each.load().target();
-            if (leaves(target) && target.service().equals(service)) {
+            boolean leaves = each.load().availability().leaves();
+            if (leaves && each.load().target().service().equals(service)) {
                 found.add(each.load());
             }
         }
         return found;
     }
 
-    /**
-     * Tells whether a target is known to be leaving, by the directory or by peers.
-     *
-     * @param target The target.
-     * @return {@code true} if it is.
-     */
-    private boolean leaves(DirectoryTarget target) {
-        return target.leaving()
-                || (!leavingByPeers.isEmpty() && leavingByPeers.containsKey(target.life()));
-    }
-
     /**
      * Returns a target.
      *
@@ -296,7 +298,7 @@
                         told.address(),
                         CONNECT_MILLIS,
                         KeepAlive.NONE,
-                        head -> headListener.accept(load, head)));
+                        head -> listener.answered(load, head)));
     }
 
     /**
@@ -309,6 +311,6 @@
         return new HttpCaller(
                 reactor,
                 target.load().target().address(),
-                head -> headListener.accept(target.load(), head));
+                head -> listener.answered(target.load(), head));
     }
 }
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/EndedTargets.java
@@ -0,0 +1,21 @@
+package org.martenwell.gateway;
+
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.function.Consumer;
+import org.martenwell.balance.NoticeSource;
+import org.martenwell.balance.TargetLoad;
+
+/** Hands on in tests which targets ended, and nothing else. */
+record EndedTargets(Consumer<KnownTarget> ended) implements TargetTableListener {
+
+    @Override
+    public void ended(KnownTarget target) {
+        ended.accept(target);
+    }
+
+    @Override
+    public void leaves(String life, NoticeSource source) {}
+
+    @Override
+    public void answered(TargetLoad target, HttpResponse head) {}
+}
