Let a target rest for as long as it asks

Callers were refused though four of six engines had room: a request spent its two attempts on the two engines that turned everything away, up to 13 refusals a second of one class. The engines got up to 34 requests of one gateway in 3 s for which they had asked it to send nothing.

Cause: a refusal closed a target for 150 ms, whatever time it gave, and a good answer to a request that it had taken before opened it again. Class: as for leaving, what a target says of itself was not heard; and an answer was taken as a sign about a later moment than its request. Ruled out: a way past the list of open targets (no case of the test reaches a closed one).

If all targets of a service rest, callers are refused at once and told when the first rest ends; times to come back are spread over 2 s at most, as before for all times up to 2 s. Kept prompts are neither followed nor listed at an engine that rests.

--- a/src/main/java/org/martenwell/gateway/FollowedEngine.java
+++ b/src/main/java/org/martenwell/gateway/FollowedEngine.java
@@ -85,11 +85,16 @@
         caller.close();
     }
 
-    /** Asks for changes. */
+    /** Asks for changes, unless the engine wants nothing yet. */
     private void call() {
         if (closed) {
             return;
         }
+        long rest = target.load().availability().restMillis(core.now());
+        if (rest > 0) {
+            callLater(rest);
+            return;
+        }
         String host = target.load().target().address().getHostString();
         caller.call(
                         core.dialect().keptChangesRequest(host, since, WAIT_MILLIS),
--- a/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
+++ b/src/main/java/org/martenwell/gateway/KeptPartsLoader.java
@@ -74,11 +74,16 @@
     }
 
     /**
-     * Asks an engine.
+     * Asks an engine, once it does not rest.
      *
      * @param target The engine.
      */
     private void ask(KnownTarget target) {
+        long rest = target.load().availability().restMillis(core.now());
+        if (rest > 0) {
+            core.reactor().delayBackground(rest, () -> ask(target));
+            return;
+        }
         HttpCaller caller = core.targets().caller(target);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, target.load().target().address().getHostString());
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.PromptNeed;
@@ -57,6 +58,12 @@
     /** When a caller may come back whose request may have ended targets, in seconds. */
     private static final double RETRY_UNDECIDED_SECONDS = 1;
 
+    /** Over how long the times at which callers may come back are spread at most, in seconds. */
+    private static final double MAX_SPREAD_SECONDS = 2;
+
+    /** How many milliseconds a second has. */
+    private static final double SECOND_MILLIS = 1_000;
+
     /** The first status that says that the target failed. */
     private static final int FIRST_FAILURE_STATUS = 500;
 
@@ -254,7 +261,7 @@
             open = core.targets().open(service, Set.of(), now);
         }
         if (open.isEmpty()) {
-            giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
+            giveUp(ErrorKind.NO_TARGET, noTargetSeconds(now));
         } else if (engines.isEmpty()) {
             core.services().choose(open, now).ifPresent(this::sendPlain);
         } else {
@@ -262,6 +269,19 @@
         }
     }
 
+    /**
+     * Returns when a caller may come back who found no target open.
+     *
+     * @param now The present time, in milliseconds.
+     * @return The time until the first rest of a target ends, in seconds, if any rests.
+     */
+    private double noTargetSeconds(long now) {
+        OptionalLong rest = core.targets().firstRestMillis(service, now);
+        return rest.isPresent()
+                ? Math.max(RETRY_SOON_SECONDS, rest.getAsLong() / SECOND_MILLIS)
+                : RETRY_SOON_SECONDS;
+    }
+
     /**
      * Sends the request to an engine, lets it wait, or gives it up.
      *
@@ -603,8 +623,10 @@
         logFailure(kind);
         HttpHeaders headers = core.dialect().ownAnswer(facts);
         if (retrySeconds > 0 && kind.repeat() != Repeat.NEVER) {
-            double spread = retrySeconds * (1 + core.random());
-            headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", spread));
+            double spread = Math.min(retrySeconds, MAX_SPREAD_SECONDS) * core.random();
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER,
+                    String.format(Locale.ROOT, "%.2f", retrySeconds + spread));
         }
         exchange.respond(kind.status(), headers, new byte[0]);
         finish();
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.martenwell.balance.Availabilities;
 import org.martenwell.balance.Availability;
@@ -213,7 +214,7 @@
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
             if (target.service().equals(service)
-                    && !each.load().availability().leaves()
+                    && each.load().availability().open(now)
                     && !tried.contains(target.id())
                     && each.load().health().open(now)) {
                 open.add(each.load());
@@ -222,6 +223,24 @@
         return open;
     }
 
+    /**
+     * Returns when a target of a service takes requests again that rests now.
+     *
+     * @param service The service.
+     * @param now The present time, in milliseconds.
+     * @return The time until the first rest ends, in milliseconds; empty if no target rests that
+     *     does not leave.
+     */
+    OptionalLong firstRestMillis(String service, long now) {
+        return targets.values().stream()
+                .map(KnownTarget::load)
+                .filter(each -> each.target().service().equals(service))
+                .map(TargetLoad::availability)
+                .filter(each -> each.rests(now) && !each.leaves())
+                .mapToLong(each -> each.restMillis(now))
+                .min();
+    }
+
     /**
      * Returns the targets of a service that are leaving and still there.
      *
