Look again at a target once its connection is open, and hear answers for which nobody waits

Nothing of this was seen by callers. By reading: opening a connection takes up to 400 ms, in which the target may say by another answer that it leaves or rests; the request was then sent all the same. And an answer behind the one that was due told nothing of its target, since only its bytes counted, as stray ones.

Now an open connection is used only if the target is still open; else it is closed, the request is placed anew, and neither an attempt nor a retry is spent. A cancelled connection carries nothing, new or kept. Each head is told, also of late answers.

TargetConnectionsTest holds both for connections (the late head was seen missing before). That RequestDispatch places the request anew is by reading only: no test brings an answer between a decision and an open connection on loopback.

--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -207,6 +207,9 @@
             try {
                 if (listener == null) {
                     reusable = false;
+                    if (each instanceof HttpResponse late) {
+                        headListener.heard(late);
+                    }
                 } else {
                     take(each);
                 }
--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -70,8 +70,7 @@
             TargetRequestHead request, AnswerListener listener, Consumer<TargetConnection> opened) {
         for (TargetConnection each = idle.poll(); each != null; each = idle.poll()) {
             if (each.usable()) {
-                opened.accept(each);
-                each.send(request, listener);
+                sendOn(each, request, listener, opened);
                 return;
             }
             each.cancel();
@@ -79,6 +78,25 @@
         sendOnNew(request, listener, opened);
     }
 
+    /**
+     * Sends a request over an open connection.
+     *
+     * @param connection The connection.
+     * @param request The request.
+     * @param listener Is told of the answer.
+     * @param opened Is told of the connection before anything is sent; nothing is if it cancels it.
+     */
+    private static void sendOn(
+            TargetConnection connection,
+            TargetRequestHead request,
+            AnswerListener listener,
+            Consumer<TargetConnection> opened) {
+        opened.accept(connection);
+        if (connection.usable()) {
+            connection.send(request, listener);
+        }
+    }
+
     /**
      * Sends a request over a new connection.
      *
@@ -95,11 +113,7 @@
                                 listener.failed(AnswerFailure.of(Reach.of(failure)));
                                 return;
                             }
-                            TargetConnection connection = open(socket);
-                            opened.accept(connection);
-                            if (connection.usable()) {
-                                connection.send(request, listener);
-                            }
+                            sendOn(open(socket), request, listener, opened);
                         });
     }
 
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -517,6 +517,19 @@
         }
     }
 
+    /**
+     * Notes that a target wanted nothing more by the time at which the request could be sent.
+     *
+     * @param from The attempt.
+     */
+    void targetClosed(SendAttempt from) {
+        attempt = null;
+        engines.ifPresent(EngineRouting::notRead);
+        core.log().attemptFailed(requestId(), targetId(from), "closed");
+        attempts--;
+        trySend();
+    }
+
     /** Sends the request once more behind an attempt that broke off, if it may be sent. */
     private void repeat() {
         if (over) {
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -199,6 +199,11 @@
         connection = opened;
         if (over) {
             opened.cancel();
+        } else if (!target.load().availability().open(dispatch.now())) {
+            // Opening a connection takes up to 400 ms, in which the target may have said that it
+            // leaves or rests.
+            cancel();
+            dispatch.targetClosed(this);
         }
     }
 }
--- a/src/test/java/org/martenwell/exchange/RawTarget.java
+++ b/src/test/java/org/martenwell/exchange/RawTarget.java
@@ -32,6 +32,9 @@
     /** How many connections were opened. */
     private final AtomicInteger connections = new AtomicInteger();
 
+    /** How many heads of requests came. */
+    private final AtomicInteger heads = new AtomicInteger();
+
     /** The answers in order; the last one is given again. */
     private final String[] answers;
 
@@ -59,6 +62,10 @@
         return connections.get();
     }
 
+    int heads() {
+        return heads.get();
+    }
+
     private void serve() {
         int next = 0;
         while (!server.isClosed()) {
@@ -66,6 +73,7 @@
                 served = socket;
                 connections.incrementAndGet();
                 while (readHead(socket.getInputStream())) {
+                    heads.incrementAndGet();
                     String answer = answers[Math.min(next++, answers.length - 1)];
                     socket.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
                     socket.getOutputStream().flush();
--- a/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
@@ -1,15 +1,17 @@
 package org.martenwell.exchange;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.martenwell.service.Conditions.await;
 
 import io.activej.promise.Promise;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +31,9 @@
 
     private final LoopThread thread = LoopThread.start("test-targets");
 
+    /** The ids in the heads of all answers. */
+    private final List<String> heads = new CopyOnWriteArrayList<>();
+
     /** What was told of answers. */
     private final BlockingQueue<String> told = new LinkedBlockingQueue<>();
 
@@ -115,9 +120,61 @@
         assertThat(send(connections(address), "1")).isEqualTo("failed REFUSED");
     }
 
+    /** A target may have said meanwhile that it wants nothing, on another connection. */
+    @Test
+    void testNothingIsSentOverAConnectionThatIsCancelledWhenItIsOpen() throws Exception {
+        try (RawTarget target = new RawTarget(RawTarget.Ending.KEEP, FIRST)) {
+            TargetConnections connections = connections(target.address());
+            cancelWhenOpen(connections);
+            await(() -> target.connections() == 1);
+            assertThat(send(connections, "1")).isEqualTo("ended ab");
+            cancelWhenOpen(connections);
+            assertThat(send(connections, "1")).isEqualTo("ended ab");
+            assertThat(target.heads()).isEqualTo(2);
+        }
+    }
+
+    /** What an answer says of its target holds also if nobody waits for the answer itself. */
+    @Test
+    void testHeadsOfAllAnswersAreTold() throws Exception {
+        try (RawTarget target = new RawTarget(RawTarget.Ending.KEEP, FIRST + SECOND, SECOND)) {
+            assertThat(send(connections(target.address()), "2")).isEqualTo("ended cd");
+            assertThat(heads).containsExactly("1", "2");
+        }
+        try (RawTarget target = new RawTarget(RawTarget.Ending.KEEP, SECOND + FIRST)) {
+            assertThat(send(connections(target.address()), "2")).isEqualTo("ended cd");
+            await(() -> heads.size() == 4);
+            assertThat(heads).endsWith("2", "1");
+        }
+    }
+
     private TargetConnections connections(InetSocketAddress address) {
         return new TargetConnections(
-                thread.loop(), address, 5_000, KeepAlive.NONE, AnswerHeadListener.NONE);
+                thread.loop(),
+                address,
+                5_000,
+                KeepAlive.NONE,
+                head -> heads.add(head.headers().get(ID)));
+    }
+
+    /** Sends a request and cancels its connection as soon as it is open. */
+    private void cancelWhenOpen(TargetConnections connections) {
+        thread.call(
+                () -> {
+                    connections.send(
+                            request(""),
+                            new Recorder(connections, new TargetConnection[1], "none"),
+                            TargetConnection::cancel);
+                    return Promise.complete();
+                });
+    }
+
+    private static TargetRequestHead request(String body) {
+        return new TargetRequestHead(
+                HttpMethod.GET,
+                "/",
+                DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                Body.of(body.getBytes(StandardCharsets.UTF_8)));
     }
 
     private String send(TargetConnections connections, String id) throws InterruptedException {
@@ -129,14 +186,9 @@
             throws InterruptedException {
         thread.call(
                 () -> {
-                    HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
                     TargetConnection[] used = new TargetConnection[1];
                     connections.send(
-                            new TargetRequestHead(
-                                    HttpMethod.GET,
-                                    "/",
-                                    headers,
-                                    Body.of(body.getBytes(StandardCharsets.UTF_8))),
+                            request(body),
                             new Recorder(connections, used, id),
                             connection -> used[0] = connection);
                     return Promise.complete();
