--- a/src/test/java/org/martenwell/ArchitectureTest.java
+++ b/src/test/java/org/martenwell/ArchitectureTest.java
@@ -1,5 +1,8 @@
 package org.martenwell;
 
+import static com.tngtech.archunit.core.domain.JavaCall.Predicates.target;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.type;
+import static com.tngtech.archunit.core.domain.properties.HasOwner.Predicates.With.owner;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
 
@@ -7,6 +10,8 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
+import org.martenwell.exchange.HttpCaller;
+import org.martenwell.exchange.TargetConnections;
 
 @AnalyzeClasses(packages = "org.martenwell", importOptions = ImportOption.DoNotIncludeTests.class)
 class ArchitectureTest {
@@ -84,6 +89,18 @@
                             "org.martenwell.policy..",
                             "org.martenwell.peer..");
 
+    @ArchTest
+    static final ArchRule EXCHANGES_WITH_TARGETS_BEGIN_AT_THEIR_TABLE =
+            noClasses()
+                    .that()
+                    .resideInAPackage("org.martenwell.gateway..")
+                    .and()
+                    .doNotHaveSimpleName("TargetTable")
+                    .should()
+                    .callConstructorWhere(target(owner(type(TargetConnections.class))))
+                    .orShould()
+                    .callConstructorWhere(target(owner(type(HttpCaller.class))));
+
     @ArchTest
     static final ArchRule PACKAGES_FORM_NO_CYCLE =
             slices().matching("org.martenwell.(*)..").should().beFreeOfCycles();
--- /dev/null
+++ b/src/test/java/org/martenwell/balance/AvailabilityTest.java
@@ -0,0 +1,92 @@
+package org.martenwell.balance;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class AvailabilityTest {
+
+    /** The longest rest that the class grants, in milliseconds. */
+    private static final long LONGEST_MILLIS = 300_000;
+
+    private static final List<NoticeSource> SOURCES = List.of(NoticeSource.values());
+
+    private final Availability availability = new Availability();
+
+    @Test
+    void testTargetThatHasSaidNothingIsOpen() {
+        assertThat(availability.open(0)).isTrue();
+        assertThat(availability.restMillis(0)).isZero();
+    }
+
+    @Test
+    void testRestEndsWhenItsTimeIsOver() {
+        assertThat(availability.rest(3_000, 10)).isTrue();
+        assertThat(availability.rests(3_009)).isTrue();
+        assertThat(availability.rests(3_010)).isFalse();
+    }
+
+    @Test
+    void testRestOfMoreThanTheLongestIsCut() {
+        availability.rest(Long.MAX_VALUE, 10);
+        assertThat(availability.restMillis(10)).isEqualTo(LONGEST_MILLIS);
+    }
+
+    @Test
+    void testFirstSourceOfALeavingIsTheNews() {
+        assertThat(availability.leave(NoticeSource.PEER, 5)).isTrue();
+        assertThat(availability.leave(NoticeSource.ANSWER, 9)).isFalse();
+        assertThat(availability.leavingSinceMillis()).isEqualTo(5);
+    }
+
+    /**
+     * Lets a target ask for rests and say that it leaves, in any order and at any time; it is open
+     * exactly if it has never said that it leaves and each rest that it asked for is over.
+     */
+    @Property(tries = 500, seed = "45")
+    void testOpenExactlyIfNoWordSpeaksAgainstIt(
+            @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 999) Integer> steps) {
+        Availability tried = new Availability();
+        long now = 0;
+        long latestEnd = 0;
+        boolean left = false;
+        for (int step : steps) {
+            now += step % 7 * 100L;
+            if (step % 10 == 0) {
+                left = true;
+                tried.leave(SOURCES.get(step % SOURCES.size()), now);
+            } else if (step % 3 == 0) {
+                long millis = step * 3L;
+                latestEnd = Math.max(latestEnd, now + millis);
+                tried.rest(millis, now);
+            }
+            assertThat(tried.open(now)).isEqualTo(!left && now >= latestEnd);
+            assertThat(tried.restMillis(now)).isEqualTo(Math.max(0, latestEnd - now));
+        }
+    }
+
+    @Test
+    void testLifeIsRememberedWithoutBeingAskedForAmongFewOthers() {
+        Availabilities all = new Availabilities();
+        all.of("one").leave(NoticeSource.ANSWER, 0);
+        for (int other = 0; other < 2_000; other++) {
+            all.of("other-" + other);
+        }
+        assertThat(all.of("one").leaves()).isTrue();
+    }
+
+    @Test
+    void testMemoryOfLivesIsBounded() {
+        Availabilities all = new Availabilities();
+        all.of("one").leave(NoticeSource.ANSWER, 0);
+        for (int other = 0; other < 3_000; other++) {
+            all.of("other-" + other);
+        }
+        assertThat(all.of("one").leaves()).isFalse();
+    }
+}
