--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -1,12 +1,9 @@
 package org.martenwell.gateway;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -15,7 +12,6 @@
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.error.ErrorKind;
-import org.martenwell.error.Repeat;
 import org.martenwell.exchange.AnswerFailure;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.TargetRequestHead;
@@ -34,9 +30,6 @@
  */
 final class RequestDispatch {
 
-    /** How often a target may be unreachable before the request is given up. */
-    private static final int MAX_UNREACHABLE = 3;
-
     /** How long a target that says it is full gets no requests, in milliseconds. */
     private static final long FULL_MILLIS = 150;
 
@@ -58,9 +51,6 @@
     /** When a caller may come back whose request may have ended targets, in seconds. */
     private static final double RETRY_UNDECIDED_SECONDS = 1;
 
-    /** Over how long the times at which callers may come back are spread at most, in seconds. */
-    private static final double MAX_SPREAD_SECONDS = 2;
-
     /** How many milliseconds a second has. */
     private static final double SECOND_MILLIS = 1_000;
 
@@ -112,17 +102,8 @@
     /** Ends the request at its deadline. */
     private ScheduledRunnable timer;
 
-    /** The ids of the targets that were tried. */
-    private final Set<String> tried = new HashSet<>();
-
-    /** To how many targets the request was sent. */
-    private int attempts;
-
-    /** How many targets were not reachable. */
-    private int unreachable;
-
-    /** Whether a target may have run the request. */
-    private boolean mayHaveRun;
+    /** To which targets the request was sent. */
+    private final SendHistory history = new SendHistory();
 
     /** The present attempt or {@code null}. */
     private SendAttempt attempt;
@@ -130,6 +111,9 @@
     /** Hands answers on to the caller. */
     private final AnswerRelay relay;
 
+    /** Gives the caller the gateway's own answers. */
+    private final OwnAnswers ownAnswers;
+
     /** Whether the request is over. */
     private boolean over;
 
@@ -145,6 +129,7 @@
         this.facts = core.dialect().read(exchange.request().headers());
         this.arrivedMillis = exchange.request().arrivedMillis();
         this.relay = new AnswerRelay(core, exchange);
+        this.ownAnswers = new OwnAnswers(core, exchange, facts);
     }
 
     /** Begins to serve the request. */
@@ -256,8 +241,8 @@
             return;
         }
         long now = core.now();
-        List<TargetLoad> open = core.targets().open(service, tried, now);
-        if (open.isEmpty() && !tried.isEmpty() && route.repeatable()) {
+        List<TargetLoad> open = core.targets().open(service, history.tried(), now);
+        if (open.isEmpty() && !history.tried().isEmpty() && route.repeatable()) {
             open = core.targets().open(service, Set.of(), now);
         }
         if (open.isEmpty()) {
@@ -289,7 +274,7 @@
      * @param open The engines.
      */
     private void sendToEngine(EngineRouting routing, List<TargetLoad> open) {
-        EngineRouting.Decision decision = routing.decide(open, attempts, route);
+        EngineRouting.Decision decision = routing.decide(open, history.attempts(), route);
         core.queue().remove(this);
         if (decision.choice().isPresent()) {
             sendChosen(routing, decision.choice().get(), decision.use());
@@ -310,7 +295,7 @@
      * @param use How much of its fair shares the organisation has used.
      */
     private void sendChosen(EngineRouting routing, EngineChoice choice, ShareUse use) {
-        core.log().sent(requestId(), choice, attempts + 1, routing.organisation(), use);
+        core.log().sent(requestId(), choice, history.attempts() + 1, routing.organisation(), use);
         RunningRequest running = routing.running(choice);
         routing.sent(choice);
         send(choice.load(), running, choice.copyFrom());
@@ -322,7 +307,7 @@
      * @param load The target.
      */
     private void sendPlain(TargetLoad load) {
-        core.log().sent(requestId(), load.target().id(), attempts + 1);
+        core.log().sent(requestId(), load.target().id(), history.attempts() + 1);
         send(load, new RunningRequest(0, 0, core.now(), 0), Optional.empty());
     }
 
@@ -340,9 +325,8 @@
             giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
             return;
         }
-        attempts++;
-        tried.add(id);
-        if (attempts == 1) {
+        history.begin(id);
+        if (history.attempts() == 1) {
             core.countFresh();
         }
         attempt = new SendAttempt(this, target.get(), running);
@@ -365,7 +349,7 @@
         silentAttempt.target().load().health().failed(core.now());
         if (route.repeatable() && mayRetry()) {
             core.log().attemptFailed(requestId(), targetId(silentAttempt), SILENT);
-            mayHaveRun = true;
+            history.ran();
             cancelAttempt();
             trySend();
         }
@@ -446,17 +430,17 @@
             from.target().load().health().succeeded(core.now());
         }
         if (failure && route.repeatable() && mayRetry()) {
-            mayHaveRun = true;
+            history.ran();
             trySend();
         } else if (PROMISES.contains(status)) {
-            mayHaveRun = true;
+            history.ran();
             giveUp(ErrorKind.TARGET_FAILED, 0);
         } else {
             if (relay.framed() && !failure) {
                 core.harmful().served(identity);
             }
             relay.end();
-            core.log().ended(requestId(), status, attempts, held());
+            core.log().ended(requestId(), status, history.attempts(), held());
             finish();
         }
     }
@@ -507,7 +491,7 @@
                         failure.name(),
                         identity.fingerprint());
         from.target().load().health().failed(core.now());
-        mayHaveRun = true;
+        history.ran();
         boolean resumable = !exchange.begun() || route.resumable();
         if (route.repeatable() && resumable) {
             core.harmful().broken(from.target(), identity, this::repeat);
@@ -526,7 +510,7 @@
         attempt = null;
         engines.ifPresent(EngineRouting::notRead);
         core.log().attemptFailed(requestId(), targetId(from), "closed");
-        attempts--;
+        history.notSent();
         trySend();
     }
 
@@ -556,9 +540,8 @@
 
     /** Tries another target behind one that was not reachable, since nothing was sent. */
     private void retryUnreachable() {
-        attempts--;
-        unreachable++;
-        if (unreachable <= MAX_UNREACHABLE && leftMillis() > 0) {
+        history.notReached();
+        if (history.mayTryFurther() && leftMillis() > 0) {
             trySend();
         } else {
             giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
@@ -571,7 +554,7 @@
      * @return {@code true} if the request may be sent again.
      */
     private boolean mayRetry() {
-        return attempts < route.maxAttempts() && leftMillis() > 0 && core.takeRetry();
+        return history.attempts() < route.maxAttempts() && leftMillis() > 0 && core.takeRetry();
     }
 
     /** Ends the request at its deadline. */
@@ -580,7 +563,7 @@
             return;
         }
         cancelAttempt();
-        boolean never = attempts == 0;
+        boolean never = history.attempts() == 0;
         giveUp(never ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, 0);
     }
 
@@ -613,7 +596,7 @@
         if (exchange.begun()) {
             logFailure(ErrorKind.STREAM_BROKEN);
             abort();
-        } else if (mayHaveRun && PROMISES.contains(kind.status())) {
+        } else if (history.mayHaveRun() && PROMISES.contains(kind.status())) {
             answer(ErrorKind.TARGET_FAILED, 0);
         } else {
             answer(kind, retrySeconds);
@@ -634,14 +617,7 @@
      */
     private void answer(ErrorKind kind, double retrySeconds) {
         logFailure(kind);
-        HttpHeaders headers = core.dialect().ownAnswer(facts);
-        if (retrySeconds > 0 && kind.repeat() != Repeat.NEVER) {
-            double spread = Math.min(retrySeconds, MAX_SPREAD_SECONDS) * core.random();
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.2f", retrySeconds + spread));
-        }
-        exchange.respond(kind.status(), headers, new byte[0]);
+        ownAnswers.give(kind, retrySeconds);
         finish();
     }
 
@@ -652,7 +628,13 @@
      */
     private void logFailure(ErrorKind kind) {
         core.log()
-                .failed(requestId(), kind, routeName(), organisation.orElse(""), attempts, held());
+                .failed(
+                        requestId(),
+                        kind,
+                        routeName(),
+                        organisation.orElse(""),
+                        history.attempts(),
+                        held());
     }
 
     /** Frees what the request holds. */
