--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -325,8 +325,7 @@
             giveUp(ErrorKind.NO_TARGET, RETRY_SOON_SECONDS);
             return;
         }
-        history.begin(id);
-        if (history.attempts() == 1) {
+        if (history.begin(id)) {
             core.countFresh();
         }
         attempt = new SendAttempt(this, target.get(), running);
--- a/src/main/java/org/martenwell/gateway/SendHistory.java
+++ b/src/main/java/org/martenwell/gateway/SendHistory.java
@@ -28,10 +28,13 @@
      * Notes that the request is sent to a target.
      *
      * @param target The target's id.
+     * @return {@code true} if it was never sent before.
      */
-    void begin(String target) {
+    boolean begin(String target) {
+        boolean first = attempts == 0;
         attempts++;
         tried.add(target);
+        return first;
     }
 
     /** Takes back that the request was sent, since nothing of it was. */
