Count a request as new once, however many targets it can't reach

Cause: whether a request is new was told by its count of attempts, which falls to zero again behind a target that was not reached. Up to four such counts a request raised the retries that the fleet may make (a fifth of a retry each), just when targets crash.

Change: a request is new as long as no target was tried.

--- a/src/main/java/org/martenwell/gateway/SendHistory.java
+++ b/src/main/java/org/martenwell/gateway/SendHistory.java
@@ -31,7 +31,9 @@
      * @return {@code true} if it was never sent before.
      */
     boolean begin(String target) {
-        boolean first = attempts == 0;
+        // The count of attempts falls to zero again behind a target that was not reached; taken for
+        // a new request each time, one earned up to four times the retries that it may.
+        boolean first = tried.isEmpty();
         attempts++;
         tried.add(target);
         return first;
--- a/src/test/java/org/martenwell/gateway/SendHistoryTest.java
+++ b/src/test/java/org/martenwell/gateway/SendHistoryTest.java
@@ -8,7 +8,8 @@
  * Behind a crash of many targets a request may meet up to four that refuse its connection before it
  * is sent. By reading: each of them earned the gateway a fifth of a retry, since the request was
  * counted as a new one each time it was sent for the first time again. The fleet then made more
- * retries than the requests of its callers allow, just when targets were few.
+ * retries than the requests of its callers allow, just when targets were few. A request is new only
+ * as long as no target was tried.
  */
 class SendHistoryTest {
 
