--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -136,8 +136,8 @@
 
     /**
      * Chooses a reserved engine that has nothing to do. One gateway reckons from its own prompts
-     * how many engines to reserve; with long ones it reserves all, and refused an organisation below
-     * its share of what is produced while engines were idle.
+     * how many engines to reserve; with long ones it reserves all, and refused an organisation
+     * below its share of what is produced while engines were idle.
      *
      * @param open The engines that take requests.
      * @param now The present time, in milliseconds.
