--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -62,6 +62,20 @@
         assertThat(table.leaving()).isEmpty();
     }
 
+    /**
+     * By reading: what is remembered by life is bounded. A target that outlived 2,048 others was
+     * forgotten there, so that its leaving was noted where nothing looked any more.
+     */
+    @Test
+    void testTargetThatOutlivesAllThatIsRememberedStillLeaves() {
+        for (int other = 0; other < 3_000; other++) {
+            table.leavingByPeer("other-" + other + "@1", 0);
+        }
+        table.update(Map.of("one", target("one", false), "two", target("two", true)));
+        assertThat(table.open("service", List.of(), 0)).isEmpty();
+        assertThat(table.leaving()).containsExactlyInAnyOrder("one@1", "two@1");
+    }
+
     private static DirectoryTarget target(String id, boolean leaving) {
         return new DirectoryTarget(
                 id, OptionalLong.of(1), "service", IpAddress.of("127.0.0.1:1"), "zone", 1, leaving);
