Note that a target leaves at the target itself, however many lives are remembered

A target that outlived 2,048 others would have got requests to its end, though its entry, peers and answers say that it leaves; only its own answers still closed it.

Cause: peers' and the directory's words went by life to a bounded memory, which had forgotten the life and made a new, empty object for it; the target's load held the former one. Class: two owners of one fact. Change: the word goes to the target if it is known, else to the memory. TargetTableTest 1 of 5 failing before, 0 now.

--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -99,9 +99,9 @@
         }
         at(told.address()).ifPresent(listener::ended);
         KnownTarget created = create(told);
-        noteLeaving(created.load());
         targets.put(told.id(), created);
         lives.put(told.life(), created);
+        noteLeaving(created.load());
     }
 
     /**
@@ -124,11 +124,23 @@
      * @param now The present time, in milliseconds.
      */
     private void leaves(String life, NoticeSource source, long now) {
-        if (availabilities.of(life).leave(source, now)) {
+        if (availability(life).leave(source, now)) {
             listener.leaves(life, source);
         }
     }
 
+    /**
+     * Returns what a target has said of itself. One that lives is asked itself: the memory of lives
+     * is bounded and may have forgotten it among 2,048 others.
+     *
+     * @param life The target's life.
+     * @return What it has said.
+     */
+    private Availability availability(String life) {
+        KnownTarget known = lives.get(life);
+        return known == null ? availabilities.of(life) : known.load().availability();
+    }
+
     /**
      * Forgets a target that is gone or has started again.
      *
--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -64,7 +64,8 @@
 
     /**
      * By reading: what is remembered by life is bounded. A target that outlived 2,048 others was
-     * forgotten there, so that its leaving was noted where nothing looked any more.
+     * forgotten there, so that its leaving was noted where nothing looked any more. What a target
+     * says that lives is noted at itself now.
      */
     @Test
     void testTargetThatOutlivesAllThatIsRememberedStillLeaves() {
