Log what became of each organisation's tokens, and report the least shares

Callers saw: an organisation got less than half of what another one got.

Cause that it was not seen: no log line sums up what organisations ask and get, and a gateway that is overloaded refused requests before it knew whose they were.

Change: gateways count the tokens of each organisation's requests by what became of them (served, refused beyond the share, refused since the gateway is overloaded, waited, deadline, failed) and log the counts once a second (event organisations). The command fairness sums them over the logs of all gateways and tells for each organisation the least share of what it was owed over 6 s, where the rest went, and at which gateways. A refusal for overload is now decided behind the look-up of route and key, so that it is counted for its organisation; a request with an unknown path or key gets its 404 or 401 from an overloaded gateway too.

Ruled out: widening the state line, whose shares are those of three organisations and sum charges, not results.

--- a/src/main/java/org/martenwell/balance/EngineDemand.java
+++ b/src/main/java/org/martenwell/balance/EngineDemand.java
@@ -26,6 +26,17 @@
 
     /** {@return the cost of the request, in tokens} */
     public double cost() {
+        return cost(promptTokens, responseTokens);
+    }
+
+    /**
+     * Returns the cost of a request.
+     *
+     * @param promptTokens The size of the whole prompt, in tokens.
+     * @param responseTokens The expected size of the response, in tokens.
+     * @return The cost, in tokens.
+     */
+    public static double cost(long promptTokens, long responseTokens) {
         return promptTokens + (double) RESPONSE_WEIGHT * responseTokens;
     }
 
--- a/src/main/java/org/martenwell/command/CommandTable.java
+++ b/src/main/java/org/martenwell/command/CommandTable.java
@@ -13,8 +13,17 @@
     /** The names of the commands, in the order of the help. */
     private static final List<String> NAMES =
             List.of(
-                    "router", "gateway", "check", "apply", "show", "status", "drain", "demo",
-                    "standin", "load");
+                    "router",
+                    "gateway",
+                    "check",
+                    "apply",
+                    "show",
+                    "status",
+                    "drain",
+                    "demo",
+                    "standin",
+                    "load",
+                    "fairness");
 
     private CommandTable() {}
 
@@ -48,6 +57,7 @@
             case "demo" -> DemoCommand.INSTANCE;
             case "standin" -> StandinCommand.INSTANCE;
             case "load" -> LoadCommand.INSTANCE;
+            case "fairness" -> FairnessCommand.INSTANCE;
             default -> throw new IllegalArgumentException(name);
         };
     }
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -21,6 +21,7 @@
 import org.martenwell.route.RouteTable;
 import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.settings.GatewaySettings;
+import org.martenwell.share.DispositionCounts;
 import org.martenwell.share.FairShares;
 
 /** The state that all requests of a gateway share. */
@@ -42,6 +43,9 @@
 
     private final FairShares shares;
 
+    /** Counts what became of the requests of each organisation, for the log. */
+    private final DispositionCounts dispositions = new DispositionCounts();
+
     /** The length of the fair-share window, in milliseconds. */
     private final long shareWindowMillis;
 
@@ -187,6 +191,11 @@
         return shares;
     }
 
+    /** {@return the counts of what became of the requests of each organisation} */
+    DispositionCounts dispositions() {
+        return dispositions;
+    }
+
     /**
      * {@return the fleet's capacity per fair-share window, in tokens; infinite if the configuration
      * sets none}
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -106,7 +106,7 @@
         this.callers =
                 new CallerServer(
                         reactor, IpAddress.of(settings.callerAddress()), this::serveCaller);
-        this.stateLog = new StateLog(reactor, core, callers::connections);
+        this.stateLog = new StateLog(reactor, core, settings.name(), callers::connections);
         this.readiness =
                 new CallerServer(
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -22,6 +22,7 @@
 import org.martenwell.route.OrganisationConfiguration;
 import org.martenwell.route.Route;
 import org.martenwell.route.ServiceConfiguration;
+import org.martenwell.share.Disposition;
 import org.martenwell.share.ShareUse;
 
 /**
@@ -104,6 +105,9 @@
 
     private final LocalResponder localResponder;
 
+    /** Set once the disposition of the request is counted. */
+    private boolean dispositionCounted;
+
     private boolean over;
 
     /**
@@ -129,10 +133,6 @@
             respond(ErrorKind.DRAINING, RETRY_ELSEWHERE_SECONDS);
             return;
         }
-        if (core.heap().nearlyFull() || core.loopLag().shouldRefuse()) {
-            respond(ErrorKind.ROUTER_FULL, RETRY_ELSEWHERE_SECONDS);
-            return;
-        }
         if (configuration.isEmpty()) {
             respond(ErrorKind.NOT_READY, RETRY_CAPACITY_SECONDS);
             return;
@@ -153,9 +153,40 @@
                 return;
             }
         }
+        countRequested();
+        if (core.heap().nearlyFull() || core.loopLag().shouldRefuse()) {
+            respond(ErrorKind.ROUTER_FULL, RETRY_ELSEWHERE_SECONDS);
+            return;
+        }
         accept(configuration.get());
     }
 
+    /** Counts the arrival of a request for the log. */
+    private void countRequested() {
+        if (costTokens() > 0) {
+            core.dispositions().requested(organisation.orElse(""), costTokens());
+        }
+    }
+
+    /**
+     * Counts what became of the request, once.
+     *
+     * @param disposition The disposition.
+     */
+    private void countDisposition(Disposition disposition) {
+        if (!dispositionCounted && costTokens() > 0) {
+            core.dispositions().ended(organisation.orElse(""), costTokens(), disposition);
+        }
+        dispositionCounted = true;
+    }
+
+    /** Returns the cost of the request in tokens, 0 if the caller stated no prompt. */
+    private double costTokens() {
+        return metadata.generation()
+                .map(each -> EngineDemand.cost(each.promptTokens(), each.responseTokens()))
+                .orElse(0.0);
+    }
+
     /** Accepts a request whose route and organisation are known, and tries to send it. */
     private void accept(GatewayConfiguration configuration) {
         long timeout =
@@ -376,6 +407,7 @@
         core.log().firstChunk(elapsedMillis());
         if (relay.streaming()) {
             engines.ifPresent(routing -> routing.recordResponseStart(from.running()));
+            countDisposition(Disposition.SERVED);
         }
     }
 
@@ -598,6 +630,7 @@
     }
 
     private void logFailure(ErrorKind kind) {
+        countDisposition(Disposition.of(kind));
         core.log()
                 .failed(
                         requestId(),
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import java.util.Map;
 import java.util.function.IntSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -10,8 +11,8 @@
 import org.martenwell.service.ManagedService;
 
 /**
- * Logs one line per second on the state of the gateway: processor, descriptors, heap, requests, and
- * the fair shares of the organisations with the highest demand.
+ * Logs the state of the gateway once per second: processor, descriptors, heap, requests, the fair
+ * shares of the organisations with the highest demand, and what became of the requests of all.
  */
 final class StateLog implements ManagedService {
 
@@ -33,6 +34,9 @@
 
     private final GatewayCore core;
 
+    /** The name of this gateway. */
+    private final String gateway;
+
     /** Returns the number of caller connections. */
     private final IntSupplier connections;
 
@@ -49,11 +53,13 @@
      *
      * @param reactor The event loop.
      * @param core The gateway's state.
+     * @param gateway The name of this gateway.
      * @param connections Returns the number of caller connections.
      */
-    StateLog(NioReactor reactor, GatewayCore core, IntSupplier connections) {
+    StateLog(NioReactor reactor, GatewayCore core, String gateway, IntSupplier connections) {
         this.reactor = reactor;
         this.core = core;
+        this.gateway = gateway;
         this.connections = connections;
     }
 
@@ -92,6 +98,14 @@
                         .with("descriptorLimit", used.descriptorLimit())
                         .with("shares", core.shares().summary(TOP_ORGANISATIONS))
                         .message());
+        Map<String, Map<String, Long>> tokens = core.dispositions().take();
+        if (!tokens.isEmpty()) {
+            LOGGER.info(
+                    LogEvent.of("organisations")
+                            .with("gateway", gateway)
+                            .with("tokens", tokens)
+                            .message());
+        }
         writtenMillis = now;
         reactor.delayBackground(INTERVAL_MILLIS, this::write);
     }
--- a/src/test/java/org/martenwell/command/MartenwellTest.java
+++ b/src/test/java/org/martenwell/command/MartenwellTest.java
@@ -3,9 +3,14 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,8 +23,17 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
-                "router", "gateway", "check", "apply", "show", "status", "drain", "demo", "standin",
-                "load"
+                "router",
+                "gateway",
+                "check",
+                "apply",
+                "show",
+                "status",
+                "drain",
+                "demo",
+                "standin",
+                "load",
+                "fairness"
             })
     void testEveryCommandHasHelp(String command) {
         assertThat(run(command, "--help")).isZero();
@@ -66,6 +80,24 @@
         assertThat(text(errors)).contains("package.json").contains("pom.xml");
     }
 
+    @Test
+    void testFairnessReadsLogsOfSeveralGateways(@TempDir Path folder) throws IOException {
+        Path one = folder.resolve("one.log");
+        Path two = folder.resolve("two.log");
+        for (int second = 0; second < 7; second++) {
+            append(one, second, "\"low\":{\"requested\":9,\"served\":1,\"refused\":8}");
+            append(two, second, "\"high\":{\"requested\":4,\"served\":4}");
+        }
+        assertThat(run("fairness", one.toString(), two.toString())).isZero();
+        assertThat(text(out)).startsWith("0.25 low from second 0").contains("best served high 24");
+    }
+
+    @Test
+    void testFairnessOfMissingLogIsAnInputError() {
+        assertThat(run("fairness", "none.log")).isEqualTo(74);
+        assertThat(run("fairness")).isEqualTo(64);
+    }
+
     @Test
     void testUnreachableRouterIsAnInputError() {
         assertThat(run("status", "--operator", "127.0.0.1:1")).isEqualTo(74);
@@ -77,6 +109,16 @@
         assertThat(Martenwell.logTarget(command)).hasToString(target);
     }
 
+    private static void append(Path log, int second, String tokens) throws IOException {
+        String line =
+                "{\"time\":\"1970-01-01T00:00:0"
+                        + second
+                        + ".900Z\",\"data\":{\"event\":\"organisations\",\"gateway\":\"g\",\"tokens\":{"
+                        + tokens
+                        + "}}}\n";
+        Files.writeString(log, line, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    }
+
     private int run(String... arguments) {
         return new Martenwell(stream(out), stream(errors)).run(arguments);
     }
