Show that requests which no engine began stay charged to their organisation

Callers saw: the organisation that got a tenth of what it asked for was held to its share although it was far below it.

Cause that is shown: a request is charged when it is sent. If its caller leaves or its deadline passes before the engine begins to respond, the charge stays.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -23,6 +23,7 @@
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.share.DispositionCounts;
 import org.martenwell.share.FairShares;
+import org.martenwell.share.ShareSums;
 
 /** The state that all requests of a gateway share. */
 final class GatewayCore {
@@ -127,6 +128,7 @@
                         new TargetEventHandler(reactor, dialect, harmful, log, Clock.systemUTC()));
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
+        log.metrics().registerGauge("tokens_charged", this::chargedTokens);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain());
@@ -191,6 +193,13 @@
         return shares;
     }
 
+    /** {@return the tokens charged at this gateway to all organisations in the last window} */
+    private long chargedTokens() {
+        double charged =
+                shares.own(now()).sums().values().stream().mapToDouble(ShareSums::sent).sum();
+        return Math.round(charged);
+    }
+
     /** {@return the counts of what became of the requests of each organisation} */
     DispositionCounts dispositions() {
         return dispositions;
