Refund the share of requests that no engine began when they are cancelled

Callers saw: an organisation whose callers come to a box that is out of processor was refused as beyond its share although it had got a fraction of it.

Cause: RequestDispatch cancelled an attempt (the caller left, the deadline passed, the target was silent, the request was quarantined) without reverting the charge. Only refusals and failures of the target did.

Why it works: all these ends go through cancelAttempt, which reverts the charge and the assumed cache entries; once the response has begun, rollBackSent has no effect, so a request that was begun stays charged.

Looked for elsewhere: the router of the OpenAI-compatible interface charges its shares when a slot is granted and is not touched here.

--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -583,9 +583,13 @@
         finish();
     }
 
-    /** Cancels the attempt in progress, if there is one, so that the target stops its work. */
+    /**
+     * Cancels the attempt in progress, if there is one, so that the target stops its work. The
+     * organisation is not charged if the target has not begun to respond.
+     */
     private void cancelAttempt() {
         if (attempt != null) {
+            engines.ifPresent(EngineRouting::rollBackSent);
             core.harmful().attemptCancelled(attempt.target(), identity);
             attempt.cancel();
             attempt = null;
