Keep descriptors for targets by closing the longest idle callers

Callers saw: an organisation whose callers come to one box got a tenth of what it asked for; requests were read seconds late or not at all.

Class: a shared resource without a reserve.

At the limit a new connection replaces the one that has been idle for longest, which its caller is least likely to use again; a connection with a request is never closed, and if none is idle the new one is closed before anything is read.

CallerServerTest has the two cases at the limit.

What the read of the limit costs a start is not measured.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -107,6 +107,7 @@
 
     /** Starts reading. */
     void start() {
+        server.resting(this);
         read();
     }
 
@@ -242,6 +243,7 @@
         if (idle()) {
             receiving = true;
             stateSinceMillis = reactor.currentTimeMillis();
+            server.active(this);
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
@@ -285,6 +287,7 @@
         if (part instanceof HttpRequest requestHead) {
             head = requestHead;
             receiving = true;
+            server.active(this);
             body.reset();
             if (HttpUtil.is100ContinueExpected(requestHead)) {
                 writeBytes(ByteBuf.wrapForReading(CONTINUE_RESPONSE.clone()));
@@ -370,6 +373,7 @@
             closeGracefully();
             return;
         }
+        server.resting(this);
         boolean paused = pipelinedBytes > MAX_PIPELINED_BYTES;
         pipelinedBytes = 0;
         if (!decodedParts.isEmpty()) {
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -6,6 +6,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import org.martenwell.service.ManagedService;
 import org.martenwell.service.ServerStarter;
@@ -32,6 +33,15 @@
 
     private final Set<CallerConnection> connections = new HashSet<>();
 
+    /** The connections without a request, the one that has been idle for longest first. */
+    private final Set<CallerConnection> resting = new LinkedHashSet<>();
+
+    /** The most connections that are open at a time. */
+    private int maxConnections = Integer.MAX_VALUE;
+
+    /** The number of connections that were closed or not accepted at the limit. */
+    private long closedAtLimit;
+
     private ConnectionLimits limits = ConnectionLimits.DEFAULTS;
 
     /** Set once each connection closes after its current request. */
@@ -75,6 +85,25 @@
         limits = changed;
     }
 
+    /**
+     * Limits the number of open connections, so that descriptors remain for other purposes. At the
+     * limit, a new connection replaces the one that has been idle for longest; if none is idle, the
+     * new one is closed.
+     *
+     * @param count The most connections.
+     */
+    public void setMaxConnections(int count) {
+        maxConnections = count;
+        while (connections.size() > maxConnections && !resting.isEmpty()) {
+            closeLongestIdle();
+        }
+    }
+
+    private void closeLongestIdle() {
+        closedAtLimit++;
+        resting.iterator().next().abort();
+    }
+
     /** Closes each connection after the request that is served on it, or after its next one. */
     public void drain() {
         draining = true;
@@ -122,9 +151,42 @@
      */
     void closed(CallerConnection connection) {
         connections.remove(connection);
+        resting.remove(connection);
+    }
+
+    /**
+     * Records that a connection has no request.
+     *
+     * @param connection The connection.
+     */
+    void resting(CallerConnection connection) {
+        resting.remove(connection);
+        resting.add(connection);
+    }
+
+    /**
+     * Records that a connection receives or serves a request.
+     *
+     * @param connection The connection.
+     */
+    void active(CallerConnection connection) {
+        resting.remove(connection);
+    }
+
+    /** {@return the number of connections that were closed or not accepted at the limit} */
+    public long closedAtLimit() {
+        return closedAtLimit;
     }
 
     private void accepted(ITcpSocket socket) {
+        if (connections.size() >= maxConnections) {
+            if (resting.isEmpty()) {
+                closedAtLimit++;
+                socket.close();
+                return;
+            }
+            closeLongestIdle();
+        }
         CallerConnection connection = new CallerConnection(reactor, socket, this);
         connections.add(connection);
         connection.start();
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -17,6 +17,7 @@
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerServer;
+import org.martenwell.observe.ProcessUsage;
 import org.martenwell.observe.PrometheusText;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
@@ -107,6 +108,9 @@
                 new CallerServer(
                         reactor, IpAddress.of(settings.callerAddress()), this::serveCaller);
         this.stateLog = new StateLog(reactor, core, settings.name(), callers::connections);
+        DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
+                .ifPresent(callers::setMaxConnections);
+        log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
         this.readiness =
                 new CallerServer(
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
--- a/src/main/java/org/martenwell/observe/ProcessUsage.java
+++ b/src/main/java/org/martenwell/observe/ProcessUsage.java
@@ -4,6 +4,7 @@
 import java.lang.management.GarbageCollectorMXBean;
 import java.lang.management.ManagementFactory;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Resource usage of this process on its box. Not thread-safe. */
 public final class ProcessUsage {
@@ -65,6 +66,17 @@
         return interval;
     }
 
+    /**
+     * Returns the limit of open file descriptors.
+     *
+     * @return The limit, or empty if the platform doesn't tell it.
+     */
+    public static OptionalLong descriptorLimit() {
+        return operatingSystem()
+                .map(each -> OptionalLong.of(each.getMaxFileDescriptorCount()))
+                .orElseGet(OptionalLong::empty);
+    }
+
     /**
      * Returns the management bean with the process's CPU time and file descriptors.
      *
--- a/src/test/java/org/martenwell/exchange/CallerServerTest.java
+++ b/src/test/java/org/martenwell/exchange/CallerServerTest.java
@@ -54,6 +54,47 @@
         }
     }
 
+    /** Guards against idle connections that keep new callers out at the limit. */
+    @Test
+    void testNewConnectionReplacesTheLongestIdleOneAtTheLimit() throws IOException {
+        server.setMaxConnections(2);
+        try (RawHttpClient first = new RawHttpClient(address);
+                RawHttpClient second = new RawHttpClient(address)) {
+            first.send("GET /a HTTP/1.1|Host: x||").readUntil("GET /a");
+            second.send("GET /b HTTP/1.1|Host: x||").readUntil("GET /b");
+            first.send("GET /c HTTP/1.1|Host: x||").readUntil("GET /c");
+            try (RawHttpClient third = new RawHttpClient(address)) {
+                assertThat(third.send("GET /d HTTP/1.1|Host: x||").readUntil("GET /d"))
+                        .contains("200 OK");
+            }
+            assertThat(second.readAll()).isIn("", "(reset)");
+            assertThat(first.send("GET /e HTTP/1.1|Host: x||").readUntil("GET /e"))
+                    .contains("200 OK");
+        }
+        assertThat(server.closedAtLimit()).isOne();
+    }
+
+    @Test
+    void testConnectionWithARequestIsNotReplaced() throws Exception {
+        server.setMaxConnections(1);
+        try (RawHttpClient busy = new RawHttpClient(address)) {
+            busy.send("GET /wait HTTP/1.1|Host: x||");
+            CallerExchange waiting = exchanges.poll(5, TimeUnit.SECONDS);
+            try (RawHttpClient other = new RawHttpClient(address)) {
+                assertThat(other.readAll()).isIn("", "(reset)");
+            }
+            thread.call(
+                    () -> {
+                        waiting.respond(
+                                200,
+                                DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                                new byte[0]);
+                        return Promise.complete();
+                    });
+            assertThat(busy.readUntil("\r\n\r\n")).contains("200 OK");
+        }
+    }
+
     @Test
     void testChunkedBodyIsComplete() throws IOException {
         try (RawHttpClient client = new RawHttpClient(address)) {
