Release the memory of large messages to peers

Cause: each connection to a peer collects its output in a ByteArrayOutputStream, whose reset keeps the array at its largest size. When a relay passes on large reports, it keeps one such array for each peer of its failure domain.

A class histogram of a full heap begins with 49.6 MB of byte arrays; nothing else exceeds 0.7 MB. The second before, the log shows 21 batches of 1.5 MB each to 21 peers.

--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -10,7 +10,6 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Random;
 import org.martenwell.message.PeerMessage;
@@ -70,7 +69,7 @@
     private final PeerListener listener;
 
     /** Encoded messages that have not been framed yet. */
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private final OutputBuffer pending = new OutputBuffer();
 
     /** The open connection, or {@code null} if there is none. */
     private TcpSocket socket;
@@ -165,7 +164,7 @@
             return;
         }
         byte[] encoded = messageWriter.write(message);
-        pending.writeBytes(encoded);
+        pending.write(encoded);
         traffic.messageSent(MessageType.of(message), encoded.length);
         if (!flushScheduled) {
             flushScheduled = true;
@@ -220,7 +219,7 @@
         socket = null;
         codec = null;
         writing = false;
-        pending.reset();
+        pending.takeAll();
         retryLater();
     }
 
@@ -247,8 +246,7 @@
             return;
         }
         TcpSocket current = socket;
-        byte[] frame = codec.sign(pending.toByteArray());
-        pending.reset();
+        byte[] frame = codec.sign(pending.takeAll());
         ByteBuf buffer = ByteBufPool.allocate(frame.length + MAX_LENGTH_BYTES);
         buffer.writeVarInt(frame.length);
         buffer.write(frame);
