Tell the windows of fairness in UTC

Cause: the report named windows by seconds since the epoch (second), which no log line shows. Change: they are named by the time at which they begin, in the form of log lines. Only the text of the command changes; MartenwellTest and FairnessReportTest hold it.

--- a/src/main/java/org/martenwell/fairness/FairnessReport.java
+++ b/src/main/java/org/martenwell/fairness/FairnessReport.java
@@ -1,5 +1,6 @@
 package org.martenwell.fairness;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -119,10 +120,10 @@
     private static String line(ServedShare share) {
         return String.format(
                 Locale.ROOT,
-                "%.2f %s from second %d: %s; best served %s %d",
+                "%.2f %s from %s: %s; best served %s %d",
                 share.fraction(),
                 share.organisation(),
-                share.fromSecond(),
+                Instant.ofEpochSecond(share.fromSecond()),
                 text(share.counts()),
                 share.best(),
                 share.bestServed());
--- a/src/main/java/org/martenwell/fairness/ServedShare.java
+++ b/src/main/java/org/martenwell/fairness/ServedShare.java
@@ -4,7 +4,7 @@
  * The share that an organisation got in a window in which it had unserved requests all the time.
  *
  * @param organisation The name of the organisation.
- * @param fromSecond The first second of the window.
+ * @param fromSecond The first second of the window, since the epoch.
  * @param counts The organisation's tokens in the window.
  * @param best The name of the organisation that got the most in the window.
  * @param bestServed The tokens that that organisation got.
--- a/src/main/java/org/martenwell/fairness/ServiceHistory.java
+++ b/src/main/java/org/martenwell/fairness/ServiceHistory.java
@@ -21,7 +21,7 @@
     /**
      * Counts of one organisation at one gateway in one second.
      *
-     * @param second The second.
+     * @param second The second, since the epoch.
      * @param gateway The name of the gateway.
      * @param organisation The name of the organisation.
      * @param counts The counts.
--- a/src/test/java/org/martenwell/command/MartenwellTest.java
+++ b/src/test/java/org/martenwell/command/MartenwellTest.java
@@ -89,7 +89,9 @@
             append(two, second, "\"high\":{\"requested\":4,\"served\":4}");
         }
         assertThat(run("fairness", one.toString(), two.toString())).isZero();
-        assertThat(text(out)).startsWith("0.25 low from second 0").contains("best served high 24");
+        assertThat(text(out))
+                .startsWith("0.25 low from 1970-01-01T00:00:00Z")
+                .contains("best served high 24");
     }
 
     @Test
--- a/src/test/java/org/martenwell/fairness/FairnessReportTest.java
+++ b/src/test/java/org/martenwell/fairness/FairnessReportTest.java
@@ -56,7 +56,7 @@
         add("high", "g3", 100, 60, Disposition.REFUSED);
         assertThat(FairnessReport.of(history).lines(1))
                 .containsExactly(
-                        "0.33 low from second 0: requested 720, served 120, refused 60, overloaded"
+                        "0.33 low from 1970-01-01T00:00:00Z: requested 720, served 120, refused 60, overloaded"
                                 + " 540, waited 0, deadline 0, failed 0; best served high 360",
                         "  at g1: requested 600, served 60, refused 0, overloaded 540, waited 0,"
                                 + " deadline 0, failed 0",
