Name idle connections alike, and what refused callers do

Read as a newcomer: CallerServer called connections without a request idle in three places and resting in one; it is idle now.

Names and a comment only; CallerServerTest, DescriptorLimitTest and LoopLagLimiterTest pass.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -107,7 +107,7 @@
 
     /** Starts reading. */
     void start() {
-        server.resting(this);
+        server.becameIdle(this);
         read();
     }
 
@@ -243,7 +243,7 @@
         if (idle()) {
             receiving = true;
             stateSinceMillis = reactor.currentTimeMillis();
-            server.active(this);
+            server.becameActive(this);
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
@@ -287,7 +287,7 @@
         if (part instanceof HttpRequest requestHead) {
             head = requestHead;
             receiving = true;
-            server.active(this);
+            server.becameActive(this);
             body.reset();
             if (HttpUtil.is100ContinueExpected(requestHead)) {
                 writeBytes(ByteBuf.wrapForReading(CONTINUE_RESPONSE.clone()));
@@ -373,7 +373,7 @@
             closeGracefully();
             return;
         }
-        server.resting(this);
+        server.becameIdle(this);
         boolean paused = pipelinedBytes > MAX_PIPELINED_BYTES;
         pipelinedBytes = 0;
         if (!decodedParts.isEmpty()) {
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -34,7 +34,7 @@
     private final Set<CallerConnection> connections = new HashSet<>();
 
     /** The connections without a request, the one that has been idle for longest first. */
-    private final Set<CallerConnection> resting = new LinkedHashSet<>();
+    private final Set<CallerConnection> idleConnections = new LinkedHashSet<>();
 
     /** The most connections that are open at a time. */
     private int maxConnections = Integer.MAX_VALUE;
@@ -94,14 +94,14 @@
      */
     public void setMaxConnections(int count) {
         maxConnections = count;
-        while (connections.size() > maxConnections && !resting.isEmpty()) {
+        while (connections.size() > maxConnections && !idleConnections.isEmpty()) {
             closeLongestIdle();
         }
     }
 
     private void closeLongestIdle() {
         closedAtLimit++;
-        resting.iterator().next().abort();
+        idleConnections.iterator().next().abort();
     }
 
     /** Closes each connection after the request that is served on it, or after its next one. */
@@ -151,17 +151,17 @@
      */
     void closed(CallerConnection connection) {
         connections.remove(connection);
-        resting.remove(connection);
+        idleConnections.remove(connection);
     }
 
     /**
-     * Records that a connection has no request.
+     * Records that a connection has no request, as after its last response.
      *
      * @param connection The connection.
      */
-    void resting(CallerConnection connection) {
-        resting.remove(connection);
-        resting.add(connection);
+    void becameIdle(CallerConnection connection) {
+        idleConnections.remove(connection);
+        idleConnections.add(connection);
     }
 
     /**
@@ -169,8 +169,8 @@
      *
      * @param connection The connection.
      */
-    void active(CallerConnection connection) {
-        resting.remove(connection);
+    void becameActive(CallerConnection connection) {
+        idleConnections.remove(connection);
     }
 
     /** {@return the number of connections that were closed or not accepted at the limit} */
@@ -180,7 +180,7 @@
 
     private void accepted(ITcpSocket socket) {
         if (connections.size() >= maxConnections) {
-            if (resting.isEmpty()) {
+            if (idleConnections.isEmpty()) {
                 closedAtLimit++;
                 socket.close();
                 return;
--- a/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
+++ b/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
@@ -8,7 +8,7 @@
 /**
  * Refuses a fraction of new requests while the event loop lags. Without it, a small box with many
  * callers accepts more requests than it has processor time for and serves all of them late. Refused
- * callers retry at other gateways. The fraction grows with the lag, so it settles where the box
+ * callers may retry at other gateways. The fraction grows with the lag, so it settles where the box
  * keeps up.
  */
 final class LoopLagLimiter implements ManagedService {
