Log which target went from the directory, and when

A gateway logged the number of targets alone. Each removal is logged now (target-unlisted: incarnation and source) and counted (targets_unlisted_by_directory). No decision changes.

--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -211,6 +211,23 @@
         }
     }
 
+    /**
+     * Records that a target is no longer in the directory.
+     *
+     * @param incarnation The target's incarnation.
+     * @param source The source of the notice.
+     */
+    void unlisted(String incarnation, NoticeSource source) {
+        String from = source.name().toLowerCase(Locale.ROOT);
+        metrics.counter("targets_unlisted_by_" + from).inc();
+        if (mayWrite()) {
+            write(
+                    LogEvent.of("target-unlisted")
+                            .with("target", incarnation)
+                            .with("learntFrom", from));
+        }
+    }
+
     /**
      * Records that a target asked this gateway for a pause.
      *
--- a/src/main/java/org/martenwell/gateway/TargetEventHandler.java
+++ b/src/main/java/org/martenwell/gateway/TargetEventHandler.java
@@ -8,8 +8,8 @@
 import org.martenwell.balance.TargetLoad;
 
 /**
- * Updates the availability of targets from the heads of their responses, and reports crashes and
- * drains to the quarantine and the log.
+ * Updates the availability of targets from the heads of their responses, and reports crashes,
+ * drains and removals to the quarantine and the log.
  */
 final class TargetEventHandler implements TargetTableListener {
 
@@ -57,6 +57,11 @@
         log.draining(incarnation, source);
     }
 
+    @Override
+    public void unlisted(String incarnation, NoticeSource source) {
+        log.unlisted(incarnation, source);
+    }
+
     @Override
     public void responseReceived(TargetLoad target, HttpResponse head) {
         AvailabilityNotice notice = dialect.notice(head, clock.millis());
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -250,7 +250,9 @@
      */
     private void removeTarget(String id) {
         KnownTarget removed = targets.remove(id);
-        targetsByIncarnation.remove(removed.load().target().incarnation());
+        String incarnation = removed.load().target().incarnation();
+        targetsByIncarnation.remove(incarnation);
+        listener.unlisted(incarnation, NoticeSource.DIRECTORY);
         if (!removed.load().availability().isDraining()) {
             listener.crashed(removed);
         }
--- a/src/main/java/org/martenwell/gateway/TargetTableListener.java
+++ b/src/main/java/org/martenwell/gateway/TargetTableListener.java
@@ -23,6 +23,14 @@
      */
     void draining(String incarnation, NoticeSource source);
 
+    /**
+     * Called when an incarnation of a target is no longer in the directory.
+     *
+     * @param incarnation The target's incarnation.
+     * @param source The source of the notice.
+     */
+    void unlisted(String incarnation, NoticeSource source);
+
     /**
      * Called for the head of each response of a target, to callers' requests and to the gateway's
      * own.
--- a/src/test/java/org/martenwell/gateway/TargetCrashListener.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashListener.java
@@ -16,6 +16,9 @@
     @Override
     public void draining(String incarnation, NoticeSource source) {}
 
+    @Override
+    public void unlisted(String incarnation, NoticeSource source) {}
+
     @Override
     public void responseReceived(TargetLoad target, HttpResponse head) {}
 }
