Tell peers of targets whose entries went, and send them nothing meanwhile

Cause: a gateway told its peers which targets drain, but only while its directory listed them. A target whose entry goes left the table and with it all reports, so the store was the only way to learn of it, and one late list was enough. Class: what one gateway knows of a target stays with it as soon as the target is gone.

Fix: each gateway notifies its peers when a target's entry goes and when it is back, once with the next report, and of the last 60 s when a peer connects; relays forward the notices. The receiver sends nothing to the target until its own directory, read after the notice, decides. This is not final as draining is, since entries lapse and return. If more than half of a service are reported the store was away, and the notices are ignored. Why it works: both ways must now fail at once, and either suffices.

Not taken: the revision of the removal in the notice, since a store that is restored from a copy counts anew; a field of the report, which earlier builds would answer by closing the connection.

--- a/src/main/java/org/martenwell/directory/DirectoryListener.java
+++ b/src/main/java/org/martenwell/directory/DirectoryListener.java
@@ -30,8 +30,10 @@
      * Called when the set of targets or one of them has changed.
      *
      * @param targets All current targets by id.
+     * @param asOfMillis The time on the event loop's clock as of which the targets are current, in
+     *     milliseconds; later changes may be missing.
      */
-    void targetsChanged(Map<String, DirectoryTarget> targets);
+    void targetsChanged(Map<String, DirectoryTarget> targets, long asOfMillis);
 
     /**
      * Called before the first targets are reported and when the set of evacuated failure domains
--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -65,6 +65,9 @@
 
     private final StoreRetries retries;
 
+    /** The time at which the call that provided the objects started, in milliseconds. */
+    private long asOfMillis = Long.MIN_VALUE;
+
     /** The revision to watch from. */
     private long revision;
 
@@ -119,6 +122,14 @@
         makeNextCall(generation);
     }
 
+    /**
+     * {@return the time on the event loop's clock as of which the objects are current, in
+     * milliseconds}
+     */
+    long asOfMillis() {
+        return asOfMillis;
+    }
+
     private void makeNextCall(int callGeneration) {
         if (callGeneration != generation) {
             return;
@@ -143,6 +154,7 @@
                                 retries.listFailed(source.kind(), startedMillis, failure);
                                 retryLater(callGeneration);
                             } else {
+                                asOfMillis = startedMillis;
                                 applyListing(callGeneration, listing);
                             }
                         });
@@ -192,6 +204,7 @@
     }
 
     private void watch(int callGeneration) {
+        long startedMillis = source.now();
         source.watch(revision, timing.get().waitMillis())
                 .subscribe(
                         (changes, failure) -> {
@@ -206,6 +219,7 @@
                                 listDue = true;
                                 makeNextCall(callGeneration);
                             } else {
+                                asOfMillis = startedMillis;
                                 apply(callGeneration, changes);
                             }
                         });
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -335,7 +335,7 @@
                     entries.get(each.id()), "The start time is missing, unlike in most entries.");
         }
         unreadable.keySet().retainAll(entries.keySet());
-        listener.targetsChanged(all);
+        listener.targetsChanged(all, targets.asOfMillis());
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -219,9 +219,9 @@
     }
 
     @Override
-    public void targetsChanged(Map<String, DirectoryTarget> targets) {
+    public void targetsChanged(Map<String, DirectoryTarget> targets, long asOfMillis) {
         targetsKnown = true;
-        core.targets().update(targets);
+        core.targets().update(targets, asOfMillis);
         log.changed("targets", targets.size());
         loadCachedParts();
     }
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.martenwell.balance.GatewayReport;
@@ -16,12 +17,13 @@
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
 import org.martenwell.peer.ReportBatches;
+import org.martenwell.peer.TargetNotice;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.GatewaySettings;
 
 /**
  * Exchanges reports with the other gateways: loads, fair shares, contents of prompt caches,
- * draining targets and quarantined requests.
+ * draining and departed targets, and quarantined requests.
  */
 final class PeerReporter implements ManagedService, PeerListener {
 
@@ -172,6 +174,8 @@
             receiveDirect(report);
         } else if (message instanceof ReportBatch batch) {
             receiveBatch(batch);
+        } else if (message instanceof TargetNotice notice) {
+            receiveDirect(notice);
         } else if (message instanceof ConfigurationRequest request) {
             if (core.configurationVersion() > request.newerThan()) {
                 network.send(
@@ -187,6 +191,10 @@
 
     @Override
     public void peerConnected(String peer) {
+        core.targets()
+                .listingNotices()
+                .recent(core.now())
+                .forEach(each -> network.send(peer, each));
         network.send(
                 peer,
                 sendsSnapshotTo(peer) ? reportBuilder.full() : reportBuilder.withoutCachedParts());
@@ -227,6 +235,18 @@
         receiveReport(report);
     }
 
+    /**
+     * Processes a notice on a target that arrived directly from its gateway.
+     *
+     * @param notice The notice.
+     */
+    private void receiveDirect(TargetNotice notice) {
+        if (topology.usesRelays()) {
+            relayedReports.add(notice);
+        }
+        core.targets().applyNotice(notice, core.now());
+    }
+
     /**
      * Processes reports that arrived in a batch from a relay.
      *
@@ -238,14 +258,22 @@
         if (topology.isRelay(now) && topology.inOtherDomain(batch.relay())) {
             relayedReports.add(batch);
         }
-        for (GatewayReport each : ReportBatches.reports(batch)) {
-            relayUrgently(each);
-            if (!each.gateway().equals(name)) {
-                receiveReport(each);
+        for (PeerMessage each : ReportBatches.messages(batch)) {
+            if (each instanceof GatewayReport report) {
+                receiveRelayed(report);
+            } else if (each instanceof TargetNotice notice) {
+                core.targets().applyNotice(notice, now);
             }
         }
     }
 
+    private void receiveRelayed(GatewayReport report) {
+        relayUrgently(report);
+        if (!report.gateway().equals(name)) {
+            receiveReport(report);
+        }
+    }
+
     /**
      * Processes a peer's report.
      *
@@ -312,20 +340,25 @@
         if (core.targets().detectStaleDirectory(core.now())) {
             directory.refresh();
         }
+        List<TargetNotice> notices = core.targets().listingNotices().takeNew();
         GatewayReport own = reportBuilder.next(topology.usesRelays());
         if (!topology.usesRelays()) {
+            notices.forEach(network::broadcast);
             network.broadcast(own);
         } else if (topology.isRelay(core.now())) {
+            notices.forEach(relayedReports::add);
             relayReports(own);
         } else {
-            network.send(topology.relay(core.now()), own);
+            String relay = topology.relay(core.now());
+            notices.forEach(each -> network.send(relay, each));
+            network.send(relay, own);
         }
         relayedReports.clear();
     }
 
     /**
-     * Sends the collected reports and this gateway's own to the other relays and to the gateways of
-     * the failure domain.
+     * Sends the collected notices and reports and this gateway's own to the other relays and to the
+     * gateways of the failure domain.
      *
      * @param own This gateway's report.
      */
--- a/src/main/java/org/martenwell/gateway/RelayedReports.java
+++ b/src/main/java/org/martenwell/gateway/RelayedReports.java
@@ -1,10 +1,14 @@
 package org.martenwell.gateway;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
+import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.ReportBatches;
+import org.martenwell.peer.TargetNotice;
 
 /**
  * The reports that a relay forwards with its next report. A batch from another failure domain is
@@ -17,6 +21,9 @@
 
     private final String self;
 
+    /** The notices of other gateways on targets, without duplicates. */
+    private final Set<TargetNotice> notices = new LinkedHashSet<>();
+
     /** The reports of gateways in the same failure domain. */
     private final List<GatewayReport> collected = new ArrayList<>();
 
@@ -41,6 +48,16 @@
         collected.add(report);
     }
 
+    /**
+     * Adds a notice on a target.
+     *
+     * @param notice The notice.
+     */
+    void add(TargetNotice notice) {
+        notices.remove(notice);
+        notices.add(notice);
+    }
+
     /**
      * Adds a batch from another failure domain. One that was already forwarded is dropped, since
      * two relays of a domain would otherwise send it to each other endlessly.
@@ -54,14 +71,16 @@
     }
 
     /**
-     * Builds a batch of the collected reports.
+     * Builds a batch of the collected notices and reports.
      *
      * @param own This gateway's own report.
      * @return The batch.
      */
     ReportBatch batchWith(GatewayReport own) {
         collected.add(own);
-        return ReportBatches.of(self, collected);
+        List<PeerMessage> messages = new ArrayList<>(notices);
+        messages.addAll(collected);
+        return ReportBatches.of(self, messages);
     }
 
     /** {@return the batches of other failure domains, marked as forwarded} */
@@ -69,8 +88,9 @@
         return List.copyOf(fromOtherDomains);
     }
 
-    /** Removes all reports and batches. */
+    /** Removes all notices, reports and batches. */
     void clear() {
+        notices.clear();
         collected.clear();
         fromOtherDomains.clear();
     }
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -21,6 +21,7 @@
 import org.martenwell.exchange.InternalHttpClient;
 import org.martenwell.exchange.KeepAlive;
 import org.martenwell.exchange.TargetConnections;
+import org.martenwell.peer.TargetNotice;
 import org.martenwell.route.WarmUpLimit;
 
 /** The targets of the directory with their load and connections. */
@@ -51,12 +52,17 @@
 
     private final WarmUpPacer warmUpPacer;
 
+    private final ListingNotices listingNotices = new ListingNotices();
+
+    private final ReportedDepartures reportedDepartures = new ReportedDepartures();
+
     /** The prefill rates by service. */
     private final Map<String, PrefillRate> rates = new HashMap<>();
 
     /**
-     * The time that the directory may lag behind peers in reporting that a target is draining, in
-     * milliseconds. Twice the batching delay of directory changes in the largest fleet.
+     * The time that the directory may lag behind peers in reporting that a target is draining or
+     * has departed, in milliseconds. Twice the batching delay of directory changes in the largest
+     * fleet.
      */
     private static final long DIRECTORY_LAG_MILLIS = 1_500;
 
@@ -84,8 +90,9 @@
      * lost its connections, its requests and its prompt cache.
      *
      * @param entries All targets by id.
+     * @param asOfMillis The time as of which the entries are current, in milliseconds.
      */
-    void update(Map<String, DirectoryTarget> entries) {
+    void update(Map<String, DirectoryTarget> entries, long asOfMillis) {
         for (String id : List.copyOf(targets.keySet())) {
             if (!entries.containsKey(id)) {
                 removeTarget(id);
@@ -94,6 +101,35 @@
         entries.values().forEach(this::updateTarget);
         refreshed.retainAll(targetsByIncarnation.keySet());
         warmUpPacer.retain(targetsByIncarnation.keySet());
+        reportedDepartures.settle(targetsByIncarnation.keySet(), asOfMillis);
+        updateExcluded();
+    }
+
+    /**
+     * Applies a peer's notice on whether the directory lists a target.
+     *
+     * @param notice The notice.
+     * @param now The current time, in milliseconds.
+     */
+    void applyNotice(TargetNotice notice, long now) {
+        String incarnation = notice.target();
+        if (notice.acceptsRequests()) {
+            reportedDepartures.remove(incarnation);
+        } else if (targetsByIncarnation.containsKey(incarnation)
+                && reportedDepartures.add(incarnation, now)) {
+            listener.unlisted(incarnation, NoticeSource.PEER);
+        }
+        updateExcluded();
+    }
+
+    private void updateExcluded() {
+        reportedDepartures.exclude(
+                targets.values().stream().map(each -> each.load().target()).toList());
+    }
+
+    /** {@return the notices for peers on which targets the directory lists} */
+    ListingNotices listingNotices() {
+        return listingNotices;
     }
 
     /**
@@ -131,14 +167,17 @@
     }
 
     /**
-     * Checks whether the operator or the target itself forbids requests to a target.
+     * Checks whether the operator, the target itself or its departure forbids requests to a target.
      *
      * @param load The target.
      * @param now The current time, in milliseconds.
-     * @return {@code true} if the target is neither draining, paused nor evacuated.
+     * @return {@code true} if the target is neither draining, paused, evacuated nor reported as
+     *     departed.
      */
     boolean acceptsRequests(TargetLoad load, long now) {
-        return load.availability().isAvailable(now) && !isEvacuated(load);
+        return load.availability().isAvailable(now)
+                && !isEvacuated(load)
+                && !reportedDepartures.isExcluded(load.target().incarnation());
     }
 
     /**
@@ -200,6 +239,7 @@
         created.load().warmUp().announced(entry.warmUpMillis(), reactor.currentTimeMillis());
         targets.put(entry.id(), created);
         targetsByIncarnation.put(entry.incarnation(), created);
+        listingNotices.listed(entry.incarnation());
         markIfDraining(created.load());
     }
 
@@ -252,6 +292,7 @@
         KnownTarget removed = targets.remove(id);
         String incarnation = removed.load().target().incarnation();
         targetsByIncarnation.remove(incarnation);
+        listingNotices.unlisted(incarnation, reactor.currentTimeMillis());
         listener.unlisted(incarnation, NoticeSource.DIRECTORY);
         if (!removed.load().availability().isDraining()) {
             listener.crashed(removed);
@@ -283,14 +324,14 @@
     }
 
     /**
-     * Returns whether the directory has listed a draining target as ready for too long, so that
-     * other changes may be missing too. Each target counts once.
+     * Returns whether the directory has listed a draining or departed target as ready for too long,
+     * so that other changes may be missing too. Each target counts once.
      *
      * @param now The current time, in milliseconds.
      * @return {@code true} if the directory should be read again.
      */
     boolean detectStaleDirectory(long now) {
-        boolean stale = false;
+        boolean stale = reportedDepartures.detectStaleDirectory(now, DIRECTORY_LAG_MILLIS);
         for (KnownTarget each : targets.values()) {
             Availability availability = each.load().availability();
             DirectoryTarget target = each.load().target();
--- a/src/main/java/org/martenwell/peer/ReportBatches.java
+++ b/src/main/java/org/martenwell/peer/ReportBatches.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import org.martenwell.balance.GatewayReport;
@@ -20,14 +19,14 @@
     /**
      * Creates a batch.
      *
-     * @param relay The name of the gateway that collected the reports.
-     * @param reports The reports.
+     * @param relay The name of the gateway that collected the messages.
+     * @param messages The reports, and notices on targets.
      * @return The batch, not marked as forwarded.
      */
-    public static ReportBatch of(String relay, Collection<GatewayReport> reports) {
+    public static ReportBatch of(String relay, Collection<? extends PeerMessage> messages) {
         MessageWriter writer = new MessageWriter();
         ByteArrayOutputStream encoded = new ByteArrayOutputStream();
-        reports.forEach(each -> encoded.writeBytes(writer.write(each)));
+        messages.forEach(each -> encoded.writeBytes(writer.write(each)));
         return new ReportBatch(
                 relay, false, ByteBuffer.wrap(encoded.toByteArray()).asReadOnlyBuffer());
     }
@@ -36,18 +35,26 @@
      * Decodes a batch.
      *
      * @param batch The batch.
-     * @return The reports; other messages in the batch are ignored.
+     * @return All messages in order.
      * @throws org.martenwell.error.MartenwellException If the batch is malformed.
      */
-    public static List<GatewayReport> reports(ReportBatch batch) {
+    public static List<PeerMessage> messages(ReportBatch batch) {
         byte[] encoded = new byte[batch.encodedReports().remaining()];
         batch.encodedReports().duplicate().get(encoded);
-        List<GatewayReport> reports = new ArrayList<>();
-        for (PeerMessage each : new MessageReader().read(encoded)) {
-            if (each instanceof GatewayReport report) {
-                reports.add(report);
-            }
-        }
-        return reports;
+        return new MessageReader().read(encoded);
+    }
+
+    /**
+     * Decodes the reports of a batch.
+     *
+     * @param batch The batch.
+     * @return The reports; other messages in the batch are ignored.
+     * @throws org.martenwell.error.MartenwellException If the batch is malformed.
+     */
+    public static List<GatewayReport> reports(ReportBatch batch) {
+        return messages(batch).stream()
+                .filter(GatewayReport.class::isInstance)
+                .map(GatewayReport.class::cast)
+                .toList();
     }
 }
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -177,7 +177,7 @@
         }
 
         @Override
-        public void targetsChanged(Map<String, DirectoryTarget> targets) {}
+        public void targetsChanged(Map<String, DirectoryTarget> targets, long asOfMillis) {}
 
         @Override
         public void evacuationsChanged(Set<String> failureDomains) {}
--- a/src/test/java/org/martenwell/gateway/EngineReserveShareTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineReserveShareTest.java
@@ -51,7 +51,7 @@
     @BeforeEach
     void start() {
         core.configure(GatewayCores.configuration(CAPACITY, PROMISED_TOKENS));
-        core.targets().update(Map.of("one", target("one"), "two", target("two")));
+        core.targets().update(Map.of("one", target("one"), "two", target("two")), 0);
         core.targets().all().forEach(each -> loads.add(each.load()));
     }
 
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -59,7 +59,7 @@
     @BeforeEach
     void start() {
         core.configure(GatewayCores.configuration(CAPACITY));
-        core.targets().update(Map.of("one", target("one"), "two", target("two")));
+        core.targets().update(Map.of("one", target("one"), "two", target("two")), 0);
         core.targets().all().forEach(each -> loads.add(each.load()));
         loads.sort((one, two) -> one.target().id().compareTo(two.target().id()));
     }
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -32,6 +32,9 @@
     /** More gateways than a mesh has. */
     private static final int SIZE = 18;
 
+    private static final Map<String, DirectoryTarget> ALL_TARGETS =
+            Map.of("t", target("t"), "u", target("u"), "v", target("v"));
+
     private static final List<String> DOMAINS = List.of("x", "y");
 
     private final EventLoopThread thread = EventLoopThread.start("test-reports");
@@ -61,6 +64,33 @@
         await(() -> knownToAll(2));
     }
 
+    /** Guards against departures that only the peers of one relay learn of. */
+    @Test
+    void testDepartureReachesAllGateways() {
+        startAll();
+        Map<String, DirectoryTarget> left = new HashMap<>(ALL_TARGETS);
+        left.remove("u");
+        await(() -> knownToAll(0));
+        run(() -> cores.get("x-0").targets().update(left, 0));
+        await(() -> othersKnowDeparture("x-0"));
+    }
+
+    private boolean othersKnowDeparture(String sender) {
+        AtomicBoolean known = new AtomicBoolean();
+        run(
+                () ->
+                        known.set(
+                                cores.keySet().stream()
+                                        .filter(name -> !name.equals(sender))
+                                        .map(name -> cores.get(name).targets())
+                                        .allMatch(LargeFleetReportsTest::excludesDeparted)));
+        return known.get();
+    }
+
+    private static boolean excludesDeparted(TargetTable table) {
+        return table.available("s", List.of(), 0).size() == ALL_TARGETS.size() - 1;
+    }
+
     private void startAll() {
         for (int index = 0; index < SIZE; index++) {
             String domain = DOMAINS.get(index % DOMAINS.size());
@@ -80,7 +110,7 @@
                     GatewayLog log = new GatewayLog(thread.loop());
                     GatewayCore core =
                             new GatewayCore(thread.loop(), null, settings, new Random(1), log);
-                    core.targets().update(Map.of("t", target()));
+                    core.targets().update(ALL_TARGETS, 0);
                     PeerReporter reporter =
                             new PeerReporter(
                                     thread.loop(), settings, core, new Random(member.hashCode()));
@@ -91,9 +121,9 @@
         thread.call(reporters.get(member.name())::start);
     }
 
-    private static DirectoryTarget target() {
+    private static DirectoryTarget target(String id) {
         return new DirectoryTarget(
-                "t", OptionalLong.of(1), "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
+                id, OptionalLong.of(1), "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
     }
 
     private TargetLoad load(String name) {
--- a/src/test/java/org/martenwell/gateway/TargetAvailabilityTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetAvailabilityTest.java
@@ -95,7 +95,7 @@
     }
 
     private void update() {
-        table.update(Map.copyOf(directory));
+        table.update(Map.copyOf(directory), now);
         table.all().forEach(each -> everKnown.put(each.load().target().incarnation(), each.load()));
     }
 
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -130,7 +130,7 @@
         for (DirectoryTarget each : targets) {
             all.put(each.id(), each);
         }
-        run(() -> table.update(all));
+        run(() -> table.update(all, 0));
     }
 
     private DirectoryTarget target(String id, long startMillis, boolean draining) {
--- a/src/test/java/org/martenwell/gateway/TargetIncarnationTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetIncarnationTest.java
@@ -162,7 +162,7 @@
     }
 
     private void updateDirectory(DirectoryTarget target) {
-        core.targets().update(Map.of("t", target));
+        core.targets().update(Map.of("t", target), 1);
     }
 
     /** Builds a peer's report of a request at a target that caches a part. */
--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.peer.TargetNotice;
 import org.martenwell.route.WarmUpLimit;
 import org.martenwell.service.IpAddress;
 
@@ -30,7 +31,7 @@
 
     @BeforeEach
     void start() {
-        table.update(Map.of("one", target("one", false), "two", target("two", false)));
+        table.update(Map.of("one", target("one", false), "two", target("two", false)), 0);
         table.markDrainingByPeer("one@1", 0);
     }
 
@@ -45,7 +46,7 @@
     @Test
     void testDirectoryThatConfirmsInTimeIsNotReadAgain() {
         assertThat(table.detectStaleDirectory(100)).isFalse();
-        table.update(Map.of("one", target("one", true), "two", target("two", false)));
+        table.update(Map.of("one", target("one", true), "two", target("two", false)), 0);
         assertThat(table.detectStaleDirectory(LAG_MILLIS)).isFalse();
     }
 
@@ -59,7 +60,7 @@
 
     @Test
     void testRemovedTargetIsNotDraining() {
-        table.update(Map.of("two", target("two", false)));
+        table.update(Map.of("two", target("two", false)), 0);
         assertThat(table.detectStaleDirectory(LAG_MILLIS)).isFalse();
         assertThat(table.draining()).isEmpty();
     }
@@ -73,7 +74,7 @@
         for (int other = 0; other < 3_000; other++) {
             table.markDrainingByPeer("other-" + other + "@1", 0);
         }
-        table.update(Map.of("one", target("one", false), "two", target("two", true)));
+        table.update(Map.of("one", target("one", false), "two", target("two", true)), 0);
         assertThat(table.available("service", List.of(), 0)).isEmpty();
         assertThat(table.draining()).containsExactlyInAnyOrder("one@1", "two@1");
     }
@@ -109,6 +110,92 @@
         assertThat(table.available("service", List.of(), now + 4_000)).hasSize(1);
     }
 
+    /** Guards against requests to a departed target while the own directory can't be read. */
+    @Test
+    void testTargetThatAPeerReportsAsDepartedGetsNoRequests() {
+        table.update(threeTargets(), 10);
+        table.applyNotice(new TargetNotice("two@1", false), 20);
+        assertThat(available(20)).containsExactly("three");
+        table.update(threeTargets(), 15);
+        assertThat(available(30)).containsExactly("three");
+    }
+
+    /** Guards against a false notice that keeps a target unused for good. */
+    @Test
+    void testDirectoryThatIsReadAfterTheNoticeDecides() {
+        table.update(threeTargets(), 10);
+        table.applyNotice(new TargetNotice("two@1", false), 20);
+        table.update(threeTargets(), 20);
+        assertThat(available(30)).containsExactlyInAnyOrder("two", "three");
+    }
+
+    @Test
+    void testTargetThatAPeerReportsAsListedAgainGetsRequests() {
+        table.update(threeTargets(), 10);
+        table.applyNotice(new TargetNotice("two@1", false), 20);
+        table.applyNotice(new TargetNotice("two@1", true), 30);
+        assertThat(available(30)).containsExactlyInAnyOrder("two", "three");
+    }
+
+    /** Guards against a store outage, which expires most entries, being taken for departures. */
+    @Test
+    void testNoticesOnMostTargetsAreIgnored() {
+        table.update(threeTargets(), 10);
+        table.applyNotice(new TargetNotice("two@1", false), 20);
+        table.applyNotice(new TargetNotice("three@1", false), 20);
+        assertThat(available(30)).containsExactlyInAnyOrder("two", "three");
+    }
+
+    @Test
+    void testDirectoryThatDoesNotConfirmADepartureIsReadAgainOnce() {
+        table.update(Map.of("two", target("two", false), "three", target("three", false)), 10);
+        table.applyNotice(new TargetNotice("two@1", false), 20);
+        assertThat(table.detectStaleDirectory(100)).isFalse();
+        assertThat(table.detectStaleDirectory(LAG_MILLIS)).isTrue();
+        assertThat(table.detectStaleDirectory(LAG_MILLIS + 1)).isFalse();
+        table.update(Map.of("two", target("two", false), "three", target("three", false)), 3_000);
+        table.applyNotice(new TargetNotice("two@1", false), 4_000);
+        assertThat(table.detectStaleDirectory(4_000 + LAG_MILLIS)).isTrue();
+    }
+
+    @Test
+    void testPeersAreNotifiedOfDeparturesAndReturns() {
+        table.listingNotices().takeNew();
+        table.update(Map.of("one", target("one", false)), 10);
+        assertThat(table.listingNotices().takeNew())
+                .containsExactly(new TargetNotice("two@1", false));
+        assertThat(table.listingNotices().takeNew()).isEmpty();
+        long now = System.currentTimeMillis();
+        assertThat(table.listingNotices().recent(now))
+                .containsExactly(new TargetNotice("two@1", false));
+        assertThat(table.listingNotices().recent(now + 120_000)).isEmpty();
+        table.update(Map.of("one", target("one", false)), 20);
+        table.update(Map.of("one", target("one", false), "two", target("two", false)), 30);
+        assertThat(table.listingNotices().takeNew()).isEmpty();
+    }
+
+    @Test
+    void testPeersAreNotifiedOfATargetThatIsListedAgain() {
+        table.update(Map.of("one", target("one", false)), 10);
+        table.update(Map.of("one", target("one", false), "two", target("two", false)), 20);
+        assertThat(table.listingNotices().takeNew())
+                .containsExactly(new TargetNotice("two@1", true));
+        assertThat(table.listingNotices().recent(System.currentTimeMillis())).isEmpty();
+    }
+
+    private static Map<String, DirectoryTarget> threeTargets() {
+        return Map.of(
+                "one", target("one", false),
+                "two", target("two", false),
+                "three", target("three", false));
+    }
+
+    private List<String> available(long now) {
+        return table.available("service", List.of(), now).stream()
+                .map(load -> load.target().id())
+                .toList();
+    }
+
     private static DirectoryTarget target(String id, boolean draining) {
         return new DirectoryTarget(
                 id,
