Test that a relay forwards each notice on a target once

Each gateway of a failure domain sends the same notice when a target's entry goes. A batch holds it once; readers of reports alone pass it over.

--- a/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/RelayedReportsTest.java
@@ -7,6 +7,7 @@
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.peer.ReportBatches;
+import org.martenwell.peer.TargetNotice;
 import org.martenwell.share.ShareCounts;
 
 /** Tests which reports a relay forwards. */
@@ -23,6 +24,21 @@
                 .containsExactly(report("a"), report("one"));
     }
 
+    /**
+     * Guards against a notice that each gateway of a failure domain sends being forwarded as often.
+     */
+    @Test
+    void testBatchHoldsEachNoticeOnce() {
+        TargetNotice notice = new TargetNotice("t@1", false);
+        firstRelay.add(notice);
+        firstRelay.add(notice);
+        ReportBatch batch = firstRelay.batchWith(report("one"));
+        assertThat(ReportBatches.messages(batch)).containsExactly(notice, report("one"));
+        assertThat(ReportBatches.reports(batch)).containsExactly(report("one"));
+        firstRelay.clear();
+        assertThat(ReportBatches.messages(firstRelay.batchWith(report("one")))).hasSize(1);
+    }
+
     /** Guards against a forwarding loop between two relays of a failure domain. */
     @Test
     void testForwardedBatchIsNotForwardedAgain() {
