--- a/src/main/java/org/martenwell/gateway/ReportedDepartures.java
+++ b/src/main/java/org/martenwell/gateway/ReportedDepartures.java
@@ -72,14 +72,15 @@
             excluded = Set.of();
             return;
         }
-        Map<String, Integer> balances = new HashMap<>();
+        // The number of reported targets of each service, less that of the other ones.
+        Map<String, Integer> surplus = new HashMap<>();
         for (DirectoryTarget each : targets) {
-            int vote = notices.containsKey(each.incarnation()) ? 1 : -1;
-            balances.merge(each.service(), vote, Integer::sum);
+            int difference = notices.containsKey(each.incarnation()) ? 1 : -1;
+            surplus.merge(each.service(), difference, Integer::sum);
         }
         Set<String> changed = new HashSet<>();
         for (DirectoryTarget each : targets) {
-            if (notices.containsKey(each.incarnation()) && balances.get(each.service()) <= 0) {
+            if (notices.containsKey(each.incarnation()) && surplus.get(each.service()) <= 0) {
                 changed.add(each.incarnation());
             }
         }
