--- a/src/main/java/org/martenwell/gateway/ReportedDepartures.java
+++ b/src/main/java/org/martenwell/gateway/ReportedDepartures.java
@@ -51,12 +51,12 @@
     }
 
     /**
-     * Applies a copy of the directory. Notices that are older than the copy are settled by it.
+     * Applies a copy of the directory, which replaces all notices that are older than it.
      *
      * @param incarnations The incarnations that the directory lists.
      * @param asOfMillis The time as of which the copy is current, in milliseconds.
      */
-    void settle(Set<String> incarnations, long asOfMillis) {
+    void apply(Set<String> incarnations, long asOfMillis) {
         notices.values().removeIf(each -> each <= asOfMillis);
         notices.keySet().retainAll(incarnations);
         refreshed.retainAll(notices.keySet());
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -101,7 +101,7 @@
         entries.values().forEach(this::updateTarget);
         refreshed.retainAll(targetsByIncarnation.keySet());
         warmUpPacer.retain(targetsByIncarnation.keySet());
-        reportedDepartures.settle(targetsByIncarnation.keySet(), asOfMillis);
+        reportedDepartures.apply(targetsByIncarnation.keySet(), asOfMillis);
         updateExcluded();
     }
 
