Test both ways in which departures reach a large fleet

The first test passed by the notices on connecting alone, since its gateways were not connected yet; it waits for a load to be known everywhere now. The second one drops the pending notices, so that connecting has to tell. With the notices on connecting taken out, the second fails and the first passes.

--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -68,11 +68,29 @@
     @Test
     void testDepartureReachesAllGateways() {
         startAll();
+        run(() -> load("x-0").sent(new RunningRequest(5, 7, 0, 0)));
+        await(() -> knownToAll(1));
+        run(() -> depart("x-0"));
+        await(() -> othersKnowDeparture("x-0"));
+    }
+
+    /** Guards against departures that a gateway misses while it is cut off from its peers. */
+    @Test
+    void testGatewaysThatConnectLearnOfEarlierDepartures() {
+        startUnconnected();
+        run(
+                () -> {
+                    depart("x-0");
+                    cores.get("x-0").targets().listingNotices().takeNew();
+                });
+        connectAll();
+        await(() -> othersKnowDeparture("x-0"));
+    }
+
+    private void depart(String gateway) {
         Map<String, DirectoryTarget> left = new HashMap<>(ALL_TARGETS);
         left.remove("u");
-        await(() -> knownToAll(0));
-        run(() -> cores.get("x-0").targets().update(left, 0));
-        await(() -> othersKnowDeparture("x-0"));
+        cores.get(gateway).targets().update(left, 0);
     }
 
     private boolean othersKnowDeparture(String sender) {
@@ -92,13 +110,21 @@
     }
 
     private void startAll() {
+        startUnconnected();
+        connectAll();
+    }
+
+    private void connectAll() {
+        run(() -> reporters.values().forEach(each -> each.members(members)));
+    }
+
+    private void startUnconnected() {
         for (int index = 0; index < SIZE; index++) {
             String domain = DOMAINS.get(index % DOMAINS.size());
             String name = domain + "-" + index;
             members.put(name, new GatewayMember(name, domain, addresses.get(index), 1));
         }
         members.values().forEach(this::start);
-        run(() -> reporters.values().forEach(each -> each.members(members)));
     }
 
     private void start(GatewayMember member) {
