Log from whom and when a configuration came, and how a request stood when it was sent

The record of the late configuration can't tell whether the gateway's watch of the store, its peers or its own loop was late, nor whether the request that ran behind its caller's deadline left the gateway late.

The configuration line names its source, the state line the versions in force and reported and the time since the store and the peers last answered, a sent request its configuration, what it was held and what is left until its deadline, and a failed one when it was handed to its target's connection.

--- a/src/main/java/org/martenwell/directory/DirectoryListener.java
+++ b/src/main/java/org/martenwell/directory/DirectoryListener.java
@@ -1,6 +1,7 @@
 package org.martenwell.directory;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
@@ -14,8 +15,10 @@
      *
      * @param configuration The parsed configuration.
      * @param document The JSON document it was parsed from, to be forwarded to peers.
+     * @param peer The peer that forwarded it, empty if the directory provided it.
      */
-    void configurationChanged(GatewayConfiguration configuration, String document);
+    void configurationChanged(
+            GatewayConfiguration configuration, String document, Optional<String> peer);
 
     /**
      * Called once per version of an entry that can't be parsed. The entry is ignored; all other
--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -14,8 +14,12 @@
      * Applies a configuration that a peer forwarded, if it is newer than the active one.
      *
      * @param document The configuration as JSON.
+     * @param peer The peer's name.
      */
-    void applyForwardedConfiguration(String document);
+    void applyForwardedConfiguration(String document, String peer);
+
+    /** {@return the time since the directory last answered a call, in milliseconds} */
+    long answerAgeMillis();
 
     /** Lists the targets immediately; called when a peer has newer information on them. */
     void refresh();
--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -130,6 +130,11 @@
         return asOfMillis;
     }
 
+    /** {@return the time since the store last answered a call, in milliseconds} */
+    long answerAgeMillis() {
+        return availability.responseAgeMillis();
+    }
+
     private void makeNextCall(int callGeneration) {
         if (callGeneration != generation) {
             return;
--- a/src/main/java/org/martenwell/directory/StoreAvailability.java
+++ b/src/main/java/org/martenwell/directory/StoreAvailability.java
@@ -55,6 +55,11 @@
         return source.now() - unavailableSinceMillis;
     }
 
+    /** {@return the time since the last response, in milliseconds} */
+    long responseAgeMillis() {
+        return source.now() - lastResponseMillis;
+    }
+
     /** Records a response from the store, which ends an outage. */
     void responded() {
         unavailable = false;
@@ -96,7 +101,7 @@
                 LogEvent.of(event)
                         .with("kind", source.kind())
                         .with("reason", failure.getMessage())
-                        .with("ageMillis", source.now() - lastResponseMillis)
+                        .with("ageMillis", responseAgeMillis())
                         .message());
     }
 }
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -168,8 +168,15 @@
     }
 
     @Override
-    public void applyForwardedConfiguration(String document) {
-        applyConfiguration(Json.read(document.getBytes(StandardCharsets.UTF_8)));
+    public void applyForwardedConfiguration(String document, String peer) {
+        applyConfiguration(Json.read(document.getBytes(StandardCharsets.UTF_8)), Optional.of(peer));
+    }
+
+    @Override
+    public long answerAgeMillis() {
+        return Math.min(
+                configurations.answerAgeMillis(),
+                Math.min(targets.answerAgeMillis(), evacuations.answerAgeMillis()));
     }
 
     @Override
@@ -276,7 +283,7 @@
     private void applyConfigurations(Map<String, StoredEntry> entries) {
         StoredEntry present = entries.get(reader.configurationName());
         if (present != null) {
-            applyConfiguration(present.value());
+            applyConfiguration(present.value(), Optional.empty());
         }
     }
 
@@ -299,8 +306,9 @@
      * ignored.
      *
      * @param document The configuration as JSON.
+     * @param peer The peer that forwarded it, empty if the store provided it.
      */
-    private void applyConfiguration(JsonNode document) {
+    private void applyConfiguration(JsonNode document, Optional<String> peer) {
         GatewayConfiguration configuration;
         try {
             configuration = reader.configuration(document);
@@ -314,7 +322,7 @@
         if (configuration.version() > version) {
             version = configuration.version();
             listener.configurationChanged(
-                    configuration, new String(Json.write(document), StandardCharsets.UTF_8));
+                    configuration, new String(Json.write(document), StandardCharsets.UTF_8), peer);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/ConfigurationCatchUp.java
+++ b/src/main/java/org/martenwell/gateway/ConfigurationCatchUp.java
@@ -27,6 +27,11 @@
     /** Creates an instance without any reported version. */
     ConfigurationCatchUp() {}
 
+    /** {@return the newest version that a peer reported, 0 if none} */
+    long newestReported() {
+        return newestReported;
+    }
+
     /**
      * Processes the version that a peer reports.
      *
@@ -37,6 +42,7 @@
      */
     boolean shouldRequest(long peerVersion, long ownVersion, long now) {
         if (peerVersion <= ownVersion) {
+            newestReported = Math.max(newestReported, peerVersion);
             return false;
         }
         if (newestReported <= ownVersion || newerReportedMillis == Long.MAX_VALUE) {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -107,7 +107,6 @@
         this.callers =
                 new CallerServer(
                         reactor, IpAddress.of(settings.callerAddress()), this::serveCaller);
-        this.stateLog = new StateLog(reactor, core, settings.name(), callers::connections);
         DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
                 .ifPresent(callers::setMaxConnections);
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
@@ -119,6 +118,13 @@
                         .map(IpAddress::of)
                         .map(address -> new CallerServer(reactor, address, this::serveMetrics));
         this.peerReporter = new PeerReporter(reactor, settings, core, random);
+        this.stateLog =
+                new StateLog(
+                        reactor,
+                        core,
+                        settings.name(),
+                        callers::connections,
+                        peerReporter::informationAge);
         this.directory = deployment.directory(reactor, settings, this);
         this.cachedPartsLoader = new CachedPartsLoader(core, settings.name());
         this.cachedPartsFollower = new CachedPartsFollower(core, peerReporter.livePeers());
@@ -201,8 +207,9 @@
     }
 
     @Override
-    public void configurationChanged(GatewayConfiguration configuration, String document) {
-        log.changed("configuration", configuration.version());
+    public void configurationChanged(
+            GatewayConfiguration configuration, String document, Optional<String> peer) {
+        log.configured(configuration.version(), peer);
         core.configure(configuration);
         callers.setLimits(configuration.limits());
         peerReporter.document(document);
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -4,6 +4,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import java.util.Locale;
+import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.balance.EngineChoice;
@@ -57,7 +58,7 @@
      * @param kind The error.
      * @param route The name of the route or an empty string.
      * @param organisation The caller's organisation or an empty string.
-     * @param attempts The number of attempts.
+     * @param history The attempts.
      * @param elapsedMillis The time since the request arrived, in milliseconds.
      */
     void failed(
@@ -65,7 +66,7 @@
             ErrorKind kind,
             String route,
             String organisation,
-            int attempts,
+            SendHistory history,
             long elapsedMillis) {
         metrics.counter("requests_failed_" + kind.code()).inc();
         if (mayWrite()) {
@@ -75,7 +76,8 @@
                             .with("kind", kind.code())
                             .with("route", route)
                             .with("organisation", organisation)
-                            .with("attempts", attempts)
+                            .with("attempts", history.attempts())
+                            .with("writtenAtMillis", history.writtenAtMillis())
                             .with("heldMillis", elapsedMillis));
         }
     }
@@ -86,18 +88,26 @@
      * @param request The id that the caller gave to the attempt.
      * @param target The target's id.
      * @param attempt The number of the attempt, from 1.
+     * @param timing The circumstances of the attempt.
      */
-    void sent(String request, String target, int attempt) {
+    void sent(String request, String target, int attempt, SendTiming timing) {
         metrics.counter("requests_sent").inc();
         if (mayWrite()) {
-            write(
-                    LogEvent.of("request-sent")
-                            .with("request", request)
-                            .with("target", target)
-                            .with("attempt", attempt));
+            write(sentEvent(request, target, attempt, timing));
         }
     }
 
+    private static LogEvent sentEvent(
+            String request, String target, int attempt, SendTiming timing) {
+        return LogEvent.of("request-sent")
+                .with("request", request)
+                .with("target", target)
+                .with("attempt", attempt)
+                .with("configuration", timing.configurationVersion())
+                .with("heldMillis", timing.heldMillis())
+                .with("remainingMillis", timing.remainingMillis());
+    }
+
     /**
      * Records an attempt at a model engine.
      *
@@ -106,17 +116,20 @@
      * @param attempt The number of the attempt, from 1.
      * @param organisation The caller's organisation or an empty string.
      * @param use The use that the organisation has made of its fair shares.
+     * @param timing The circumstances of the attempt.
      */
     void sentToEngine(
-            String request, EngineChoice choice, int attempt, String organisation, ShareUse use) {
+            String request,
+            EngineChoice choice,
+            int attempt,
+            String organisation,
+            ShareUse use,
+            SendTiming timing) {
         metrics.counter("requests_sent").inc();
         metrics.counter("requests_sent_" + use.tier().name().toLowerCase(Locale.ROOT)).inc();
         if (mayWrite()) {
             write(
-                    LogEvent.of("request-sent")
-                            .with("request", request)
-                            .with("target", choice.load().target().id())
-                            .with("attempt", attempt)
+                    sentEvent(request, choice.load().target().id(), attempt, timing)
                             .with("organisation", organisation)
                             .with("tier", use.tier())
                             .with("promisedUse", use.promised())
@@ -310,6 +323,23 @@
         }
     }
 
+    /**
+     * Records that a configuration became active.
+     *
+     * @param version Its version.
+     * @param peer The peer that forwarded it, empty if the directory provided it.
+     */
+    void configured(long version, Optional<String> peer) {
+        String from = peer.isPresent() ? "peer" : "directory";
+        metrics.counter("configurations_by_" + from).inc();
+        LOGGER.info(
+                LogEvent.of("configuration")
+                        .with("detail", version)
+                        .with("learntFrom", from)
+                        .with("peer", peer.orElse(""))
+                        .message());
+    }
+
     /**
      * Logs a change of the gateway's state. These lines are not rate-limited.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -65,6 +65,12 @@
     /** Detects gateways that terminated without removing their directory entry. */
     private final DeadMemberDetector deadMemberDetector = new DeadMemberDetector();
 
+    /** The peer that was last asked for its configuration. */
+    private String askedPeer = "";
+
+    /** The time of the last report of any peer, initially of the start, in milliseconds. */
+    private long lastReportMillis;
+
     private final ReportBuilder reportBuilder;
 
     private final ReportReceiver reportReceiver;
@@ -117,6 +123,7 @@
 
     @Override
     public Promise<Void> start() {
+        lastReportMillis = core.now();
         core.harmful().onNewCrash(this::scheduleUrgentReport);
         scheduleReport();
         reactor.delayBackground(MEMBER_CHECK_MILLIS, this::removeDeadMembers);
@@ -154,6 +161,14 @@
         network.setPeers(needed);
     }
 
+    /** {@return the age of what the directory and the peers last told} */
+    InformationAge informationAge() {
+        return new InformationAge(
+                directory.answerAgeMillis(),
+                core.now() - lastReportMillis,
+                catchUp.newestReported());
+    }
+
     /** {@return the peers that reported recently} */
     LivePeers livePeers() {
         return livePeers;
@@ -184,7 +199,7 @@
             }
         } else if (message instanceof ConfigurationResponse response) {
             if (response.version() > core.configurationVersion()) {
-                directory.applyForwardedConfiguration(response.text());
+                directory.applyForwardedConfiguration(response.text(), askedPeer);
             }
         }
     }
@@ -283,6 +298,7 @@
         long now = core.now();
         String peer = report.gateway();
         livePeers.recordReport(peer, now);
+        lastReportMillis = now;
         if (unlistedPeers.joined(peer, report.incarnation(), addresses.containsKey(peer))) {
             directory.refreshMembers();
         }
@@ -380,8 +396,10 @@
      */
     private void requestConfiguration(String peer) {
         ConfigurationRequest request = new ConfigurationRequest(name, core.configurationVersion());
+        askedPeer = peer;
         if (!network.send(peer, request)) {
-            network.send(topology.relay(core.now()), request);
+            askedPeer = topology.relay(core.now());
+            network.send(askedPeer, request);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -322,7 +322,12 @@
     private void sendToChosenEngine(EngineRouting routing, EngineChoice choice, ShareUse use) {
         core.log()
                 .sentToEngine(
-                        requestId(), choice, history.attempts() + 1, routing.organisation(), use);
+                        requestId(),
+                        choice,
+                        history.attempts() + 1,
+                        routing.organisation(),
+                        use,
+                        sendTiming());
         RunningRequest running = routing.running(choice);
         routing.recordSent(choice);
         send(choice.load(), running, choice.copyFrom());
@@ -346,12 +351,16 @@
     }
 
     private void sendToChosenTarget(PlainRouting routing, TargetLoad load, long now) {
-        core.log().sent(requestId(), load.target().id(), history.attempts() + 1);
+        core.log().sent(requestId(), load.target().id(), history.attempts() + 1, sendTiming());
         routing.recordSent(now);
         loadWhenSent = load.totalLoad(now).requests() + 1;
         send(load, new RunningRequest(0, 0, now, 0), Optional.empty());
     }
 
+    private SendTiming sendTiming() {
+        return new SendTiming(core.configurationVersion(), elapsedMillis(), remainingMillis());
+    }
+
     /**
      * Starts an attempt at a target.
      *
@@ -563,6 +572,11 @@
         trySend();
     }
 
+    /** Handles that the request was handed to the connection of its attempt. */
+    void requestWritten() {
+        history.recordWritten(elapsedMillis());
+    }
+
     private void retryFailed() {
         if (over) {
             return;
@@ -683,7 +697,7 @@
                         kind,
                         routeName(),
                         organisation.orElse(""),
-                        history.attempts(),
+                        history,
                         elapsedMillis());
     }
 
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -202,6 +202,8 @@
             // connection opened, which takes up to 400 ms.
             cancel();
             dispatch.targetUnavailable(this);
+        } else {
+            dispatch.requestWritten();
         }
     }
 }
--- a/src/main/java/org/martenwell/gateway/SendHistory.java
+++ b/src/main/java/org/martenwell/gateway/SendHistory.java
@@ -15,6 +15,12 @@
 
     private int unreachable;
 
+    /**
+     * The time from the request's arrival until it was handed to the last connection, in
+     * milliseconds, negative if it was not.
+     */
+    private long writtenAtMillis = -1;
+
     private boolean mayHaveRun;
 
     /** Creates the history of a request that was not sent yet. */
@@ -35,6 +41,23 @@
         return first;
     }
 
+    /**
+     * Records that the request was handed to a connection.
+     *
+     * @param elapsedMillis The time since the request arrived, in milliseconds.
+     */
+    void recordWritten(long elapsedMillis) {
+        writtenAtMillis = elapsedMillis;
+    }
+
+    /**
+     * {@return the time from the request's arrival until it was handed to the last connection, in
+     * milliseconds, negative if it was not}
+     */
+    long writtenAtMillis() {
+        return writtenAtMillis;
+    }
+
     /** Withdraws the last attempt, of which no byte was sent. */
     void withdrawAttempt() {
         attempts--;
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -4,6 +4,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.Map;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.observe.LogEvent;
@@ -40,6 +41,9 @@
     /** Returns the number of caller connections. */
     private final IntSupplier connections;
 
+    /** Returns the age of what the directory and the peers last told. */
+    private final Supplier<InformationAge> informationAge;
+
     /** The resource usage of the process. */
     private final ProcessUsage usage = new ProcessUsage();
 
@@ -55,12 +59,19 @@
      * @param core The gateway's state.
      * @param gateway The name of this gateway.
      * @param connections Returns the number of caller connections.
+     * @param informationAge Returns the age of what the directory and the peers last told.
      */
-    StateLog(NioReactor reactor, GatewayCore core, String gateway, IntSupplier connections) {
+    StateLog(
+            NioReactor reactor,
+            GatewayCore core,
+            String gateway,
+            IntSupplier connections,
+            Supplier<InformationAge> informationAge) {
         this.reactor = reactor;
         this.core = core;
         this.gateway = gateway;
         this.connections = connections;
+        this.informationAge = informationAge;
     }
 
     @Override
@@ -83,12 +94,17 @@
         }
         long now = reactor.currentTimeMillis();
         ProcessUsage.Interval used = usage.measure();
+        InformationAge age = informationAge.get();
         LOGGER.info(
                 LogEvent.of("state")
                         .with("overMillis", now - writtenMillis)
                         .with("lateMillis", core.loopLag().takeMaxLagMillis())
                         .with("refusedPart", core.loopLag().refusedFraction())
                         .with("refusedForProcessor", core.processor().refusedFraction())
+                        .with("configuration", core.configurationVersion())
+                        .with("reportedConfiguration", age.reportedVersion())
+                        .with("storeAgeMillis", age.storeMillis())
+                        .with("peerAgeMillis", age.peersMillis())
                         .with("connections", connections.getAsInt())
                         .with("serving", core.activeRequests())
                         .with("waiting", core.queue().size())
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -169,7 +169,8 @@
         private final List<String> unreadable = new ArrayList<>();
 
         @Override
-        public void configurationChanged(GatewayConfiguration configuration, String document) {}
+        public void configurationChanged(
+                GatewayConfiguration configuration, String document, Optional<String> peer) {}
 
         @Override
         public void entryUnreadable(String name, String reason) {
--- a/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetReportsTest.java
@@ -198,7 +198,12 @@
         }
 
         @Override
-        public void applyForwardedConfiguration(String document) {}
+        public void applyForwardedConfiguration(String document, String peer) {}
+
+        @Override
+        public long answerAgeMillis() {
+            return 0;
+        }
 
         @Override
         public void refresh() {}
