Ping the store behind each watch, and list again if it doesn't answer

Callers saw: on cold chain a request was refused as only an older configuration says, long behind the acknowledgement of a newer one.

Cause: a watch that the store took while it was silent, and never answered, looks like a watch without changes. Nothing but its own end told, 10.6 s later in a fleet of 7 gateways and 19.3 s later in one of 61. All gateways watch anew at the same moment, just behind a change, so a silence that begins then makes all of them deaf, and peers have nothing to tell each other either. Class: silence taken for the absence of news. The targets' and the evacuations' watches had the same fault.

Change: 0.1 s behind each watch that is still open the gateway reads an object that doesn't exist, stale, which costs a tenth of a call. The delay makes the ping follow the watch to the store. Watches that were answered meanwhile get none.

--- a/src/main/java/org/martenwell/directory/KindSource.java
+++ b/src/main/java/org/martenwell/directory/KindSource.java
@@ -35,6 +35,15 @@
         return store.watch(kind, revision, waitMillis);
     }
 
+    /**
+     * Checks that the store answers.
+     *
+     * @return A promise that completes when it has answered.
+     */
+    Promise<Void> ping() {
+        return store.ping(kind);
+    }
+
     /** {@return the event loop's time in milliseconds} */
     long now() {
         return reactor.currentTimeMillis();
--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -17,6 +17,9 @@
  * changes, because a store that loses its history may have skipped some while its revision
  * advanced.
  *
+ * <p>A watch that the store never received looks like one without changes. So each watch is
+ * followed by a ping, and given up if the ping gets no answer.
+ *
  * <p>While the store is unavailable, the last known objects stay in use. Objects that are missing
  * afterwards are retained for a grace period; see {@link RetainedEntries}.
  */
@@ -46,6 +49,12 @@
      */
     private static final long MAX_CATCH_UP_MILLIS = 2_800;
 
+    /**
+     * The delay between a watch and its ping, in milliseconds. The watch opens a connection first,
+     * and the store must be known to answer behind its arrival.
+     */
+    private static final long PING_DELAY_MILLIS = 100;
+
     private final KindSource source;
 
     private final Supplier<WatchTiming> timing;
@@ -79,6 +88,12 @@
     /** Incremented on each restart; results of calls from earlier generations are ignored. */
     private int generation;
 
+    /** The number of watches so far, by which a ping recognises its own. */
+    private int watchCount;
+
+    /** Set while a watch awaits its answer. */
+    private boolean watching;
+
     /**
      * Creates a watcher that is not started.
      *
@@ -210,12 +225,16 @@
 
     private void watch(int callGeneration) {
         long startedMillis = source.now();
+        int watch = ++watchCount;
+        watching = true;
+        source.delay(PING_DELAY_MILLIS, () -> confirm(callGeneration, watch));
         source.watch(revision, timing.get().waitMillis())
                 .subscribe(
                         (changes, failure) -> {
                             if (callGeneration != generation) {
                                 return;
                             }
+                            watching = false;
                             if (failure != null) {
                                 availability.watchFailed(failure);
                                 listDue = true;
@@ -230,6 +249,29 @@
                         });
     }
 
+    /**
+     * Confirms that the store received a watch, unless it was answered.
+     *
+     * @param callGeneration The generation of the watch.
+     * @param watch The number of the watch.
+     */
+    private void confirm(int callGeneration, int watch) {
+        if (awaitsAnswer(callGeneration, watch)) {
+            source.ping()
+                    .subscribe(
+                            (ignored, failure) -> {
+                                if (failure != null && awaitsAnswer(callGeneration, watch)) {
+                                    availability.watchFailed(failure);
+                                    refresh();
+                                }
+                            });
+        }
+    }
+
+    private boolean awaitsAnswer(int callGeneration, int watch) {
+        return callGeneration == generation && watching && watch == watchCount;
+    }
+
     private void apply(int callGeneration, EntryChanges changes) {
         delayMillis = INITIAL_DELAY_MILLIS;
         availability.responded();
--- a/src/main/java/org/martenwell/directory/ObjectStore.java
+++ b/src/main/java/org/martenwell/directory/ObjectStore.java
@@ -29,6 +29,14 @@
      */
     Promise<EntryChanges> watch(String kind, long revision, long waitMillis);
 
+    /**
+     * Checks that the store answers, by a call that costs it far less than a list.
+     *
+     * @param kind The kind of objects that the caller depends on.
+     * @return A promise that completes when the store has answered.
+     */
+    Promise<Void> ping(String kind);
+
     /**
      * Creates an object or replaces its value.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -143,6 +143,7 @@
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
         log.metrics().registerGauge("tokens_charged", this::chargedTokens);
+        log.metrics().registerGauge("configuration_version", this::configurationVersion);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain(), random);
--- a/src/test/java/org/martenwell/directory/KindWatcherTest.java
+++ b/src/test/java/org/martenwell/directory/KindWatcherTest.java
@@ -11,6 +11,9 @@
     /** The maximum time between attempts, in milliseconds. */
     private static final long MAX_DELAY_MILLIS = 900;
 
+    /** Exceeds the delay between a watch and its ping, in milliseconds. */
+    private static final long PING_ELAPSED_MILLIS = 150;
+
     /** The number of failed attempts. */
     private static final int ATTEMPTS = 100;
 
@@ -25,6 +28,37 @@
         assertThat(harness.store().watchedRevisions()).containsExactly(7L);
     }
 
+    /** Guards against a watch that the store never received and whose changes are missed. */
+    @Test
+    void testWatchIsReplacedByAListIfTheStoreDoesNotAnswerItsPing() {
+        harness.store().willReturn(7, false, "one");
+        harness.store().willReturn(8, false, "one", "two");
+        harness.store().willHoldWatches();
+        harness.store().failPings();
+        harness.start();
+        harness.advance(PING_ELAPSED_MILLIS);
+        assertThat(harness.lastNotification()).isEqualTo(Set.of("one", "two"));
+    }
+
+    @Test
+    void testWatchIsKeptIfTheStoreAnswersItsPing() {
+        harness.store().willReturn(7, false, "one");
+        harness.store().willHoldWatches();
+        harness.start();
+        harness.advance(PING_ELAPSED_MILLIS);
+        assertThat(harness.store().pingCount()).isEqualTo(1);
+        assertThat(harness.store().listCount()).isEqualTo(1);
+    }
+
+    /** Guards against pings that a store with many changes would get for each of them. */
+    @Test
+    void testAnsweredWatchIsNotPinged() {
+        harness.store().willReturn(7, false, "one");
+        harness.start();
+        harness.advance(PING_ELAPSED_MILLIS);
+        assertThat(harness.store().pingCount()).isZero();
+    }
+
     @Test
     void testRetryDelayIsLimited() {
         harness.store().willFail();
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -136,6 +136,11 @@
             return Promise.ofException(new IllegalStateException("Watches are not expected."));
         }
 
+        @Override
+        public Promise<Void> ping(String kind) {
+            return Promise.complete();
+        }
+
         @Override
         public Promise<Void> put(String kind, String name, JsonNode value) {
             return Promise.ofException(new IllegalStateException("Replacements are not expected."));
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 
-/** A store whose lists return scripted responses in order. Its watches always fail. */
+/** A store whose lists return scripted responses in order. Its watches fail or stay pending. */
 final class ScriptedStore implements ObjectStore {
 
     /** The scripted responses, empty for a failure; the last one is repeated. */
@@ -22,6 +22,15 @@
     /** Set if the next list stays pending. */
     private boolean hangNext;
 
+    /** Set if watches stay pending rather than fail. */
+    private boolean holdsWatches;
+
+    /** Set if pings fail. */
+    private boolean failsPings;
+
+    /** The number of ping calls. */
+    private int pingCount;
+
     /** The number of list calls. */
     private int listCount;
 
@@ -54,6 +63,20 @@
         hanging.setException(new IllegalStateException("The call timed out."));
     }
 
+    /** Leaves all watches pending. */
+    void willHoldWatches() {
+        holdsWatches = true;
+    }
+
+    /** Makes pings fail. */
+    void failPings() {
+        failsPings = true;
+    }
+
+    int pingCount() {
+        return pingCount;
+    }
+
     int listCount() {
         return listCount;
     }
@@ -82,9 +105,20 @@
     @Override
     public Promise<EntryChanges> watch(String kind, long revision, long waitMillis) {
         watchedRevisions.add(revision);
+        if (holdsWatches) {
+            return new SettablePromise<>();
+        }
         return Promise.ofException(new IllegalStateException("No watch is scripted."));
     }
 
+    @Override
+    public Promise<Void> ping(String kind) {
+        pingCount++;
+        return failsPings
+                ? Promise.ofException(new IllegalStateException("The store is silent."))
+                : Promise.complete();
+    }
+
     @Override
     public Promise<Void> put(String kind, String name, JsonNode value) {
         return Promise.complete();
