Request a configuration only from a connected peer that reported a newer one

Cause: a gateway asked the peer whose report named the newer version, and its own relay if that peer wasn't connected, which in a large fleet is the rule. A relay then asked itself; a member asked a relay that was as old as itself, and silence was the answer. Class: a fallback that is lost with what it stands in for.

Change: each gateway remembers who reported a newer version and asks those alone that are connected to it: members their relay, a relay the relays of other domains and its members. So a version travels along the reports that told of it.

Elsewhere: loads, cached parts, quarantined requests and notices on departures are pushed with the reports and need no request; nothing else asks a peer or else the relay.

--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -57,7 +57,7 @@
     private String document = "";
 
     /** Decides when to request a newer configuration from a peer. */
-    private final ConfigurationCatchUp catchUp = new ConfigurationCatchUp();
+    private final ConfigurationCatchUp catchUp;
 
     /** Tracks the peers that reported recently. */
     private final LivePeers livePeers;
@@ -65,9 +65,6 @@
     /** Detects gateways that terminated without removing their directory entry. */
     private final DeadMemberDetector deadMemberDetector = new DeadMemberDetector();
 
-    /** The peer that was last asked for its configuration. */
-    private String askedPeer = "";
-
     /** The time of the last report of any peer, initially of the start, in milliseconds. */
     private long lastReportMillis;
 
@@ -107,6 +104,7 @@
         this.reportReceiver = new ReportReceiver(core);
         this.livePeers = new LivePeers(name);
         this.relayedReports = new RelayedReports(name);
+        this.catchUp = new ConfigurationCatchUp(name);
         this.topology = new ReportTopology(name, settings.failureDomain());
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
@@ -192,15 +190,25 @@
         } else if (message instanceof TargetNotice notice) {
             receiveDirect(notice);
         } else if (message instanceof ConfigurationRequest request) {
-            if (core.configurationVersion() > request.newerThan()) {
-                network.send(
-                        request.router(),
-                        new ConfigurationResponse(core.configurationVersion(), document));
-            }
+            respond(request);
         } else if (message instanceof ConfigurationResponse response) {
-            if (response.version() > core.configurationVersion()) {
-                directory.applyForwardedConfiguration(response.text(), askedPeer);
-            }
+            receiveConfiguration(response);
+        }
+    }
+
+    /** Sends a peer the active configuration, without the document if it isn't newer. */
+    private void respond(ConfigurationRequest request) {
+        long version = core.configurationVersion();
+        String text = version > request.newerThan() ? document : "";
+        network.send(request.router(), new ConfigurationResponse(version, text));
+    }
+
+    private void receiveConfiguration(ConfigurationResponse response) {
+        if (response.version() > core.configurationVersion()) {
+            directory.applyForwardedConfiguration(response.text(), catchUp.lastAsked());
+        } else {
+            catchUp.declined();
+            requestConfiguration();
         }
     }
 
@@ -302,10 +310,8 @@
         if (unlistedPeers.joined(peer, report.incarnation(), addresses.containsKey(peer))) {
             directory.refreshMembers();
         }
-        if (catchUp.shouldRequest(
-                report.configurationVersion(), core.configurationVersion(), now)) {
-            requestConfiguration(peer);
-        }
+        catchUp.reported(peer, report.configurationVersion(), core.configurationVersion(), now);
+        requestConfiguration();
         reportReceiver.apply(report);
     }
 
@@ -389,18 +395,11 @@
         }
     }
 
-    /**
-     * Requests the configuration of a peer, or of the relay if the peer is not connected.
-     *
-     * @param peer The peer's name.
-     */
-    private void requestConfiguration(String peer) {
-        ConfigurationRequest request = new ConfigurationRequest(name, core.configurationVersion());
-        askedPeer = peer;
-        if (!network.send(peer, request)) {
-            askedPeer = topology.relay(core.now());
-            network.send(askedPeer, request);
-        }
+    /** Requests the configuration of a connected peer, if one has a newer version. */
+    private void requestConfiguration() {
+        long version = core.configurationVersion();
+        catchUp.nextPeer(version, network::connected, core.now())
+                .ifPresent(peer -> network.send(peer, new ConfigurationRequest(name, version)));
     }
 
     /** Removes the directory entries of dead gateways. */
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -125,6 +125,11 @@
         return address;
     }
 
+    /** {@return {@code true} if messages can be sent} */
+    boolean established() {
+        return codec != null;
+    }
+
     /** Connects, and reconnects after a failure until {@link #close} is called. */
     void open() {
         TcpSocket.connect(
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -84,14 +84,22 @@
      *
      * @param peer The peer's name.
      * @param message The message.
-     * @return {@code false} if there is no peer of that name.
      */
-    public boolean send(String peer, PeerMessage message) {
+    public void send(String peer, PeerMessage message) {
         PeerConnection connection = connections.get(peer);
         if (connection != null) {
             connection.send(message);
         }
-        return connection != null;
+    }
+
+    /**
+     * Returns whether messages can be sent to a peer.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if the connection to it is established.
+     */
+    public boolean connected(String peer) {
+        return connections.containsKey(peer) && connections.get(peer).established();
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -0,0 +1,207 @@
+package org.martenwell.gateway;
+
+import io.activej.promise.Promise;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.directory.FleetDirectory;
+import org.martenwell.directory.GatewayMember;
+import org.martenwell.exchange.ConnectionLimits;
+import org.martenwell.quarantine.Fingerprint;
+import org.martenwell.quarantine.QuarantinedRequest;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.service.EventLoopThread;
+import org.martenwell.service.IpAddress;
+import org.martenwell.service.LoopbackPorts;
+import org.martenwell.settings.GatewaySettings;
+
+/**
+ * The reporters of a fleet of gateways on loopback, all on one event loop, without a store. Tests
+ * provide what a gateway would learn from it.
+ */
+final class ReporterFleet implements AutoCloseable {
+
+    /** The targets that all gateways know. */
+    static final Map<String, DirectoryTarget> ALL_TARGETS =
+            Map.of("t", target("t"), "u", target("u"), "v", target("v"));
+
+    private final EventLoopThread thread = EventLoopThread.start("test-reports");
+
+    private final Map<String, GatewayMember> members = new LinkedHashMap<>();
+
+    private final Map<String, PeerReporter> reporters = new LinkedHashMap<>();
+
+    private final Map<String, GatewayCore> cores = new HashMap<>();
+
+    /**
+     * Starts gateways that don't know each other. They are named by their failure domain and a
+     * number, and spread evenly over the domains.
+     */
+    ReporterFleet(int size, List<String> domains) {
+        List<String> addresses = LoopbackPorts.free(size);
+        for (int index = 0; index < size; index++) {
+            String domain = domains.get(index % domains.size());
+            String name = domain + "-" + index;
+            members.put(name, new GatewayMember(name, domain, addresses.get(index), 1));
+        }
+        members.values().forEach(this::start);
+    }
+
+    /** Lets all gateways know each other. */
+    void connect() {
+        run(() -> reporters.values().forEach(each -> each.members(members)));
+    }
+
+    /** Returns the current time of the event loop, in milliseconds. */
+    long now() {
+        return thread.loop().currentTimeMillis();
+    }
+
+    GatewayCore core(String gateway) {
+        return cores.get(gateway);
+    }
+
+    /** Returns the names of the gateways that were not stopped. */
+    Set<String> running() {
+        return reporters.keySet();
+    }
+
+    /** Returns the name of a failure domain's relay. */
+    String relayOf(String domain) {
+        ReportTopology topology = new ReportTopology("none", domain);
+        topology.members(members.values());
+        return topology.relay(0);
+    }
+
+    /** Stops a gateway. */
+    void stop(String gateway) {
+        run(() -> reporters.remove(gateway).stop());
+    }
+
+    /** Activates a configuration at the gateways that a store would provide it to. */
+    void provideConfiguration(long version, Predicate<String> provided) {
+        run(
+                () ->
+                        reporters.keySet().stream()
+                                .filter(provided)
+                                .forEach(each -> configure(each, version)));
+    }
+
+    /** Returns whether all running gateways have a version of the configuration. */
+    boolean allHaveConfiguration(long version) {
+        return thread.call(
+                () ->
+                        Promise.of(
+                                reporters.keySet().stream()
+                                        .map(cores::get)
+                                        .allMatch(each -> each.configurationVersion() == version)));
+    }
+
+    /** Runs an action on the event loop. */
+    void run(Runnable action) {
+        thread.call(
+                () -> {
+                    action.run();
+                    return Promise.complete();
+                });
+    }
+
+    @Override
+    public void close() {
+        reporters.values().forEach(each -> thread.call(each::stop));
+        thread.stop();
+    }
+
+    private void start(GatewayMember member) {
+        run(
+                () -> {
+                    GatewaySettings settings =
+                            GatewayCores.settings(
+                                    member.name(), member.failureDomain(), member.peerAddress());
+                    GatewayLog log = new GatewayLog(thread.loop());
+                    GatewayCore core =
+                            new GatewayCore(thread.loop(), null, settings, new Random(1), log);
+                    core.targets().update(ALL_TARGETS, 0);
+                    PeerReporter reporter =
+                            new PeerReporter(
+                                    thread.loop(), settings, core, new Random(member.hashCode()));
+                    reporter.directory(new ForwardedOnlyDirectory(member.name()));
+                    cores.put(member.name(), core);
+                    reporters.put(member.name(), reporter);
+                });
+        thread.call(reporters.get(member.name())::start);
+    }
+
+    private void configure(String gateway, long version) {
+        cores.get(gateway)
+                .configure(
+                        new GatewayConfiguration(
+                                version,
+                                List.of(),
+                                Map.of(),
+                                ConnectionLimits.DEFAULTS,
+                                0,
+                                false,
+                                Map.of()));
+        reporters.get(gateway).document(Long.toString(version));
+    }
+
+    private static DirectoryTarget target(String id) {
+        return new DirectoryTarget(
+                id, OptionalLong.of(1), "s", IpAddress.of("127.0.0.1:1"), "x", 10, false);
+    }
+
+    /** A directory that activates forwarded configurations; its other methods do nothing. */
+    private final class ForwardedOnlyDirectory implements FleetDirectory {
+
+        private final String gateway;
+
+        ForwardedOnlyDirectory(String gateway) {
+            this.gateway = gateway;
+        }
+
+        @Override
+        public Promise<Void> start() {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Void> stop() {
+            return Promise.complete();
+        }
+
+        @Override
+        public void applyForwardedConfiguration(String document, String peer) {
+            configure(gateway, Long.parseLong(document));
+        }
+
+        @Override
+        public long answerAgeMillis() {
+            return 0;
+        }
+
+        @Override
+        public void refresh() {}
+
+        @Override
+        public void refreshMembers() {}
+
+        @Override
+        public void removeMember(String name) {}
+
+        @Override
+        public void quarantine(QuarantinedRequest request) {}
+
+        @Override
+        public void release(Fingerprint fingerprint) {}
+
+        @Override
+        public void leave() {}
+    }
+}
