Reset the connection of a cancelled request, so that it isn't delivered later

Cause: a gateway that gives up a request closes its connection. The system goes on delivering what it has buffered, so bytes that were held up by loss, a cut or a slow receiver reach the target seconds later, and the request runs for nobody. Class: a cancellation that ends the caller's interest and not the work.

Change: a connection that is cancelled with a request in progress is reset, which discards what is buffered. Connections without a request close as before.

CancelledRequestTest failed before: a target that starts to read after the cancellation got all 200 KB of the request. It gets a part and a reset now.

--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -17,6 +17,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * A connection to a target that carries one request at a time. It closes on bytes that belong to no
@@ -24,6 +28,8 @@
  */
 public final class TargetConnection {
 
+    private static final Logger LOGGER = LogManager.getLogger(TargetConnection.class);
+
     private final NioReactor reactor;
 
     private final TcpSocket socket;
@@ -152,13 +158,31 @@
 
     /**
      * Closes the connection without notifying the listener; the target sees the disconnect and can
-     * stop its work.
+     * stop its work. With a request in progress the connection is reset.
      */
     public void cancel() {
-        listener = null;
+        if (listener != null) {
+            listener = null;
+            resetOnClose();
+        }
         close();
     }
 
+    /**
+     * Makes the close reset the connection, which discards what the system has buffered. It would
+     * otherwise deliver a cancelled request to the target seconds later.
+     */
+    private void resetOnClose() {
+        if (closed) {
+            return;
+        }
+        try {
+            socket.getSocketChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
+        } catch (IOException exception) {
+            LOGGER.debug("The connection was closed without a reset.", exception);
+        }
+    }
+
     private void read() {
         if (closed || paused || reading) {
             return;
