Refuse for processor time only while the loop lags, and stop as fast as begun

All requests of that organisation came to lhr-hall-a-5, 28.1 M tokens, repeats too; from second 16 to 20 it refused 90 of 100 of them there as overloaded, with its loop 2 to 21 ms late in four of the five seconds and 15 to 29 requests in progress.

Cause: the limiter took the processor time that the process measures, over the grant of the box, for the whole truth. That box measured 450 to 520 ms a second of 360 granted, lhr-hall-a-18 600 to 660 ms for 16 s, which can't be if both counted alike: the loops would have been seconds behind. And its part grew by 6 and declined by 1 for each unit of excess, so a short peak was paid for over seconds. Class: a prediction taken for the symptom, and an integrator that winds up.

Change: the part changes by the lesser of the use's excess and the lag's excess over 10 ms, by the same rate in both directions. A box that is short of time still refuses: ProcessorLimiterTest's loads of 1.3 and 2 times the grant leave no backlog over 250 ms, as before.

Before, ProcessorLimiterTest's two new cases failed: 0.42 of requests were refused at 0.7 of the grant if the process measures twice what the box counts, 0.65 three seconds behind a peak of one second.

So unready boxes move the load and don't heal it.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -161,6 +161,7 @@
                         reactor,
                         settings.processor().orElse(ProcessorSettings.WHOLE).processors(),
                         ProcessUsage::processorMillis,
+                        loopLag::meanMillis,
                         random);
     }
 
--- a/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
+++ b/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
@@ -86,6 +86,11 @@
         return refusedFraction > 0 && random.nextDouble() < refusedFraction;
     }
 
+    /** {@return the exponentially weighted mean of the lag, in milliseconds} */
+    double meanMillis() {
+        return meanLagMillis;
+    }
+
     /** {@return the fraction of new requests that is refused, from 0 to 1} */
     double refusedFraction() {
         double refusedFraction =
--- a/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
+++ b/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
@@ -3,14 +3,18 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.Random;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.martenwell.service.ManagedService;
 
 /**
  * Refuses a fraction of new requests while the process uses nearly all processor time that its box
- * grants. Callers of a large organisation may all come to one box; the refused ones may retry at
- * gateways with time to spare. A box whose time is used up serves all requests late, even while the
- * event loop keeps up with what the box lets through.
+ * grants and the event loop falls behind. Callers of a large organisation may all come to one box,
+ * which would serve all of them late.
+ *
+ * <p>The use alone decides nothing. What a process measures of its processor time may exceed what
+ * its box counts against the grant, and a box that refuses requests while it is idle serves the
+ * organisations whose callers come to it less than others.
  */
 final class ProcessorLimiter implements ManagedService {
 
@@ -32,11 +36,20 @@
     /** The aimed use, as a fraction of the granted time. */
     private static final double AIMED_USE = 0.87;
 
-    /** The growth of the refused fraction per excess of the use and second. */
-    private static final double GROWTH_PER_SECOND = 6;
+    /**
+     * The aimed mean lag of the event loop, in milliseconds. It grows with the queue of a box that
+     * is short of processor time.
+     */
+    private static final double AIMED_LAG_MILLIS = 10;
+
+    /** The lag beyond the aimed one that counts as an excess of 1, in milliseconds. */
+    private static final double LAG_UNIT_MILLIS = 100;
 
-    /** The decline of the refused fraction per unused fraction of the grant and second. */
-    private static final double DECLINE_PER_SECOND = 1;
+    /**
+     * The change of the refused fraction per excess and second, the same in both directions: a
+     * fraction that outlasts its cause refuses requests that the box could serve.
+     */
+    private static final double CHANGE_PER_SECOND = 6;
 
     /** The largest refused fraction, so that the use still reflects the cost of requests. */
     private static final double MAX_REFUSED_FRACTION = 0.9;
@@ -51,6 +64,9 @@
     /** Returns the processor time of this process, in milliseconds. */
     private final LongSupplier usedMillis;
 
+    /** Returns the mean lag of the event loop, in milliseconds. */
+    private final DoubleSupplier lagMillis;
+
     /** Selects the requests to refuse. */
     private final Random random;
 
@@ -73,13 +89,19 @@
      * @param reactor The event loop.
      * @param processors The processor time that the box grants, in processors.
      * @param usedMillis Returns the processor time of this process, in milliseconds.
+     * @param lagMillis Returns the mean lag of the event loop, in milliseconds.
      * @param random Selects the requests to refuse.
      */
     ProcessorLimiter(
-            NioReactor reactor, double processors, LongSupplier usedMillis, Random random) {
+            NioReactor reactor,
+            double processors,
+            LongSupplier usedMillis,
+            DoubleSupplier lagMillis,
+            Random random) {
         this.reactor = reactor;
         this.processors = processors;
         this.usedMillis = usedMillis;
+        this.lagMillis = lagMillis;
         this.random = random;
     }
 
@@ -130,9 +152,10 @@
 
     private void adjust(double use, double elapsedMillis) {
         meanUse += SMOOTHING_FACTOR * (Math.min(1, use) - meanUse);
-        double excess = meanUse - AIMED_USE;
-        double perSecond = excess > 0 ? GROWTH_PER_SECOND : DECLINE_PER_SECOND;
-        double changed = refusedFraction + perSecond * excess * elapsedMillis / MILLIS_PER_SECOND;
+        double lagExcess = (lagMillis.getAsDouble() - AIMED_LAG_MILLIS) / LAG_UNIT_MILLIS;
+        double excess = Math.min(meanUse - AIMED_USE, lagExcess);
+        double change = CHANGE_PER_SECOND * excess * elapsedMillis / MILLIS_PER_SECOND;
+        double changed = refusedFraction + change;
         refusedFraction = Math.max(0, Math.min(MAX_REFUSED_FRACTION, changed));
     }
 }
--- a/src/test/java/org/martenwell/gateway/ProcessorLimiterTest.java
+++ b/src/test/java/org/martenwell/gateway/ProcessorLimiterTest.java
@@ -28,6 +28,9 @@
 
     private double usedMillis;
 
+    /** The processor time that the process measures, as a multiple of what the box counts. */
+    private double clockRate = 1;
+
     /** The processor time that accepted and refused requests still need, in milliseconds. */
     private double backlogMillis;
 
@@ -35,7 +38,12 @@
             Eventloop.builder().withTimeProvider(() -> nowMillis).withCurrentThread().build();
 
     private final ProcessorLimiter limiter =
-            new ProcessorLimiter(loop, PROCESSORS, () -> (long) usedMillis, new Random(1));
+            new ProcessorLimiter(
+                    loop,
+                    PROCESSORS,
+                    () -> (long) (usedMillis * clockRate),
+                    () -> backlogMillis / PROCESSORS,
+                    new Random(1));
 
     @BeforeEach
     void start() {
@@ -50,6 +58,26 @@
         assertThat(limiter.refusedFraction()).isZero();
     }
 
+    /**
+     * Guards against a box that refuses nearly all requests of its callers while it is partly idle,
+     * since the process measures more processor time than the box counts.
+     */
+    @Test
+    void testNothingIsRefusedWhileTheLoopKeepsUp() {
+        clockRate = 2;
+        run(0.7, 10);
+        assertThat(limiter.refusedFraction()).isZero();
+    }
+
+    /** Guards against a refused fraction that outlasts a peak for seconds. */
+    @Test
+    void testRefusalsEndSoonAfterAPeak() {
+        run(0.3, 5);
+        run(3, 1);
+        run(0.7, 3);
+        assertThat(limiter.refusedFraction()).isZero();
+    }
+
     /** A peak while connections open and code is compiled must not send callers away. */
     @Test
     void testNothingIsRefusedInAShortPeak() {
