Let a busy loop see its connections open before their timeout ends them

Callers of a box that is busy for longer than 0.4 s at a time, as at its start or when it is slowed, would find no target: each connection that the gateway opens fails, its targets are paused for 0.4 to 3.2 s, and neither the store nor peers are reached.

Cause: the timer of a connection runs on the loop that is to see it open. A loop that is late runs due timers before it looks for events again, so its own delay counts as the target's.

Change: a timer that fires late gives the loop one more pass, in which a connection that is open is taken.

Timeouts of calls to the store, of silent targets and of silent peers run the same way and are listed as open.

--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -4,11 +4,11 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
 import java.util.function.Consumer;
+import org.martenwell.service.TcpConnector;
 
 /** The connection pool of one target. Idle connections are reused, the last used one first. */
 public final class TargetConnections {
@@ -103,8 +103,7 @@
      */
     public void sendOnNewConnection(
             OutboundRequest request, ResponseListener listener, Consumer<TargetConnection> opened) {
-        TcpSocket.connect(
-                        reactor, address, Duration.ofMillis(connectTimeoutMillis), socketSettings())
+        TcpConnector.connect(reactor, address, connectTimeoutMillis, socketSettings())
                 .subscribe(
                         (socket, failure) -> {
                             if (failure != null) {
@@ -121,8 +120,7 @@
      * @param listener Receives the outcome.
      */
     public void probe(Consumer<ConnectResult> listener) {
-        TcpSocket.connect(
-                        reactor, address, Duration.ofMillis(connectTimeoutMillis), socketSettings())
+        TcpConnector.connect(reactor, address, connectTimeoutMillis, socketSettings())
                 .subscribe(
                         (socket, failure) -> {
                             if (failure != null) {
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.TcpConnector;
 
 /**
  * Outgoing connection to one peer. Reconnects with exponential backoff and jitter whenever the
@@ -132,11 +133,7 @@
 
     /** Connects, and reconnects after a failure until {@link #close} is called. */
     void open() {
-        TcpSocket.connect(
-                        reactor,
-                        IpAddress.of(address),
-                        Duration.ofMillis(CONNECT_TIMEOUT_MILLIS),
-                        settings())
+        TcpConnector.connect(reactor, IpAddress.of(address), CONNECT_TIMEOUT_MILLIS, settings())
                 .whenResult(this::onConnected)
                 .whenException(exception -> retryLater());
     }
