--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -159,7 +159,7 @@
         network.setPeers(needed);
     }
 
-    /** {@return the age of what the directory and the peers last told} */
+    /** {@return the age of the last response of the directory and of the last report of a peer} */
     InformationAge informationAge() {
         return new InformationAge(
                 directory.answerAgeMillis(),
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -41,7 +41,7 @@
     /** Returns the number of caller connections. */
     private final IntSupplier connections;
 
-    /** Returns the age of what the directory and the peers last told. */
+    /** Returns the age of the last response of the directory and of the last report. */
     private final Supplier<InformationAge> informationAge;
 
     /** The resource usage of the process. */
@@ -59,7 +59,8 @@
      * @param core The gateway's state.
      * @param gateway The name of this gateway.
      * @param connections Returns the number of caller connections.
-     * @param informationAge Returns the age of what the directory and the peers last told.
+     * @param informationAge Returns the age of the last response of the directory and of the last
+     *     report of a peer.
      */
     StateLog(
             NioReactor reactor,
