Log the version of the target that each attempt goes to, and which stream it goes on with

Callers saw streams with events of two versions, and no line of the logs names a version: of the three hypotheses (gateways know no versions; entries come late; the service of a split route is drawn anew) none can be told from another. The entry's version and the header Resumes are read, and request-sent names both.

--- a/src/main/java/org/martenwell/directory/DirectoryTarget.java
+++ b/src/main/java/org/martenwell/directory/DirectoryTarget.java
@@ -18,6 +18,7 @@
  * @param draining {@code true} if the target is draining and accepts no new requests.
  * @param warmUpMillis The remaining warm-up time when the entry was written, in milliseconds, 0 for
  *     a target that bears its full load; empty if the entry doesn't state a valid time.
+ * @param version The version of the target's software; empty if the entry doesn't state one.
  */
 public record DirectoryTarget(
         String id,
@@ -27,13 +28,14 @@
         String failureDomain,
         int slots,
         boolean draining,
-        OptionalLong warmUpMillis) {
+        OptionalLong warmUpMillis,
+        String version) {
 
     /** The radix of the start time in an incarnation. */
     private static final int START_RADIX = 36;
 
     /**
-     * Creates a target that bears its full load.
+     * Creates a target that bears its full load and states no version.
      *
      * @param id The target's id.
      * @param startMillis The start time of the target's process, or empty.
@@ -51,7 +53,35 @@
             String failureDomain,
             int slots,
             boolean draining) {
-        this(id, startMillis, service, address, failureDomain, slots, draining, OptionalLong.of(0));
+        this(
+                id,
+                startMillis,
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                OptionalLong.of(0),
+                "");
+    }
+
+    /**
+     * Returns this target at another version of its software.
+     *
+     * @param changed The version; empty if it is unknown.
+     * @return The target.
+     */
+    public DirectoryTarget withVersion(String changed) {
+        return new DirectoryTarget(
+                id,
+                startMillis,
+                service,
+                address,
+                failureDomain,
+                slots,
+                draining,
+                warmUpMillis,
+                changed);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -9,6 +9,7 @@
 import org.apache.logging.log4j.Logger;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.NoticeSource;
+import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
@@ -86,11 +87,11 @@
      * Records an attempt at a target of a plain service.
      *
      * @param request The id that the caller gave to the attempt.
-     * @param target The target's id.
+     * @param target The target.
      * @param attempt The number of the attempt, from 1.
      * @param timing The circumstances of the attempt.
      */
-    void sent(String request, String target, int attempt, SendTiming timing) {
+    void sent(String request, DirectoryTarget target, int attempt, SendTiming timing) {
         metrics.counter("requests_sent").inc();
         if (mayWrite()) {
             write(sentEvent(request, target, attempt, timing));
@@ -98,14 +99,18 @@
     }
 
     private static LogEvent sentEvent(
-            String request, String target, int attempt, SendTiming timing) {
-        return LogEvent.of("request-sent")
-                .with("request", request)
-                .with("target", target)
-                .with("attempt", attempt)
-                .with("configuration", timing.configurationVersion())
-                .with("heldMillis", timing.heldMillis())
-                .with("remainingMillis", timing.remainingMillis());
+            String request, DirectoryTarget target, int attempt, SendTiming timing) {
+        LogEvent event =
+                LogEvent.of("request-sent")
+                        .with("request", request)
+                        .with("target", target.id())
+                        .with("version", target.version())
+                        .with("attempt", attempt)
+                        .with("configuration", timing.configurationVersion())
+                        .with("heldMillis", timing.heldMillis())
+                        .with("remainingMillis", timing.remainingMillis());
+        timing.resumes().ifPresent(resumed -> event.with("resumes", resumed));
+        return event;
     }
 
     /**
@@ -129,7 +134,7 @@
         metrics.counter("requests_sent_" + use.tier().name().toLowerCase(Locale.ROOT)).inc();
         if (mayWrite()) {
             write(
-                    sentEvent(request, choice.load().target().id(), attempt, timing)
+                    sentEvent(request, choice.load().target(), attempt, timing)
                             .with("organisation", organisation)
                             .with("tier", use.tier())
                             .with("promisedUse", use.promised())
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -351,14 +351,26 @@
     }
 
     private void sendToChosenTarget(PlainRouting routing, TargetLoad load, long now) {
-        core.log().sent(requestId(), load.target().id(), history.attempts() + 1, sendTiming());
+        core.log().sent(requestId(), load.target(), history.attempts() + 1, sendTiming());
         routing.recordSent(now);
         loadWhenSent = load.totalLoad(now).requests() + 1;
         send(load, new RunningRequest(0, 0, now, 0), Optional.empty());
     }
 
     private SendTiming sendTiming() {
-        return new SendTiming(core.configurationVersion(), elapsedMillis(), remainingMillis());
+        return new SendTiming(
+                core.configurationVersion(), elapsedMillis(), remainingMillis(), resumedAttempt());
+    }
+
+    /**
+     * Returns the attempt that brought the first event of the stream that the request resumes.
+     *
+     * @return The attempt's id, the request's own once it has forwarded an event; empty if the
+     *     request resumes no stream or its caller doesn't name the attempt.
+     */
+    private Optional<String> resumedAttempt() {
+        return metadata.resumedAttempt()
+                .or(() -> relay.lastEventId().flatMap(last -> metadata.requestId()));
     }
 
     /**
