Test that streams of a large fleet are known where they are taken up

24 gateways in three failure domains, relays between them: a stream is known at all gateways, also after its gateway and the relay of its domain have stopped, and if it began while there was one version and no peer was notified. A stream that nobody knows is refused. These tests cover the routing of messages between relays, which the tests of three gateways don't use; they held when first run, so no fault was found by them.

--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
@@ -0,0 +1,126 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.martenwell.service.Conditions.await;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.version.ServiceVersion;
+
+/**
+ * Guards against streams of a large fleet that can't be taken up where nobody knows their version.
+ */
+final class LargeFleetStreamsTest {
+
+    private static final ServiceVersion OLD = new ServiceVersion("s", "v1");
+
+    private final ReporterFleet fleet = new ReporterFleet(24, List.of("x", "y", "z"));
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    @Test
+    void testStreamIsKnownToAllGateways() {
+        start();
+        begin("x-0", "a");
+        for (String each : fleet.running()) {
+            await(() -> find(each, "a").equals(Optional.of(OLD)));
+        }
+    }
+
+    @Test
+    void testStreamIsKnownAfterItsGatewayAndItsRelayStopped() {
+        start();
+        String relay = fleet.relayOf("x");
+        String gateway = other("x", relay);
+        begin(gateway, "a");
+        await(() -> find(fleet.relayOf("y"), "a").isPresent());
+        fleet.stop(gateway);
+        fleet.stop(relay);
+        await(() -> find(other("x", relay), "a").equals(Optional.of(OLD)));
+        await(() -> find(other("z", fleet.relayOf("z")), "a").equals(Optional.of(OLD)));
+    }
+
+    /** With one version no peer is notified, but the gateway that began the stream can be asked. */
+    @Test
+    void testStreamThatBeganBeforeTheSecondVersionIsKnownToAllGateways() {
+        fleet.connect();
+        fleet.run(() -> list("x-0", "v1"));
+        begin("x-0", "a");
+        fleet.running().forEach(each -> fleet.run(() -> list(each, "v1", "v2")));
+        for (String each : fleet.running()) {
+            await(() -> find(each, "a").equals(Optional.of(OLD)));
+        }
+    }
+
+    @Test
+    void testUnknownStreamIsNotContinued() {
+        start();
+        assertThat(find(fleet.relayOf("x"), "unknown")).isEmpty();
+        assertThat(find(other("y", fleet.relayOf("y")), "unknown")).isEmpty();
+    }
+
+    /** Connects the fleet and lists two versions at all gateways. */
+    private void start() {
+        fleet.connect();
+        fleet.running().forEach(each -> fleet.run(() -> list(each, "v1", "v2")));
+    }
+
+    private void list(String gateway, String... versions) {
+        List<DirectoryTarget> targets = new ArrayList<>();
+        for (String each : versions) {
+            targets.add(ReporterFleet.ALL_TARGETS.get("t").withVersion(each));
+        }
+        fleet.core(gateway).streams().list(targets, fleet.now());
+    }
+
+    private void begin(String gateway, String attempt) {
+        fleet.run(
+                () ->
+                        fleet.core(gateway)
+                                .streams()
+                                .began(
+                                        attempt,
+                                        ReporterFleet.ALL_TARGETS.get("t").withVersion("v1")));
+    }
+
+    private String other(String domain, String except) {
+        return fleet.running().stream()
+                .filter(each -> each.startsWith(domain) && !each.equals(except))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Returns the version of a stream that is taken up at a gateway. */
+    private Optional<ServiceVersion> find(String gateway, String attempt) {
+        AtomicReference<Optional<ResumedStream>> found = new AtomicReference<>();
+        CountDownLatch answered = new CountDownLatch(1);
+        fleet.run(
+                () ->
+                        fleet.core(gateway)
+                                .streams()
+                                .find(
+                                        Optional.of(attempt),
+                                        GatewayCores.route(400),
+                                        stream -> {
+                                            found.set(stream);
+                                            answered.countDown();
+                                        }));
+        try {
+            assertThat(answered.await(5, TimeUnit.SECONDS)).isTrue();
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+            throw new AssertionError(exception);
+        }
+        return found.get().map(ResumedStream::version);
+    }
+}
