Copy cached parts of prompts only between targets of one version

A request was sent to a target with the address of another one to take cached parts from, of whichever version. What two versions write doesn't fit together, so a request could go on with what another version had computed: the same class as the streams that went on at another version. Nothing changes while all targets have one version.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -130,10 +130,7 @@
             double backlog = rate.millis(sums.prefillTokens());
             Optional<TargetLoad> source =
                     capacity.canCopyCache() ? cacheLookup.copySource(each) : Optional.empty();
-            long cached =
-                    source.isPresent()
-                            ? cacheLookup.maxCachedTokens()
-                            : cacheLookup.cachedTokens(each);
+            long cached = cacheLookup.cachedTokens(source.orElse(each));
             long prefill = demand.promptTokens() - cached;
             double prefillMillis = rate.millis(prefill) + (source.isPresent() ? COPY_MILLIS : 0);
             if (backlog > allowedBacklogMillis(demand, tier, prefillMillis, rate, now)) {
--- a/src/main/java/org/martenwell/balance/PromptCacheLookup.java
+++ b/src/main/java/org/martenwell/balance/PromptCacheLookup.java
@@ -18,10 +18,12 @@
     /** The cached tokens by engine; engines without any are left out. */
     private final Map<TargetLoad, Long> cachedByEngine = new HashMap<>();
 
-    /** The engine with the most cached tokens; {@code null} if none has any. */
-    private TargetLoad largestHolder;
+    /**
+     * The engine with the most cached tokens of each version; versions without any are left out.
+     */
+    private final Map<String, TargetLoad> largestHolders = new HashMap<>();
 
-    /** The cached tokens of that engine. */
+    /** The most cached tokens of an engine. */
     private long maxTokens;
 
     /** The engine with the highest hash score; {@code null} if there are no engines. */
@@ -70,14 +72,16 @@
     }
 
     /**
-     * Returns the engine from which an engine should copy cached parts.
+     * Returns the engine from which an engine should copy cached parts. Those of another version of
+     * the engines' software are never copied.
      *
      * @param load The engine that would receive the copy.
-     * @return The engine with the most cached tokens, or empty if the gain is too small.
+     * @return The engine of its version with the most cached tokens, or empty if the gain is too
+     *     small.
      */
     public Optional<TargetLoad> copySource(TargetLoad load) {
-        boolean worthwhile = maxTokens - cachedTokens(load) >= MIN_COPY_TOKENS;
-        return worthwhile ? Optional.ofNullable(largestHolder) : Optional.empty();
+        return Optional.ofNullable(largestHolders.get(load.target().version()))
+                .filter(each -> cachedTokens(each) - cachedTokens(load) >= MIN_COPY_TOKENS);
     }
 
     /**
@@ -92,12 +96,14 @@
 
     private void addCached(TargetLoad load, PromptChain chain) {
         long tokens = load.promptCache().cachedTokens(chain);
-        if (tokens > 0) {
-            cachedByEngine.put(load, tokens);
+        if (tokens == 0) {
+            return;
         }
-        if (tokens > maxTokens) {
-            maxTokens = tokens;
-            largestHolder = load;
+        cachedByEngine.put(load, tokens);
+        maxTokens = Math.max(maxTokens, tokens);
+        TargetLoad holder = largestHolders.get(load.target().version());
+        if (holder == null || tokens > cachedTokens(holder)) {
+            largestHolders.put(load.target().version(), load);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -288,8 +288,7 @@
                 PromptCacheLookup.of(demand.chain(), available, core.targets().draining(service));
         Optional<TargetLoad> source =
                 capacity.canCopyCache() ? cacheLookup.copySource(load) : Optional.empty();
-        long cachedTokens =
-                source.isPresent() ? cacheLookup.maxCachedTokens() : cacheLookup.cachedTokens(load);
+        long cachedTokens = cacheLookup.cachedTokens(source.orElse(load));
         return new EngineChoice(
                 load, demand.promptTokens() - cachedTokens, Double.MAX_VALUE, source);
     }
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -60,6 +60,20 @@
         assertThat(cacheLookup.copySource(loads.get(1))).isEmpty();
     }
 
+    /** Guards against requests that go on with what an engine of another version has computed. */
+    @Test
+    void testCachedPartsAreNotCopiedFromAnotherVersion() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        loads.get(1).target(loads.get(1).target().withVersion("other"));
+        loads.get(1).promptCache().put(chain(), 100_000);
+        loads.get(1).sent(new RunningRequest(20_000, 20_000, 0, 0));
+        EngineChoice choice = choose(ShareTier.PROMISED).orElseThrow();
+        assertThat(choice.load().target().id()).isEqualTo("one");
+        assertThat(choice.copyFrom()).isEmpty();
+        assertThat(choice.prefillTokens()).isEqualTo(5_500);
+    }
+
     @Test
     void testCachedPartsAreCopiedFromABusyEngine() {
         add("one", "domain-a");
