Notify peers of streams on split routes, and only while a service has several versions

Notices also went on behind the end of a release until the directory changed again, since the set of services with several versions was computed there alone; it is looked up at each stream now. Peers are asked every 100 ms instead of 50. A test shows that a gateway of an earlier build gets none of the messages.

--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -234,7 +234,8 @@
             fail(ErrorKind.VERSION_GONE, 0);
             return;
         }
-        metadata.resumedAttempt().ifPresent(attempt -> core.streams().continued(attempt, version));
+        metadata.resumedAttempt()
+                .ifPresent(attempt -> core.streams().continued(attempt, version, route));
         streamBegan = true;
         dispatch(configuration.get(), TargetSelector.of(version));
     }
@@ -519,7 +520,7 @@
             streamBegan = true;
             DirectoryTarget target = attempt.target().load().target();
             selector = TargetSelector.of(new ServiceVersion(target.service(), target.version()));
-            metadata.requestId().ifPresent(id -> core.streams().began(id, target));
+            metadata.requestId().ifPresent(id -> core.streams().began(id, target, route));
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -6,9 +6,8 @@
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -35,7 +34,7 @@
     private static final long MAX_WAIT_MILLIS = 300;
 
     /** The interval of requests to peers, of which the connections may still open. */
-    private static final long ASK_INTERVAL_MILLIS = 50;
+    private static final long ASK_INTERVAL_MILLIS = 100;
 
     /**
      * The age up to which the directory's list is taken as current, in milliseconds. Peers notify
@@ -63,11 +62,11 @@
     /** The origins of which peers have not been notified yet. */
     private List<StreamOrigin> unsent = new ArrayList<>();
 
-    /** The services of which peers are notified, since they have several versions. */
+    /** The services that had several versions when the listed versions last changed. */
     private final Set<String> mixedServices = new HashSet<>();
 
     /** The requests that wait for the version of their stream. */
-    private final Map<Inquiry, Long> waiting = new LinkedHashMap<>();
+    private final Set<Inquiry> waiting = new LinkedHashSet<>();
 
     private OriginPeers peers = new NoPeers();
 
@@ -187,15 +186,17 @@
      *
      * @param attempt The id of the attempt.
      * @param target The target that produced it.
+     * @param route The route of the request.
      */
-    void began(String attempt, DirectoryTarget target) {
+    void began(String attempt, DirectoryTarget target, Route route) {
         long now = now();
         recentStarts.removeIf(each -> now - each.millis() > DIRECTORY_LAG_MILLIS);
         recentStarts.add(new RecentStart(now, target.id(), StreamOrigin.key(attempt)));
         add(
                 new StreamOrigin(
                         StreamOrigin.key(attempt),
-                        new ServiceVersion(target.service(), target.version())));
+                        new ServiceVersion(target.service(), target.version())),
+                route);
     }
 
     /**
@@ -203,14 +204,16 @@
      *
      * @param attempt The id of the attempt that brought the first event.
      * @param version The version that began the stream.
+     * @param route The route of the request.
      */
-    void continued(String attempt, ServiceVersion version) {
-        add(new StreamOrigin(StreamOrigin.key(attempt), version));
+    void continued(String attempt, ServiceVersion version, Route route) {
+        add(new StreamOrigin(StreamOrigin.key(attempt), version), route);
     }
 
-    private void add(StreamOrigin origin) {
+    /** Adds an origin, and notifies peers of it if they can't infer it. */
+    private void add(StreamOrigin origin, Route route) {
         own.put(origin, now());
-        if (mixedServices.contains(origin.version().service())) {
+        if (route.services().size() > 1 || hasSeveralVersions(origin.version().service())) {
             unsent.add(origin);
         }
     }
@@ -275,7 +278,7 @@
         if (resolve(inquiry)) {
             return;
         }
-        waiting.put(inquiry, now() + MAX_WAIT_MILLIS);
+        waiting.add(inquiry);
         if (onlyVersion(inquiry).isPresent()) {
             refreshTargets();
         }
@@ -342,8 +345,8 @@
     }
 
     private void resolveWaiting() {
-        for (Inquiry each : List.copyOf(waiting.keySet())) {
-            if (waiting.containsKey(each) && resolve(each)) {
+        for (Inquiry each : List.copyOf(waiting)) {
+            if (waiting.contains(each) && resolve(each)) {
                 waiting.remove(each);
             }
         }
@@ -351,7 +354,7 @@
 
     /** Responds to a request for which no version was found in time. */
     private void giveUp(Inquiry inquiry) {
-        if (waiting.remove(inquiry) != null) {
+        if (waiting.remove(inquiry)) {
             accept(inquiry, peers.inContact() ? onlyVersion(inquiry) : Optional.empty());
         }
     }
@@ -361,8 +364,7 @@
         if (askScheduled) {
             return;
         }
-        List<Long> attempts =
-                waiting.keySet().stream().flatMap(each -> each.attempt().stream()).toList();
+        List<Long> attempts = waiting.stream().flatMap(each -> each.attempt().stream()).toList();
         if (attempts.isEmpty()) {
             return;
         }
@@ -388,7 +390,7 @@
         Set<String> before = Set.copyOf(mixedServices);
         mixedServices.clear();
         for (ServiceVersion each : listed.all()) {
-            if (recentVersions(each.service()).size() > 1) {
+            if (hasSeveralVersions(each.service())) {
                 mixedServices.add(each.service());
             }
         }
@@ -399,6 +401,10 @@
         }
     }
 
+    private boolean hasSeveralVersions(String service) {
+        return recentVersions(service).size() > 1;
+    }
+
     private Set<ServiceVersion> recentVersions(String service) {
         return listed.since(service, now() - 2 * retentionMillis);
     }
--- a/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
@@ -12,6 +12,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.route.Route;
+import org.martenwell.route.RouteType;
+import org.martenwell.route.WeightedService;
 import org.martenwell.version.ServiceVersion;
 
 /**
@@ -62,6 +65,31 @@
         }
     }
 
+    /** The only versions of two services don't tell at which service the stream began. */
+    @Test
+    void testStreamOfASplitRouteIsKnownAfterItsGatewayStopped() {
+        fleet.connect();
+        begin("x-0", "a", splitRoute());
+        await(() -> find(fleet.relayOf("y"), "a").isPresent());
+        fleet.stop("x-0");
+        await(() -> find(other("x", "x-0"), "a").equals(Optional.of(OLD)));
+    }
+
+    /**
+     * Guards against messages at which a gateway of an earlier build would close the connection.
+     */
+    @Test
+    void testGatewayOfAnEarlierBuildGetsNoMessagesOnStreams() {
+        String earlier = other("x", fleet.relayOf("x"));
+        fleet.connect(earlier);
+        fleet.running().forEach(each -> fleet.run(() -> list(each, "v1", "v2")));
+        begin(other("y", fleet.relayOf("y")), "a");
+        await(() -> find(fleet.relayOf("x"), "a").isPresent());
+        begin(earlier, "b");
+        await(() -> find(fleet.relayOf("y"), "b").isPresent());
+        assertThat(find(earlier, "a")).isEmpty();
+    }
+
     @Test
     void testUnknownStreamIsNotContinued() {
         start();
@@ -84,13 +112,34 @@
     }
 
     private void begin(String gateway, String attempt) {
+        begin(gateway, attempt, GatewayCores.route(400));
+    }
+
+    private void begin(String gateway, String attempt, Route route) {
         fleet.run(
                 () ->
                         fleet.core(gateway)
                                 .streams()
                                 .began(
                                         attempt,
-                                        ReporterFleet.ALL_TARGETS.get("t").withVersion("v1")));
+                                        ReporterFleet.ALL_TARGETS.get("t").withVersion("v1"),
+                                        route));
+    }
+
+    private static Route splitRoute() {
+        return new Route(
+                "r",
+                "h",
+                "/",
+                RouteType.STREAMING,
+                60_000,
+                400,
+                0,
+                List.of(new WeightedService("s", 1), new WeightedService("t", 1)),
+                2,
+                false,
+                true,
+                0);
     }
 
     private String other(String domain, String except) {
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -58,6 +58,20 @@
         run(() -> reporters.values().forEach(each -> each.members(members)));
     }
 
+    /** Lets all gateways know each other, and take one for a gateway of an earlier build. */
+    void connect(String earlierBuild) {
+        GatewayMember member = members.get(earlierBuild);
+        members.put(
+                earlierBuild,
+                new GatewayMember(
+                        member.name(),
+                        member.failureDomain(),
+                        member.peerAddress(),
+                        member.processors(),
+                        0));
+        connect();
+    }
+
     /** Returns the current time of the event loop, in milliseconds. */
     long now() {
         return thread.loop().currentTimeMillis();
