--- a/src/test/java/org/martenwell/measure/SlopeMeasurement.java
+++ b/src/test/java/org/martenwell/measure/SlopeMeasurement.java
@@ -27,6 +27,7 @@
 import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.MessageReader;
 import org.martenwell.peer.MessageWriter;
+import org.martenwell.peer.StreamOriginNotice;
 import org.martenwell.schedule.Demand;
 import org.martenwell.schedule.GrantListener;
 import org.martenwell.schedule.Holding;
@@ -38,12 +39,15 @@
 import org.martenwell.schedule.SlotGrant;
 import org.martenwell.schedule.SlotGrants;
 import org.martenwell.schedule.SlotReport;
+import org.martenwell.version.ServiceVersion;
+import org.martenwell.version.StreamOrigin;
 
 /** Measures message sizes and processing times at several fleet sizes, for docs/CAPACITY.md. */
 final class SlopeMeasurement {
 
     private static final int REPETITIONS = 7;
     private static final int[] ORGANISATIONS = {10, 100, 330};
+    private static final int[] STREAMS = {1, 10, 100};
     private static final int[] MEMBERS = {9, 32, 128, 380};
     private static final int[] COORDINATED_TARGETS = {1, 8, 26};
     private static final int[] TARGETS = {26, 1_000, 10_000};
@@ -56,6 +60,9 @@
             measureCounters(count);
             measureConfiguration(count);
         }
+        for (int count : STREAMS) {
+            measureStreams(count);
+        }
         for (int coordinated : COORDINATED_TARGETS) {
             for (int backlogged : new int[] {1, 10, 33}) {
                 measureDecisions(coordinated, backlogged);
@@ -106,15 +113,32 @@
                 new Heartbeat("router-1", 1L << 40, 70_000, "10.1.2.3:7003", "domain", true, 900));
     }
 
+    /** Measures the notices of new streams of a service that has several versions. */
+    private void measureStreams(int count) {
+        ServiceVersion version = new ServiceVersion("service", "v1.1");
+        List<StreamOrigin> origins =
+                IntStream.range(0, count)
+                        .mapToObj(each -> new StreamOrigin(StreamOrigin.key("a-" + each), version))
+                        .toList();
+        measureMessage(
+                "stream origin notice",
+                count + " streams",
+                new StreamOriginNotice("gateway-1", "", origins));
+    }
+
     private void measureMessage(String messageName, int organisations, PeerMessage message) {
+        measureMessage(messageName, organisations + " organisations", message);
+    }
+
+    private void measureMessage(String messageName, String size, PeerMessage message) {
         MessageWriter writer = new MessageWriter();
         MessageReader reader = new MessageReader();
         reader.read(writer.write(message));
         byte[] encoded = writer.write(message);
-        add(messageName + " size", organisations + " organisations", encoded.length, "bytes");
+        add(messageName + " size", size, encoded.length, "bytes");
         time(
                 messageName + " written and read",
-                organisations + " organisations",
+                size,
                 2_000,
                 () -> reader.read(writer.write(message)));
     }
