--- a/src/test/java/org/martenwell/ArchitectureTest.java
+++ b/src/test/java/org/martenwell/ArchitectureTest.java
@@ -29,6 +29,7 @@
                             "org.martenwell.share..",
                             "org.martenwell.quarantine..",
                             "org.martenwell.prompt..",
+                            "org.martenwell.version..",
                             "org.martenwell.configuration..")
                     .should()
                     .dependOnClassesThat()
@@ -46,6 +47,7 @@
                             "org.martenwell.share..",
                             "org.martenwell.quarantine..",
                             "org.martenwell.prompt..",
+                            "org.martenwell.version..",
                             "org.martenwell.member..")
                     .should()
                     .callMethod(System.class, "currentTimeMillis")
