Credit organisations beyond their shares with a fraction of each request

What callers saw: an organisation whose callers are spread over the gateways got 1.5 to 1.7 times the share of one whose callers come to one gateway (FairSharesOfFleetTest, red since it was written, 5 of 5 cases).

Cause: each gateway let an organisation in while the fleet's sums, half a second old, were below its share; all let it in at once, then all stopped it. Class: many deciders act on the same old knowledge.

Now a fraction of the cost of each request of such an organisation is credited, and requests within the share spend the credit; the sums only set the fraction. Both shares have credits, of what is promised and of what is produced.

--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -44,6 +44,12 @@
     /** The sums of the whole fleet at the last computation, by organisation. */
     private Map<String, ShareSums> fleetSums = Map.of();
 
+    /** The credits within shares of the promised capacity. */
+    private final ShareCredits promisedCredits = new ShareCredits(ShareSums::withinShare);
+
+    /** The credits within shares of the observed capacity. */
+    private final ShareCredits observedCredits = new ShareCredits(ShareSums::sent);
+
     /** The largest share of the promised capacity; infinite if it covers all demands. */
     private double level = Double.POSITIVE_INFINITY;
 
@@ -100,6 +106,8 @@
         requested
                 .computeIfAbsent(organisation, name -> new SlidingSum(windowMillis))
                 .add(tokens, now);
+        promisedCredits.add(organisation, tokens);
+        observedCredits.add(organisation, tokens);
     }
 
     /**
@@ -112,6 +120,7 @@
      */
     public void sent(String organisation, double tokens, ShareTier tier, long now) {
         sent.computeIfAbsent(organisation, name -> new SlidingSum(windowMillis)).add(tokens, now);
+        spendCredit(organisation, tokens, tier);
         if (tier == ShareTier.PROMISED) {
             withinShare
                     .computeIfAbsent(organisation, name -> new SlidingSum(windowMillis))
@@ -131,11 +140,21 @@
     public void revertSent(
             String organisation, double tokens, ShareTier tier, long sentMillis, long now) {
         sent.get(organisation).subtract(tokens, sentMillis, now);
+        spendCredit(organisation, -tokens, tier);
         if (tier == ShareTier.PROMISED) {
             withinShare.get(organisation).subtract(tokens, sentMillis, now);
         }
     }
 
+    private void spendCredit(String organisation, double tokens, ShareTier tier) {
+        if (tier == ShareTier.PROMISED) {
+            promisedCredits.spend(organisation, tokens);
+        }
+        if (tier != ShareTier.BEYOND) {
+            observedCredits.spend(organisation, tokens);
+        }
+    }
+
     /**
      * Replaces the counts of a peer by its latest report.
      *
@@ -191,8 +210,10 @@
         ShareSums sums = fleetSums.getOrDefault(organisation, ShareSums.NONE);
         // Requests sent beyond the promised share used idle capacity; they don't count against it.
         return new ShareUse(
-                (sums.withinShare() + tokens / 2) / level,
-                (sums.sent() + tokens / 2) / observedLevel);
+                promisedCredits.limit(
+                        organisation, tokens, (sums.withinShare() + tokens / 2) / level),
+                observedCredits.limit(
+                        organisation, tokens, (sums.sent() + tokens / 2) / observedLevel));
     }
 
     /**
@@ -232,6 +253,8 @@
             each.counts().sums().forEach((name, sums) -> all.merge(name, sums, ShareSums::plus));
         }
         computeLevels(all, capacity * countedFraction(counted));
+        promisedCredits.update(all, own.sums(), level);
+        observedCredits.update(all, own.sums(), observedLevel);
         fleetSums = all;
         computedMillis = now;
     }
