Log what ended an answer

The line now tells the framing of the target's answer: length, chunked, no_body, or connection, where the end of the connection is the only sign; a counter holds the latter. Listeners of responses are given the framing when a response ends, so that none can take such an end for success without saying so.

Nothing else changes but for answers without a body by their status or HEAD, which now clear a suspected request like other framed ones and leave their connection open.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -137,7 +137,7 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(ResponseFraming framing) {
             timer.cancel();
             if (reuseConnection) {
                 connections.release(connection, 0);
--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -31,8 +31,13 @@
      */
     void bodyPartReceived(byte[] piece);
 
-    /** Called once the complete response has arrived. */
-    void completed();
+    /**
+     * Called once the response has ended. With {@link ResponseFraming#CONNECTION} the body may be
+     * truncated.
+     *
+     * @param framing The way in which the end was determined.
+     */
+    void completed(ResponseFraming framing);
 
     /**
      * Called when no complete response can arrive any more.
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -24,7 +24,7 @@
 
 /**
  * A connection to a target that carries one request at a time. It closes on bytes that belong to no
- * request, and a truncated response is reported as failed, never as complete.
+ * request. A truncated response is reported as failed if its framing shows it.
  */
 public final class TargetConnection {
 
@@ -45,6 +45,9 @@
     /** The listener of the current request, or {@code null} if there is none. */
     private ResponseListener listener;
 
+    /** The method of the current or last request. */
+    private HttpMethod method = HttpMethod.GET;
+
     /** The head of the response being received, or {@code null}. */
     private HttpResponse head;
 
@@ -115,7 +118,8 @@
         listener = responseListener;
         head = null;
         discarding = false;
-        decoder.expect(request.method());
+        method = request.method();
+        decoder.expect(method);
         if (request.body().length() > 0 || !request.method().equals(HttpMethod.GET)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length());
         }
@@ -256,22 +260,15 @@
             reusable = reusable && interim;
             return;
         }
-        reusable = reusable && HttpUtil.isKeepAlive(responseHead) && selfDelimiting(responseHead);
+        reusable =
+                reusable
+                        && HttpUtil.isKeepAlive(responseHead)
+                        && framingOf(responseHead).showsTruncation();
         listener.headReceived(responseHead);
     }
 
-    /**
-     * Tells whether the end of a response is determined by its head rather than by the connection's
-     * end.
-     *
-     * @param responseHead The response head.
-     * @return {@code true} if it has a length, is chunked or has no body by its status.
-     */
-    private static boolean selfDelimiting(HttpResponse responseHead) {
-        return HttpUtil.isContentLengthSet(responseHead)
-                || HttpUtil.isTransferEncodingChunked(responseHead)
-                || responseHead.status().code() == 204
-                || responseHead.status().code() == 304;
+    private ResponseFraming framingOf(HttpResponse responseHead) {
+        return ResponseFraming.of(method, responseHead);
     }
 
     private void processContent(HttpContent content) {
@@ -283,19 +280,20 @@
         }
         if (content instanceof LastHttpContent) {
             boolean matching = !discarding;
+            ResponseFraming framing = framingOf(head);
             head = null;
             discarding = false;
             if (matching && listener != null) {
                 ResponseListener done = listener;
                 listener = null;
                 reusable = reusable && unwrittenBytes == 0;
-                done.completed();
+                done.completed(framing);
             }
         }
     }
 
     /**
-     * Handles the end of the connection. An orderly close completes a response without framing.
+     * Handles the end of the connection. An orderly close ends a response without framing.
      *
      * @param orderly {@code true} if the target closed the connection, {@code false} for a socket
      *     error.
@@ -304,7 +302,7 @@
         if (closed) {
             return;
         }
-        if (orderly && listener != null && head != null && !selfDelimiting(head)) {
+        if (orderly && listener != null && head != null && !framingOf(head).showsTruncation()) {
             codec.finish();
             processDecoded();
         }
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -11,6 +11,7 @@
 import org.martenwell.balance.NoticeSource;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.error.ErrorKind;
+import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.quarantine.Fingerprint;
@@ -170,16 +171,26 @@
      *
      * @param request The id that the caller gave to the attempt.
      * @param status The HTTP status code.
+     * @param framing The way in which the end of the response was determined.
      * @param attempts The number of attempts.
      * @param elapsedMillis The time since the request arrived, in milliseconds.
      */
-    void ended(String request, int status, int attempts, long elapsedMillis) {
+    void ended(
+            String request,
+            int status,
+            ResponseFraming framing,
+            int attempts,
+            long elapsedMillis) {
         metrics.counter("requests_answered").inc();
+        if (!framing.showsTruncation()) {
+            metrics.counter("responses_ended_by_connection").inc();
+        }
         if (mayWrite()) {
             write(
                     LogEvent.of("request-ended")
                             .with("request", request)
                             .with("status", status)
+                            .with("framing", framing.label())
                             .with("attempts", attempts)
                             .with("heldMillis", elapsedMillis));
         }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -16,6 +16,7 @@
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.OutboundRequest;
 import org.martenwell.exchange.ResponseFailure;
+import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.route.EngineCapacity;
@@ -528,8 +529,9 @@
      * Handles the end of a complete response: forwards it, or retries after a server error.
      *
      * @param from The attempt.
+     * @param framing The way in which the end of the response was determined.
      */
-    void responseEnded(SendAttempt from) {
+    void responseEnded(SendAttempt from, ResponseFraming framing) {
         attempt = null;
         int status = relay.status();
         boolean failure = status >= FIRST_SERVER_ERROR_STATUS;
@@ -547,11 +549,11 @@
             history.markPossiblyRun();
             fail(ErrorKind.TARGET_FAILED, 0);
         } else {
-            if (relay.framed() && !failure) {
+            if (framing.showsTruncation() && !failure) {
                 core.harmful().served(identity);
             }
             relay.end();
-            core.log().ended(requestId(), status, history.attempts(), elapsedMillis());
+            core.log().ended(requestId(), status, framing, history.attempts(), elapsedMillis());
             finish();
         }
     }
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -1,7 +1,6 @@
 package org.martenwell.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
 import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import org.martenwell.exchange.CallerExchange;
@@ -128,15 +127,6 @@
         return streaming;
     }
 
-    /**
-     * Returns whether the response has a framing by which a truncated body can be detected.
-     *
-     * @return {@code true} if the response has a content length or chunked encoding.
-     */
-    boolean framed() {
-        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-    }
-
     /**
      * Returns the status of the response. Call it only after {@link #begin}.
      *
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -6,6 +6,7 @@
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.exchange.OutboundRequest;
 import org.martenwell.exchange.ResponseFailure;
+import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.exchange.ResponseListener;
 import org.martenwell.exchange.TargetConnection;
 
@@ -163,13 +164,13 @@
     }
 
     @Override
-    public void completed() {
+    public void completed(ResponseFraming framing) {
         boolean active = !over;
         over = true;
         target.load().ended(running);
         target.connections().release(connection, idleMillis);
         if (active) {
-            dispatch.responseEnded(this);
+            dispatch.responseEnded(this, framing);
         }
     }
 
--- a/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
+++ b/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
@@ -142,7 +142,7 @@
         public void bodyPartReceived(byte[] piece) {}
 
         @Override
-        public void completed() {}
+        public void completed(ResponseFraming framing) {}
 
         @Override
         public void failed(ResponseFailure failure) {}
--- a/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
@@ -71,10 +71,11 @@
     }
 
     @Test
-    void testResponseWithoutLengthIsCompleteOnClose() throws Exception {
+    void testResponseWithoutLengthEndsWithItsConnection() throws Exception {
         String response = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nab";
         try (RawTarget target = new RawTarget(RawTarget.Ending.CLOSE, response)) {
-            assertThat(send(connections(target.address()), "1")).isEqualTo("completed ab");
+            assertThat(send(connections(target.address()), "1"))
+                    .isEqualTo("completed ab by CONNECTION");
         }
     }
 
@@ -230,11 +231,12 @@
         }
 
         @Override
-        public void completed() {
+        public void completed(ResponseFraming framing) {
             connections.release(used[0], 0);
             // Postponed so that stray bytes after the response in the same read are processed
             // first.
-            thread.loop().postLast(() -> results.add("completed " + body));
+            String end = framing.showsTruncation() ? "" : " by " + framing;
+            thread.loop().postLast(() -> results.add("completed " + body + end));
         }
 
         @Override
