--- a/src/main/java/org/martenwell/exchange/ResponseFraming.java
+++ b/src/main/java/org/martenwell/exchange/ResponseFraming.java
@@ -50,9 +50,7 @@
         return HttpUtil.isContentLengthSet(head) ? LENGTH : CONNECTION;
     }
 
-    /**
-     * {@return {@code true} if a recipient can tell a truncated body from a complete one}
-     */
+    /** {@return {@code true} if a recipient can tell a truncated body from a complete one} */
     public boolean showsTruncation() {
         return showsTruncation;
     }
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -176,11 +176,7 @@
      * @param elapsedMillis The time since the request arrived, in milliseconds.
      */
     void ended(
-            String request,
-            int status,
-            ResponseFraming framing,
-            int attempts,
-            long elapsedMillis) {
+            String request, int status, ResponseFraming framing, int attempts, long elapsedMillis) {
         metrics.counter("requests_answered").inc();
         if (!framing.showsTruncation()) {
             metrics.counter("responses_ended_by_connection").inc();
