Pass on answers without framing without claiming that they are whole

Callers saw: a 200 with a Content-Length that was reached, or a last chunk, and a body that lacked its end.

Cause: a target's answer with neither a length nor chunks ends with its connection. The gateway took an orderly close for the end of the answer and gave the caller a length or a last chunk of its own. Nobody knows whether such an answer is whole; the replicas of the record cut one off and serve on. Class: the end of a connection taken for the end of what it carries. A stream whose last chunk came within an event was passed on as complete as well.

Change: an answer without framing is passed on without framing: the caller's connection closes behind it, and until then any close is a reset, also when the gateway is killed, so that a reset is the sign of a broken one and an orderly close claims no more than the target did. Behind such an end the gateway opens a connection to the target, which the next request uses: if it is refused, the target crashed, and the answer counts as broken off (repeated, resumed, or failed as after a reset). The crash is then held against the request too, which nobody saw before. A stream that ends within an event is broken off, whatever its framing. One that began in chunks and is resumed by an answer without framing is not ended by a last chunk. Callers of HTTP/1.0 get no chunks. Callers that read slowly get the idle time to take what is left behind an answer that closes its connection, in place of one second.

Why it works: of all ends, only those with a framing lead to a framed end at the caller (ResponseRelay.end), and none with a known break leads to an orderly close (CallerConnection).

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -173,34 +173,41 @@
     }
 
     /**
-     * Sends the head of a chunked response.
+     * Sends the head of a response of unknown length. Until a response without framing has ended,
+     * any close resets the connection, also the one at the end of the process.
      *
      * @param status The status code.
      * @param headers The headers, whose framing and connection headers are replaced.
+     * @param framing The framing of the body.
      * @param keepAlive {@code true} if the caller allows a persistent connection.
      */
-    void begin(int status, HttpHeaders headers, boolean keepAlive) {
+    void begin(int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        setConnectionHeader(headers, keepAlive && !server.draining());
+        headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+        if (framing == ResponseFraming.CHUNKED) {
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (socket instanceof TcpSocket tcp && !closed) {
+            AbortiveClose.set(tcp, true);
+        }
+        setConnectionHeader(headers, keepAlive && framing.showsTruncation() && !server.draining());
         send(
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
     }
 
     /**
-     * Sends one chunk of a response.
+     * Sends a piece of a response.
      *
-     * @param piece The non-empty content of the chunk.
+     * @param piece The non-empty piece.
      */
     void write(byte[] piece) {
         send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
     }
 
     /**
-     * Sends the last chunk of a response.
+     * Ends a response, with its last chunk if it has chunks.
      *
-     * @param keepAlive {@code true} if the caller allows a persistent connection.
+     * @param keepAlive {@code true} if the connection can carry another response.
      */
     void end(boolean keepAlive) {
         send(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -319,7 +326,12 @@
                             head.headers(),
                             Body.of(body.toByteArray()),
                             stateSinceMillis);
-            exchange = new CallerExchange(this, request, HttpUtil.isKeepAlive(head));
+            exchange =
+                    new CallerExchange(
+                            this,
+                            request,
+                            HttpUtil.isKeepAlive(head),
+                            head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
             head = null;
             receiving = false;
             // A new buffer, since reset() would keep the grown array for as long as the connection
@@ -421,7 +433,7 @@
     }
 
     private void writeBytes(ByteBuf bytes) {
-        if (closed) {
+        if (closed || !bytes.canRead()) {
             bytes.recycle();
             return;
         }
@@ -441,19 +453,28 @@
 
     /**
      * Half-closes the connection after pending writes and discards input, so that the caller can
-     * read the last response without a reset.
+     * read the last response without a reset. A caller that reads slowly gets the idle time to take
+     * what is left.
      */
     private void closeGracefully() {
         closing = true;
-        reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, this::close);
         if (unwrittenBytes == 0) {
             closeOutput();
+        } else {
+            reactor.delayBackground(
+                    Math.max(CLOSE_TIMEOUT_MILLIS, server.limits().idleTimeoutMillis()),
+                    this::close);
         }
     }
 
     private void closeOutput() {
-        if (!closed && socket instanceof TcpSocket tcp) {
+        if (closed) {
+            return;
+        }
+        reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, this::close);
+        if (socket instanceof TcpSocket tcp) {
             try {
+                AbortiveClose.set(tcp, false);
                 tcp.getSocketChannel().shutdownOutput();
             } catch (IOException exception) {
                 close();
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -4,7 +4,7 @@
 
 /**
  * One request of a caller and its response. A response is sent complete by {@link #respond}, or in
- * chunks by {@link #begin}, {@link #write} and {@link #end}. Calls after the exchange has finished
+ * pieces by {@link #begin}, {@link #write} and {@link #end}. Calls after the exchange has finished
  * have no effect.
  */
 public final class CallerExchange {
@@ -15,6 +15,12 @@
 
     private final boolean keepAlive;
 
+    /** {@code true} if the caller understands chunks, which HTTP/1.0 doesn't have. */
+    private final boolean chunksAllowed;
+
+    /** The framing of the response that was begun. */
+    private ResponseFraming framing = ResponseFraming.CHUNKED;
+
     private Runnable disconnectListener = () -> {};
 
     /** Set once the response head is sent. */
@@ -29,11 +35,17 @@
      * @param connection The connection on which the request arrived.
      * @param request The complete request.
      * @param keepAlive {@code true} if the caller allows a persistent connection.
+     * @param chunksAllowed {@code true} if the caller understands chunks.
      */
-    CallerExchange(CallerConnection connection, CallerRequest request, boolean keepAlive) {
+    CallerExchange(
+            CallerConnection connection,
+            CallerRequest request,
+            boolean keepAlive,
+            boolean chunksAllowed) {
         this.connection = connection;
         this.request = request;
         this.keepAlive = keepAlive;
+        this.chunksAllowed = chunksAllowed;
     }
 
     /** {@return the request} */
@@ -88,17 +100,49 @@
     }
 
     /**
-     * Sends the head of a response of unknown length.
+     * Sends a response whose body may be truncated. It ends with the connection, so that nothing is
+     * claimed about the body.
+     *
+     * @param status The status code.
+     * @param headers The headers, without those that frame the body.
+     * @param body The body as far as it is known.
+     */
+    public void respondUnframed(int status, HttpHeaders headers, byte[] body) {
+        begin(status, headers, ResponseFraming.CONNECTION);
+        write(body);
+        end();
+    }
+
+    /**
+     * Sends the head of a response in chunks.
      *
      * @param status The status code.
      * @param headers The headers, without those that frame the body.
      */
     public void begin(int status, HttpHeaders headers) {
+        begin(status, headers, ResponseFraming.CHUNKED);
+    }
+
+    /**
+     * Sends the head of a response of unknown length.
+     *
+     * @param status The status code.
+     * @param headers The headers, without those that frame the body.
+     * @param wanted {@link ResponseFraming#CHUNKED}, or {@link ResponseFraming#CONNECTION} for a
+     *     body that may be truncated without notice. Callers of HTTP/1.0 always get the latter.
+     */
+    public void begin(int status, HttpHeaders headers, ResponseFraming wanted) {
         if (finished) {
             return;
         }
         headSent = true;
-        connection.begin(status, headers, keepAlive);
+        framing = chunksAllowed ? wanted : ResponseFraming.CONNECTION;
+        connection.begin(status, headers, framing, keepAlive);
+    }
+
+    /** {@return the framing of the response that was begun} */
+    public ResponseFraming framing() {
+        return framing;
     }
 
     /**
@@ -116,12 +160,13 @@
     public void end() {
         if (!finished) {
             finished = true;
-            connection.end(keepAlive);
+            connection.end(keepAlive && framing.showsTruncation());
         }
     }
 
     /**
-     * Closes the connection without the last chunk, so that the caller sees an incomplete response.
+     * Closes the connection without the last chunk, or resets it if the response has no framing, so
+     * that the caller sees an incomplete response.
      */
     public void abort() {
         if (!finished) {
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -17,10 +17,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.IOException;
-import java.net.StandardSocketOptions;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * A connection to a target that carries one request at a time. It closes on bytes that belong to no
@@ -28,8 +24,6 @@
  */
 public final class TargetConnection {
 
-    private static final Logger LOGGER = LogManager.getLogger(TargetConnection.class);
-
     private final NioReactor reactor;
 
     private final TcpSocket socket;
@@ -167,26 +161,15 @@
     public void cancel() {
         if (listener != null) {
             listener = null;
-            resetOnClose();
+            if (!closed) {
+                // The system would otherwise deliver a buffered request to the target seconds
+                // later.
+                AbortiveClose.set(socket, true);
+            }
         }
         close();
     }
 
-    /**
-     * Makes the close reset the connection, which discards what the system has buffered. It would
-     * otherwise deliver a cancelled request to the target seconds later.
-     */
-    private void resetOnClose() {
-        if (closed) {
-            return;
-        }
-        try {
-            socket.getSocketChannel().setOption(StandardSocketOptions.SO_LINGER, 0);
-        } catch (IOException exception) {
-            LOGGER.debug("The connection was closed without a reset.", exception);
-        }
-    }
-
     private void read() {
         if (closed || paused || reading) {
             return;
--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.quarantine.Fingerprint;
@@ -153,6 +154,25 @@
         }
     }
 
+    /**
+     * Finds out whether a target crashed at the end of a response that ended with its connection.
+     * The shutdown of a target that is draining or was removed is planned, so that its responses
+     * are as complete as those of other targets.
+     *
+     * @param target The target.
+     * @param identity The request's identity.
+     * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
+     *     that isn't known in time.
+     */
+    void endedWithConnection(
+            KnownTarget target, RequestIdentity identity, Consumer<Boolean> afterProbe) {
+        if (target.load().availability().isDraining() || target.connections().closed()) {
+            afterProbe.accept(false);
+        } else {
+            crashDetector.endedWithConnection(target, identity::suspect, afterProbe);
+        }
+    }
+
     /**
      * Records that the gateway cancelled an attempt. Many callers disconnect under load, so the
      * body is hashed only if requests of the same scope are suspected already.
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -526,20 +526,58 @@
     }
 
     /**
-     * Handles the end of a complete response: forwards it, or retries after a server error.
+     * Handles the end of a response. One that is known to be truncated failed. If its framing
+     * doesn't show that, a probe tells whether the target crashed.
      *
      * @param from The attempt.
      * @param framing The way in which the end of the response was determined.
      */
     void responseEnded(SendAttempt from, ResponseFraming framing) {
         attempt = null;
+        if (relay.endedWithinEvent()) {
+            attemptFailed(from, ResponseFailure.BROKEN_OFF);
+        } else if (framing.showsTruncation()) {
+            responseCompleted(from, framing, core.now());
+        } else {
+            long endedMillis = core.now();
+            core.harmful()
+                    .endedWithConnection(
+                            from.target(),
+                            identity,
+                            crashed -> targetProbed(from, crashed, endedMillis));
+        }
+    }
+
+    /** Handles the result of the probe behind a response that ended with its connection. */
+    private void targetProbed(SendAttempt from, boolean crashed, long endedMillis) {
+        if (over) {
+            return;
+        }
+        if (crashed) {
+            attemptFailed(from, ResponseFailure.BROKEN_OFF);
+        } else if (relay.mayEnd()) {
+            responseCompleted(from, ResponseFraming.CONNECTION, endedMillis);
+        } else {
+            history.markPossiblyRun();
+            fail(ErrorKind.TARGET_FAILED, 0);
+        }
+    }
+
+    /**
+     * Forwards a response that isn't known to be truncated, or retries after a server error.
+     *
+     * @param from The attempt.
+     * @param framing The way in which the end of the response was determined.
+     * @param endedMillis The time of its end, in milliseconds.
+     */
+    private void responseCompleted(SendAttempt from, ResponseFraming framing, long endedMillis) {
         int status = relay.status();
         boolean failure = status >= FIRST_SERVER_ERROR_STATUS;
         if (failure) {
             from.target().load().health().failed(core.now());
         } else {
             from.target().load().health().succeeded(core.now());
-            recordPlainResponse(from);
+            recordPlainResponse(from, endedMillis);
         }
         if (failure && route.repeatable() && mayRetry()) {
             history.markPossiblyRun();
@@ -559,11 +597,11 @@
     }
 
     /** Records the response time of a plain service. */
-    private void recordPlainResponse(SendAttempt from) {
+    private void recordPlainResponse(SendAttempt from, long endedMillis) {
         if (engines.isEmpty()) {
             core.plainRouting(selector.service())
                     .recordResponse(
-                            core.now() - from.running().sentMillis(),
+                            endedMillis - from.running().sentMillis(),
                             loadWhenSent,
                             from.target().load().target().slots());
         }
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -1,9 +1,12 @@
 package org.martenwell.gateway;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
+import java.util.Locale;
 import java.util.Optional;
 import org.martenwell.exchange.CallerExchange;
+import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.route.Route;
 import org.martenwell.route.RouteType;
 import org.martenwell.stream.CompleteEventFilter;
@@ -11,12 +14,15 @@
 /**
  * Forwards the responses of targets to a caller. Streams are forwarded as they arrive, all other
  * responses once they are complete. A resumable stream is forwarded in complete events only, so
- * that another target can continue it.
+ * that another target can continue it. A response that ends with the target's connection ends with
+ * the caller's one too, since only the target knows whether it is complete.
  */
 final class ResponseRelay {
 
     private static final int OK = 200;
 
+    private static final String EVENT_STREAM = "text/event-stream";
+
     /**
      * The number of bytes not yet written to the caller above which reading from the target is
      * paused.
@@ -36,6 +42,9 @@
     /** The head of the response, or {@code null} until it arrives. */
     private HttpResponse head;
 
+    /** The framing of the response, or {@code null} until its head arrives. */
+    private ResponseFraming framing;
+
     private boolean streaming;
 
     /** Set once an event of a resumable stream was forwarded. */
@@ -66,6 +75,7 @@
     void reset(SendAttempt attempt) {
         source = attempt;
         head = null;
+        framing = null;
         streaming = false;
         bufferedBody.reset();
         events.reset();
@@ -81,6 +91,7 @@
      */
     boolean begin(HttpResponse response, Route route) {
         head = response;
+        framing = ResponseFraming.of(exchange.request().method(), response);
         streaming = status() == OK && route.type() == RouteType.STREAMING;
         return streaming || !exchange.headSent();
     }
@@ -97,7 +108,12 @@
             return;
         }
         beginStream();
-        byte[] forwarded = resumable ? events.receive(chunk) : chunk;
+        byte[] forwarded = chunk;
+        if (resumable) {
+            forwarded = events.receive(chunk);
+        } else {
+            events.follow(chunk);
+        }
         exchange.write(forwarded);
         eventForwarded |= resumable && forwarded.length > 0;
         if (exchange.unwrittenBytes() > MAX_UNWRITTEN_BYTES) {
@@ -106,12 +122,42 @@
         }
     }
 
-    /** Completes the response, of which all bytes have arrived. */
+    /**
+     * Returns whether the response that has ended lacks the rest of an event, whatever its framing.
+     *
+     * @return {@code true} if it is a stream of events that ended within one.
+     */
+    boolean endedWithinEvent() {
+        return streaming && events.withinEvent() && eventStream();
+    }
+
+    /** Returns whether the body has the type of server-sent events, or none. */
+    private boolean eventStream() {
+        String type = head.headers().get(HttpHeaderNames.CONTENT_TYPE, EVENT_STREAM);
+        return type.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    }
+
+    /**
+     * Returns whether {@link #end} can pass on the end of the response without claiming more than
+     * is known. It can't if a stream began with a framing and was resumed by a response without.
+     *
+     * @return {@code true} if the caller gets the framing of the target's response, or none.
+     */
+    boolean mayEnd() {
+        return framing.showsTruncation()
+                || !exchange.headSent()
+                || !exchange.framing().showsTruncation();
+    }
+
+    /** Ends the response, of which all bytes have arrived. */
     void end() {
         if (streaming) {
             beginStream();
             exchange.write(events.tail());
             exchange.end();
+        } else if (!framing.showsTruncation()) {
+            exchange.respondUnframed(
+                    status(), core.dialect().forCaller(head.headers()), bufferedBody.toByteArray());
         } else {
             exchange.respond(
                     status(), core.dialect().forCaller(head.headers()), bufferedBody.toByteArray());
@@ -156,7 +202,11 @@
 
     private void beginStream() {
         if (!exchange.headSent()) {
-            exchange.begin(OK, core.dialect().forCaller(head.headers()));
+            ResponseFraming wanted =
+                    framing.showsTruncation()
+                            ? ResponseFraming.CHUNKED
+                            : ResponseFraming.CONNECTION;
+            exchange.begin(OK, core.dialect().forCaller(head.headers()), wanted);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -6,6 +6,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.martenwell.exchange.ConnectResult;
 
 /**
@@ -52,6 +55,17 @@
         void crashed(SuspectRequest suspect, String incarnation);
     }
 
+    /** Callback that waits for a probe. */
+    private interface ProbeListener {
+
+        /**
+         * Handles the result of the probe.
+         *
+         * @param result The result, empty if it isn't known in time.
+         */
+        void probed(Optional<ConnectResult> result);
+    }
+
     /**
      * An attempt that failed or was cancelled.
      *
@@ -66,8 +80,11 @@
 
         private final List<Attempt> attempts = new ArrayList<>();
 
-        /** The callbacks of failed attempts that wait for the probe. */
-        private final List<Runnable> waiting = new ArrayList<>();
+        /** The callbacks that wait for the probe in progress. */
+        private final List<ProbeListener> waiting = new ArrayList<>();
+
+        /** The callbacks that wait for the next probe, because they came after this one began. */
+        private final List<ProbeListener> waitingForNext = new ArrayList<>();
 
         private boolean probing;
 
@@ -103,14 +120,63 @@
         }
         incarnation.attempts.add(
                 new Attempt(suspect, reactor.currentTimeMillis() + FAILED_ATTEMPT_MILLIS));
-        incarnation.waiting.add(afterProbe);
-        reactor.delayBackground(PROBE_TIMEOUT_MILLIS, () -> runWaiting(incarnation));
-        if (!incarnation.probing) {
-            incarnation.probing = true;
-            target.connections().probe(result -> probed(target, incarnation, result));
+        awaitProbe(target, incarnation, result -> afterProbe.run());
+    }
+
+    /**
+     * Finds out whether a target crashed at the end of a response that its connection ended. A
+     * target that accepts a connection afterwards outlived the response.
+     *
+     * @param target The target.
+     * @param suspect Supplies the request, for which its body may have to be hashed.
+     * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
+     *     the probe has timed out.
+     */
+    void endedWithConnection(
+            KnownTarget target, Supplier<SuspectRequest> suspect, Consumer<Boolean> afterProbe) {
+        Incarnation incarnation = touch(target);
+        if (incarnation.crashed) {
+            listener.crashed(suspect.get(), incarnationOf(target));
+            afterProbe.accept(true);
+            return;
+        }
+        awaitProbe(
+                target,
+                incarnation,
+                result -> {
+                    if (incarnation.crashed) {
+                        listener.crashed(suspect.get(), incarnationOf(target));
+                    } else if (result.filter(each -> each == ConnectResult.ACCEPTED).isEmpty()) {
+                        long until = reactor.currentTimeMillis() + FAILED_ATTEMPT_MILLIS;
+                        incarnation.attempts.add(new Attempt(suspect.get(), until));
+                    }
+                    afterProbe.accept(incarnation.crashed);
+                });
+    }
+
+    /** Calls a listener once a probe that begins now is complete or has timed out. */
+    private void awaitProbe(KnownTarget target, Incarnation incarnation, ProbeListener waiting) {
+        reactor.delayBackground(
+                PROBE_TIMEOUT_MILLIS,
+                () -> {
+                    if (incarnation.waiting.remove(waiting)
+                            || incarnation.waitingForNext.remove(waiting)) {
+                        waiting.probed(Optional.empty());
+                    }
+                });
+        if (incarnation.probing) {
+            incarnation.waitingForNext.add(waiting);
+        } else {
+            incarnation.waiting.add(waiting);
+            probe(target, incarnation);
         }
     }
 
+    private void probe(KnownTarget target, Incarnation incarnation) {
+        incarnation.probing = true;
+        target.connections().probe(result -> probed(target, incarnation, result));
+    }
+
     /**
      * Records that the gateway cancelled an attempt.
      *
@@ -135,14 +201,21 @@
     }
 
     private void probed(KnownTarget target, Incarnation incarnation, ConnectResult result) {
-        incarnation.probing = false;
+        // An accepted probe doesn't prove that the target is running: it may have reached the next
+        // incarnation. The directory may still report the crash later.
         if (result == ConnectResult.REFUSED) {
             target.load().health().connectFailed(reactor.currentTimeMillis());
             reportCrash(target, incarnation);
         }
-        // An accepted probe doesn't prove that the target is running: it may have reached the next
-        // incarnation. The directory may still report the crash later.
-        runWaiting(incarnation);
+        List<ProbeListener> done = new ArrayList<>(incarnation.waiting);
+        incarnation.waiting.clear();
+        (incarnation.crashed ? done : incarnation.waiting).addAll(incarnation.waitingForNext);
+        incarnation.waitingForNext.clear();
+        incarnation.probing = !incarnation.waiting.isEmpty();
+        if (incarnation.probing) {
+            probe(target, incarnation);
+        }
+        done.forEach(each -> each.probed(Optional.of(result)));
     }
 
     private void reportCrash(KnownTarget target, Incarnation incarnation) {
@@ -156,12 +229,6 @@
         incarnation.attempts.clear();
     }
 
-    private static void runWaiting(Incarnation incarnation) {
-        List<Runnable> waiting = List.copyOf(incarnation.waiting);
-        incarnation.waiting.clear();
-        waiting.forEach(Runnable::run);
-    }
-
     /** Returns the attempts at a target's incarnation and moves it to the end of the map. */
     private Incarnation touch(KnownTarget target) {
         long now = reactor.currentTimeMillis();
--- a/src/main/java/org/martenwell/stream/CompleteEventFilter.java
+++ b/src/main/java/org/martenwell/stream/CompleteEventFilter.java
@@ -16,8 +16,7 @@
     /** The bytes after the last complete event. */
     private final ByteArrayOutputStream incomplete = new ByteArrayOutputStream();
 
-    /** The length of the current line without its terminator. */
-    private int lineBytes;
+    private final EventBoundary boundary = new EventBoundary();
 
     private Optional<String> lastId = Optional.empty();
 
@@ -34,11 +33,8 @@
         int completeLength = 0;
         for (byte each : bytes) {
             incomplete.write(each);
-            if (each == '\n') {
-                completeLength = lineBytes == 0 ? incomplete.size() : completeLength;
-                lineBytes = 0;
-            } else if (each != '\r') {
-                lineBytes++;
+            if (boundary.receive(each)) {
+                completeLength = incomplete.size();
             }
         }
         if (completeLength == 0) {
@@ -52,6 +48,22 @@
         return complete;
     }
 
+    /**
+     * Adds bytes of a stream that is passed on as it arrives and can't be resumed.
+     *
+     * @param bytes The bytes.
+     */
+    public void follow(byte[] bytes) {
+        for (byte each : bytes) {
+            boundary.receive(each);
+        }
+    }
+
+    /** {@return {@code true} if the bytes received so far end within an event} */
+    public boolean withinEvent() {
+        return boundary.withinEvent();
+    }
+
     /**
      * Returns and clears the bytes after the last complete event, for a stream that has ended
      * regularly.
@@ -67,7 +79,7 @@
     /** Discards the incomplete event of an interrupted stream before it is resumed. */
     public void reset() {
         incomplete.reset();
-        lineBytes = 0;
+        boundary.reset();
     }
 
     /** {@return the id of the last complete event that has one, or empty} */
--- a/src/test/java/org/martenwell/exchange/RawHttpClient.java
+++ b/src/test/java/org/martenwell/exchange/RawHttpClient.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -56,6 +57,11 @@
         return bytes.toString(StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads to the end of input and returns the number of bytes; fails after a reset. */
+    long countBytes() throws IOException {
+        return socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+    }
+
     /** Closes the connection with a TCP reset. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -107,6 +107,49 @@
         assertThat(crashed()).containsExactly("a@1", "a@1");
     }
 
+    @Test
+    void testTargetThatRefusesConnectionsBehindAnUnframedResponseCrashed() {
+        updateTable(target("a", 1, false));
+        endWithConnection("a");
+        await(() -> completedProbes.get() == 1);
+        assertThat(crashed()).containsExactly("a@1", "true");
+    }
+
+    /**
+     * A request whose response ended before its target crashed for another reason is no suspect.
+     */
+    @Test
+    void testTargetThatOutlivedAnUnframedResponseIsNotAttributedToIt() {
+        listen();
+        updateTable(target("a", 1, false));
+        endWithConnection("a");
+        await(() -> completedProbes.get() == 1);
+        updateTable(target("a", 2, false));
+        assertThat(crashed()).containsExactly("false");
+    }
+
+    @Test
+    void testUnframedResponseThatEndsDuringAProbeIsProbedToo() {
+        listen();
+        updateTable(target("a", 1, false));
+        failAttempt("a");
+        endWithConnection("a");
+        await(() -> completedProbes.get() == 2);
+        assertThat(crashed()).containsExactly("false");
+    }
+
+    private void endWithConnection(String id) {
+        run(
+                () ->
+                        detector.endedWithConnection(
+                                known(id),
+                                () -> SUSPECT,
+                                result -> {
+                                    crashed.add(Boolean.toString(result));
+                                    completedProbes.incrementAndGet();
+                                }));
+    }
+
     private void listen() {
         CallerServer server =
                 new CallerServer(thread.loop(), IpAddress.of(address), exchange -> {});
--- a/src/test/java/org/martenwell/stream/CompleteEventFilterTest.java
+++ b/src/test/java/org/martenwell/stream/CompleteEventFilterTest.java
@@ -3,10 +3,13 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class CompleteEventFilterTest {
 
@@ -46,6 +49,30 @@
         assertThat(events.lastId()).isEmpty();
     }
 
+    /** A stream that ends within an event was cut off, but a comment belongs to no event. */
+    @ParameterizedTest
+    @CsvSource({
+        "'',false",
+        "'id: 1|data: a||',false",
+        "'id: 1|data: a|',true",
+        "'id: 1|data: a||i',true",
+        "'id: 1|data: a||: keep-alive',false",
+        "'id: 1|data: a||: keep-alive|',false",
+        "'id: 1|: comment|',true",
+        "': comment|id: 1',true",
+        "'|',false",
+    })
+    void testEndWithinAnEvent(String stream, boolean within) {
+        for (String lineEnd : List.of("\n", "\r\n")) {
+            CompleteEventFilter filtered = new CompleteEventFilter();
+            filtered.receive(bytes(stream.replace("|", lineEnd)));
+            assertThat(filtered.withinEvent()).isEqualTo(within);
+            CompleteEventFilter followed = new CompleteEventFilter();
+            followed.follow(bytes(stream.replace("|", lineEnd)));
+            assertThat(followed.withinEvent()).isEqualTo(within);
+        }
+    }
+
     private static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.UTF_8);
     }
