Let empty answers without framing to own calls fail

A list of the store, or of an engine's prompt cache, that was cut off right behind its head by an orderly close read as an empty list: no targets, no configuration. What is cut off later can't be read as JSON and failed already. Such a call now fails like one that was reset, and the list is asked for again.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -138,6 +138,12 @@
 
         @Override
         public void completed(ResponseFraming framing) {
+            if (!framing.showsTruncation() && body.size() == 0) {
+                // A truncated JSON document can't be read, but an empty one looks like an empty
+                // list.
+                failed(ResponseFailure.BROKEN_OFF);
+                return;
+            }
             timer.cancel();
             if (reuseConnection) {
                 connections.release(connection, 0);
