Let truncated responses of services fail in the OpenAI-compatible router

The router's HTTP client takes an orderly close for the end of a response without framing (tried on the former code: a body "part" cut off by its target came as a whole one). It was sent on with a length and X-Outcome: ran, and kept under an Idempotency-Key, so that each repeat got the short body again.

The router's HTTP server has no responses without framing, so it can't pass the doubt on. Such a response counts as failed now, outcome unknown, unless it is a JSON document, which shows its end. Streams were safe: they need their end marker.

ResponseEndTest and a case of HttpTargetConnectorTest, written with the change; a whole fleet in front of a service that never frames was not tried.

--- a/src/main/java/org/martenwell/router/RequestDispatcher.java
+++ b/src/main/java/org/martenwell/router/RequestDispatcher.java
@@ -269,6 +269,7 @@
                 .map(
                         buffer -> {
                             byte[] bytes = buffer.asArray();
+                            ResponseEnd.requireKnown(response, bytes);
                             progress.markComplete();
                             meter.finish(deliveredUnits(request, bytes, startedAt));
                             return bufferedResponse(response, bytes);
--- a/src/main/java/org/martenwell/target/HttpTargetConnector.java
+++ b/src/main/java/org/martenwell/target/HttpTargetConnector.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.martenwell.configuration.Target;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
@@ -32,6 +33,9 @@
 
     private static final byte[] NO_BODY = {};
 
+    /** The statuses of responses that have no body. */
+    private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
+
     /** Sends repeatable requests over pooled connections. */
     private final AsyncHttpClient pooled;
 
@@ -112,7 +116,7 @@
                 Promises.timeout(Duration.ofMillis(timeoutMillis), response);
         response.whenResult(lateResponse -> closeIfLate(lateResponse, bounded));
         return bounded.mapException(exception -> toException(message, exception))
-                .map(HttpTargetConnector::toTargetResponse);
+                .map(head -> toTargetResponse(message.getMethod(), head));
     }
 
     /**
@@ -156,10 +160,11 @@
     /**
      * Checks the head of a response for a refusal before processing.
      *
+     * @param method The method of the request.
      * @param response The response.
      * @return The response with its unread body.
      */
-    private static TargetResponse toTargetResponse(HttpResponse response) {
+    private static TargetResponse toTargetResponse(HttpMethod method, HttpResponse response) {
         List<HeaderField> headers = HeaderFields.read(response);
         if (HeaderFields.find(headers, HeaderFields.NOT_STARTED).isPresent()) {
             response.takeBodyStream().close();
@@ -167,7 +172,19 @@
                     ErrorKind.TARGET_REFUSED,
                     "The target refused the request before processing it.");
         }
-        return new TargetResponse(response.getCode(), headers, response.takeBodyStream());
+        return new TargetResponse(
+                response.getCode(),
+                headers,
+                response.takeBodyStream(),
+                framed(method, response.getCode(), headers));
+    }
+
+    /** Returns whether the head of a response determines the end of its body. */
+    private static boolean framed(HttpMethod method, int status, List<HeaderField> headers) {
+        return method == HttpMethod.HEAD
+                || BODILESS_STATUSES.contains(status)
+                || HeaderFields.find(headers, "Content-Length").isPresent()
+                || HeaderFields.find(headers, "Transfer-Encoding").isPresent();
     }
 
     /**
--- a/src/main/java/org/martenwell/target/TargetResponse.java
+++ b/src/main/java/org/martenwell/target/TargetResponse.java
@@ -11,6 +11,8 @@
  * @param status The HTTP status code.
  * @param headers The header fields.
  * @param body The body, piece by piece.
+ * @param framed {@code true} if a truncated body shows, {@code false} if the body ends with its
+ *     connection, so that a truncated one looks complete.
  */
 public record TargetResponse(
-        int status, List<HeaderField> headers, ChannelSupplier<ByteBuf> body) {}
+        int status, List<HeaderField> headers, ChannelSupplier<ByteBuf> body, boolean framed) {}
--- a/src/test/java/org/martenwell/router/StreamRelayTest.java
+++ b/src/test/java/org/martenwell/router/StreamRelayTest.java
@@ -142,7 +142,7 @@
         @Override
         public Promise<TargetResponse> resume(Target target, String requestId, String lastEvent) {
             log.add("resume " + lastEvent);
-            return Promise.of(new TargetResponse(200, List.of(), resumedStreams.poll()));
+            return Promise.of(new TargetResponse(200, List.of(), resumedStreams.poll(), true));
         }
 
         @Override
--- a/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
+++ b/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
@@ -4,6 +4,8 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import io.activej.promise.Promise;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -13,8 +15,11 @@
 import org.martenwell.configuration.Target;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.error.Outcome;
+import org.martenwell.exchange.CallerServer;
+import org.martenwell.exchange.RequestHandler;
 import org.martenwell.http.AsyncHttpClient;
 import org.martenwell.service.EventLoopThread;
+import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
 import org.martenwell.standin.StandinTarget;
 import org.martenwell.standin.TargetSettings;
@@ -86,6 +91,35 @@
                         failure -> assertThat(failure.outcome()).isEqualTo(Outcome.NOT_RUN));
     }
 
+    /** Guards against a body that ends with its connection and is taken for a complete one. */
+    @Test
+    void testResponseThatEndsWithItsConnectionIsNotFramed() {
+        assertThat(respond(each -> each.respond(200, headers(), bytes("part"))).framed()).isTrue();
+        assertThat(respond(each -> each.respondUnframed(200, headers(), bytes("part"))).framed())
+                .isFalse();
+    }
+
+    private TargetResponse respond(RequestHandler handler) {
+        String address = LoopbackPorts.free(1).get(0);
+        CallerServer server = new CallerServer(loop.loop(), IpAddress.of(address), handler);
+        loop.call(server::start);
+        TargetResponse response = loop.call(() -> connector.start(target(address), request("one")));
+        loop.call(
+                () -> {
+                    response.body().close();
+                    return server.stop();
+                });
+        return response;
+    }
+
+    private static HttpHeaders headers() {
+        return DefaultHttpHeadersFactory.headersFactory().newHeaders();
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     private void start(String prompt) {
         TargetResponse response = loop.call(() -> connector.start(target, request(prompt)));
         assertThat(response.status()).isEqualTo(200);
