Log the shared prompt parts of requests that crash targets

The line now lists the ids of all parts but the last, which belongs to the request alone. No decision changes.

--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -302,6 +302,7 @@
                             .with("fingerprint", suspect.fingerprint())
                             .with("path", suspect.summary().path())
                             .with("organisation", suspect.summary().organisation())
+                            .with("parts", String.join(",", suspect.parts()))
                             .with("target", incarnation)
                             .with("targetsEnded", crashes));
         }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -210,7 +210,11 @@
         stallDetector = new StallDetector(core, route, this::targetSilent);
         identity =
                 new RequestIdentity(
-                        core.fingerprints(), exchange.request(), route, organisation.orElse(""));
+                        core.fingerprints(),
+                        exchange.request(),
+                        route,
+                        organisation.orElse(""),
+                        metadata.generation());
         core.harmful().begin(this);
         if (metadata.lastEventId().isPresent() && route.resumable()) {
             core.streams().find(metadata.resumedAttempt(), route, this::streamFound);
--- a/src/main/java/org/martenwell/gateway/RequestIdentity.java
+++ b/src/main/java/org/martenwell/gateway/RequestIdentity.java
@@ -1,6 +1,9 @@
 package org.martenwell.gateway;
 
+import java.util.List;
+import java.util.Optional;
 import org.martenwell.exchange.CallerRequest;
+import org.martenwell.prompt.PromptPart;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.FingerprintFunction;
 import org.martenwell.quarantine.RequestSummary;
@@ -21,6 +24,9 @@
     /** The caller's organisation, empty where callers have no keys. */
     private final String organisation;
 
+    /** The properties of a model request, empty for others. */
+    private final Optional<GenerationMetadata> generation;
+
     /** The scope or {@code null} until it is computed. */
     private Long scope;
 
@@ -34,13 +40,19 @@
      * @param request The request.
      * @param route The request's route.
      * @param organisation The caller's organisation, empty where callers have no keys.
+     * @param generation The properties of a model request, empty for others.
      */
     RequestIdentity(
-            FingerprintFunction function, CallerRequest request, Route route, String organisation) {
+            FingerprintFunction function,
+            CallerRequest request,
+            Route route,
+            String organisation,
+            Optional<GenerationMetadata> generation) {
         this.function = function;
         this.request = request;
         this.route = route;
         this.organisation = organisation;
+        this.generation = generation;
     }
 
     /**
@@ -78,6 +90,17 @@
         RequestSummary summary =
                 new RequestSummary(
                         request.method().name(), route.host(), request.path(), organisation);
-        return new SuspectRequest(fingerprint(), summary);
+        return new SuspectRequest(fingerprint(), summary, sharedParts());
+    }
+
+    /**
+     * Returns the ids of the prompt parts that other requests may share, which all but the last
+     * are.
+     */
+    private List<String> sharedParts() {
+        List<PromptPart> parts = generation.map(GenerationMetadata::parts).orElse(List.of());
+        return parts.subList(0, Math.max(0, parts.size() - 1)).stream()
+                .map(PromptPart::id)
+                .toList();
     }
 }
--- a/src/main/java/org/martenwell/gateway/SuspectRequest.java
+++ b/src/main/java/org/martenwell/gateway/SuspectRequest.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import java.util.List;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.RequestSummary;
 
@@ -9,5 +10,6 @@
  *
  * @param fingerprint The fingerprint, by which a repeated request is recognised.
  * @param summary The description that is shown to operators.
+ * @param parts The ids of its shared prompt parts.
  */
-record SuspectRequest(Fingerprint fingerprint, RequestSummary summary) {}
+record SuspectRequest(Fingerprint fingerprint, RequestSummary summary, List<String> parts) {}
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -25,7 +25,9 @@
 
     private static final SuspectRequest SUSPECT =
             new SuspectRequest(
-                    new Fingerprint(1, 2), new RequestSummary("GET", "h", "/", "clinic"));
+                    new Fingerprint(1, 2),
+                    new RequestSummary("GET", "h", "/", "clinic"),
+                    List.of());
 
     private final EventLoopThread thread = EventLoopThread.start("target-crash-detector");
 
