Quarantine parts of prompts that crash targets

Callers saw: target after target of a service crash, some 22 under one part of prompts, and requests of all organisations break off or be refused meanwhile.

Cause: requests were known again by method, path, organisation and body alone. Class: evidence is kept under the identity of the request as a whole, though a part of it is what recurs.

Change: each shared part of a prompt has a fingerprint and is quarantined like a request: three crashes over the fleet, kept in the store, told among gateways. A target's answer on a part that went on speaks for it, for 10 s, at all gateways: a harmful part never has one, and the parts that sound requests share have them all the time. Such clearings are told to peers without delay, like crashes.

--- a/src/main/java/org/martenwell/directory/QuarantinedRequestJson.java
+++ b/src/main/java/org/martenwell/directory/QuarantinedRequestJson.java
@@ -33,6 +33,9 @@
 
     private static final String ORGANISATION = "organisation";
 
+    /** Field with the id of a prompt part, missing for a request as a whole. */
+    private static final String PART = "part";
+
     private QuarantinedRequestJson() {}
 
     /**
@@ -47,6 +50,9 @@
         value.put(HOST, request.summary().host());
         value.put(PATH, request.summary().path());
         value.put(ORGANISATION, request.summary().organisation());
+        if (!request.summary().part().isEmpty()) {
+            value.put(PART, request.summary().part());
+        }
         value.put(GATEWAY, request.gateway());
         value.put(SINCE, request.sinceMillis());
         ArrayNode incarnations = value.putArray(INCARNATIONS);
@@ -75,7 +81,8 @@
                                                 value.path(METHOD).asText(""),
                                                 value.path(HOST).asText(""),
                                                 value.path(PATH).asText(""),
-                                                value.path(ORGANISATION).asText("")),
+                                                value.path(ORGANISATION).asText(""),
+                                                value.path(PART).asText("")),
                                         readIncarnations(value.path(INCARNATIONS)),
                                         value.path(GATEWAY).asText(""),
                                         value.path(SINCE).asLong()));
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -5,6 +5,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.balance.EngineChoice;
@@ -15,6 +16,7 @@
 import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.quarantine.Fingerprint;
+import org.martenwell.quarantine.RequestSummary;
 import org.martenwell.share.ShareUse;
 
 /**
@@ -302,14 +304,74 @@
                             .with("fingerprint", suspect.fingerprint())
                             .with("path", suspect.summary().path())
                             .with("organisation", suspect.summary().organisation())
-                            .with("parts", String.join(",", suspect.parts()))
+                            .with("parts", partIds(suspect))
                             .with("target", incarnation)
                             .with("targetsEnded", crashes));
         }
     }
 
+    private static String partIds(SuspectRequest suspect) {
+        return suspect.parts().stream().map(SharedPart::id).collect(Collectors.joining(","));
+    }
+
+    /**
+     * Records that a target crashed while running a request with a prompt part, on which no target
+     * has lately answered.
+     *
+     * @param part The part.
+     * @param incarnation The target's incarnation.
+     * @param crashes The number of targets that crashed with such requests.
+     */
+    void partSuspected(SharedPart part, String incarnation, int crashes) {
+        metrics.counter("prompt_parts_suspected").inc();
+        if (mayWrite()) {
+            write(
+                    LogEvent.of("part-suspected")
+                            .with("part", part.id())
+                            .with("fingerprint", part.fingerprint())
+                            .with("target", incarnation)
+                            .with("targetsEnded", crashes));
+        }
+    }
+
+    /**
+     * Records that a target answered on a suspected prompt part.
+     *
+     * @param part The part.
+     */
+    void partCleared(SharedPart part) {
+        metrics.counter("prompt_parts_cleared").inc();
+        if (mayWrite()) {
+            write(
+                    LogEvent.of("part-cleared")
+                            .with("part", part.id())
+                            .with("fingerprint", part.fingerprint()));
+        }
+    }
+
+    /**
+     * Records that a request or a prompt part was quarantined.
+     *
+     * @param fingerprint The fingerprint of the request or part.
+     * @param summary Its description, empty if this gateway doesn't know it.
+     * @param source The origin of the decision.
+     */
+    void held(Fingerprint fingerprint, Optional<RequestSummary> summary, String source) {
+        metrics.counter("request_held").inc();
+        if (mayWrite()) {
+            LogEvent event =
+                    LogEvent.of("request-held")
+                            .with("fingerprint", fingerprint)
+                            .with("learntFrom", source);
+            summary.map(RequestSummary::part)
+                    .filter(part -> !part.isEmpty())
+                    .ifPresent(part -> event.with("part", part));
+            write(event);
+        }
+    }
+
     /**
-     * Records that a request was quarantined or released.
+     * Records that a request was released.
      *
      * @param event The name of the event, also used for the metric.
      * @param fingerprint The request's fingerprint.
--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -15,17 +15,24 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.Quarantine;
+import org.martenwell.quarantine.QuarantineState;
 import org.martenwell.quarantine.QuarantineUpdate;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.quarantine.RequestSummary;
 
 /**
- * Quarantine of requests that crash targets. Gateways report to each other which targets crashed
- * and with which requests. Quarantined requests are stored in the directory, so that they persist
- * when all gateways restart.
+ * Quarantine of requests, and of parts of prompts, that crash targets. Gateways report to each
+ * other which targets crashed and with which of them. What is quarantined is stored in the
+ * directory, so that it persists when all gateways restart.
  */
 final class HarmfulRequests {
 
+    /**
+     * The time after the beginning or the end of an answer for which its target must run on to show
+     * that the parts of the prompt are harmless, in milliseconds.
+     */
+    static final long OUTLIVED_MILLIS = 500;
+
     /** The number of suspected requests whose summaries are retained. */
     private static final int MAX_SUMMARIES = 1_024;
 
@@ -63,7 +70,7 @@
     private Set<Fingerprint> stored = Set.of();
 
     /** The callback that sends updates to peers without delay. */
-    private Runnable crashListener = () -> {};
+    private Runnable urgentUpdateListener = () -> {};
 
     /** The directory that stores quarantined requests, empty until it is set. */
     private Optional<FleetDirectory> directory = Optional.empty();
@@ -101,10 +108,11 @@
     /**
      * Sets the callback that sends updates to peers without delay.
      *
-     * @param listener The callback, which runs for each new crash of a target.
+     * @param listener The callback, which runs for new crashes of targets and for requests and
+     *     parts that were cleared.
      */
-    void onNewCrash(Runnable listener) {
-        crashListener = listener;
+    void onUrgentUpdate(Runnable listener) {
+        urgentUpdateListener = listener;
     }
 
     /**
@@ -132,9 +140,17 @@
      * @return The error to respond with, or empty if the request may be sent.
      */
     Optional<ErrorKind> refusal(RequestIdentity identity) {
-        return quarantine.blocksNothing() || !quarantine.tracksScope(identity.scope())
-                ? Optional.empty()
-                : quarantine.state(identity.fingerprint()).refusal();
+        if (quarantine.blocksNothing()) {
+            return Optional.empty();
+        }
+        QuarantineState state =
+                quarantine.tracksScope(identity.scope())
+                        ? quarantine.state(identity.fingerprint())
+                        : QuarantineState.FREE;
+        for (SharedPart each : identity.sharedParts()) {
+            state = state.or(quarantine.state(each.fingerprint()));
+        }
+        return state.refusal();
     }
 
     /**
@@ -169,7 +185,24 @@
         if (target.load().availability().isDraining() || target.connections().closed()) {
             afterProbe.accept(false);
         } else {
-            crashDetector.endedWithConnection(target, identity::suspect, afterProbe);
+            List<SharedPart> parts = identity.sharedParts();
+            crashDetector.endedWithConnection(
+                    target,
+                    identity::suspect,
+                    crashed -> {
+                        if (!crashed && !parts.isEmpty()) {
+                            reactor.delayBackground(
+                                    OUTLIVED_MILLIS, () -> answeredIfAlive(target, parts));
+                        }
+                        afterProbe.accept(crashed);
+                    });
+        }
+    }
+
+    /** Clears parts of a prompt unless the target that answered on it has crashed meanwhile. */
+    private void answeredIfAlive(KnownTarget target, List<SharedPart> parts) {
+        if (!crashDetector.hasCrashed(target)) {
+            partsAnswered(parts);
         }
     }
 
@@ -181,7 +214,10 @@
      * @param identity The request's identity.
      */
     void attemptCancelled(KnownTarget target, RequestIdentity identity) {
-        if (quarantine.size() > 0 && quarantine.tracksScope(identity.scope())) {
+        if (quarantine.size() > 0
+                && (quarantine.tracksScope(identity.scope())
+                        || identity.sharedParts().stream()
+                                .anyMatch(each -> quarantine.suspects(each.fingerprint())))) {
             crashDetector.attemptCancelled(target, identity.suspect());
         }
     }
@@ -211,6 +247,31 @@
         }
     }
 
+    /**
+     * Records that a target answered on a prompt without crashing: it answered in full, or it has
+     * answered for {@link #OUTLIVED_MILLIS}.
+     *
+     * @param identity The request's identity.
+     */
+    void promptAnswered(RequestIdentity identity) {
+        partsAnswered(identity.sharedParts());
+    }
+
+    private void partsAnswered(List<SharedPart> parts) {
+        long now = reactor.currentTimeMillis();
+        for (SharedPart each : parts) {
+            Fingerprint part = each.fingerprint();
+            boolean suspected = quarantine.suspects(part);
+            if (quarantine.partAnswered(part, now)) {
+                directory.ifPresent(present -> present.release(part));
+            }
+            if (suspected) {
+                log.partCleared(each);
+            }
+        }
+        sendUrgentUpdates();
+    }
+
     /**
      * Applies updates from a peer.
      *
@@ -222,6 +283,7 @@
                 quarantined(each.fingerprint(), "peer");
             }
         }
+        sendUrgentUpdates();
     }
 
     /**
@@ -275,14 +337,35 @@
 
     private void crashed(SuspectRequest suspect, String incarnation) {
         Fingerprint fingerprint = suspect.fingerprint();
-        summaries.put(fingerprint, suspect.summary());
-        if (summaries.size() > MAX_SUMMARIES) {
-            summaries.remove(summaries.keySet().iterator().next());
+        recordCrash(fingerprint, suspect.summary(), incarnation);
+        log.suspected(suspect, incarnation, quarantine.crashedIncarnations(fingerprint).size());
+        for (SharedPart each : suspect.parts()) {
+            Fingerprint part = each.fingerprint();
+            if (recordCrash(part, suspect.summary().withPart(each.id()), incarnation)) {
+                log.partSuspected(each, incarnation, quarantine.crashedIncarnations(part).size());
+            }
         }
-        if (quarantine.recordCrash(fingerprint, incarnation, reactor.currentTimeMillis())) {
-            crashListener.run();
+        sendUrgentUpdates();
+    }
+
+    private void sendUrgentUpdates() {
+        if (quarantine.takeUrgent()) {
+            urgentUpdateListener.run();
         }
-        log.suspected(suspect, incarnation, quarantine.crashedIncarnations(fingerprint).size());
+    }
+
+    /** Records a crash, and how operators are shown what crashed the target. */
+    private boolean recordCrash(
+            Fingerprint fingerprint, RequestSummary summary, String incarnation) {
+        boolean counted =
+                quarantine.recordCrash(fingerprint, incarnation, reactor.currentTimeMillis());
+        if (quarantine.suspects(fingerprint)) {
+            summaries.put(fingerprint, summary);
+            if (summaries.size() > MAX_SUMMARIES) {
+                summaries.remove(summaries.keySet().iterator().next());
+            }
+        }
+        return counted;
     }
 
     /**
@@ -293,11 +376,11 @@
      * @param source The origin of the decision, for the log.
      */
     private void quarantined(Fingerprint fingerprint, String source) {
-        log.quarantineChanged("request-held", fingerprint, source);
+        RequestSummary summary = summaries.get(fingerprint);
+        log.held(fingerprint, Optional.ofNullable(summary), source);
         for (RequestDispatch each : List.copyOf(active)) {
             each.stopIfQuarantined(fingerprint);
         }
-        RequestSummary summary = summaries.get(fingerprint);
         if (summary != null && !stored.contains(fingerprint)) {
             QuarantinedRequest entry =
                     new QuarantinedRequest(
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -131,7 +131,7 @@
     @Override
     public Promise<Void> start() {
         lastReportMillis = core.now();
-        core.harmful().onNewCrash(this::scheduleUrgentReport);
+        core.harmful().onUrgentUpdate(this::scheduleUrgentReport);
         scheduleReport();
         reactor.delayBackground(MEMBER_CHECK_MILLIS, this::removeDeadMembers);
         return network.start();
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -514,6 +514,11 @@
         }
     }
 
+    /** Handles that a target has answered for a while and runs on. */
+    void answerContinues() {
+        core.harmful().promptAnswered(identity);
+    }
+
     /**
      * Handles a chunk of a response body.
      *
@@ -593,6 +598,9 @@
         } else {
             if (framing.showsTruncation() && !failure) {
                 core.harmful().served(identity);
+                if (status < FIRST_REDIRECTION_STATUS) {
+                    core.harmful().promptAnswered(identity);
+                }
             }
             relay.end();
             core.log().ended(requestId(), status, framing, history.attempts(), elapsedMillis());
@@ -698,13 +706,12 @@
     }
 
     /**
-     * Cancels the request if it has a fingerprint that was quarantined.
+     * Cancels the request if it or a part of its prompt was quarantined.
      *
      * @param fingerprint The quarantined fingerprint.
      */
     void stopIfQuarantined(Fingerprint fingerprint) {
-        // Compares the scope first, since the fingerprint may need a hash of the body.
-        if (identity.scope() == fingerprint.scope() && identity.fingerprint().equals(fingerprint)) {
+        if (identity.matches(fingerprint)) {
             cancelAttempt();
             fail(ErrorKind.ENDS_TARGETS, 0);
         }
--- a/src/main/java/org/martenwell/gateway/RequestIdentity.java
+++ b/src/main/java/org/martenwell/gateway/RequestIdentity.java
@@ -3,15 +3,15 @@
 import java.util.List;
 import java.util.Optional;
 import org.martenwell.exchange.CallerRequest;
-import org.martenwell.prompt.PromptPart;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.FingerprintFunction;
 import org.martenwell.quarantine.RequestSummary;
 import org.martenwell.route.Route;
 
 /**
- * Fingerprint of a request, by which a repeated request is recognised. It is computed on first use,
- * so that bodies are hashed only for requests that may be quarantined.
+ * Fingerprints of a request and of the shared parts of its prompt, by which they are recognised.
+ * They are computed on first use, so that bodies are hashed only for requests that may be
+ * quarantined.
  */
 final class RequestIdentity {
 
@@ -33,6 +33,9 @@
     /** The fingerprint or {@code null} until it is computed. */
     private Fingerprint fingerprint;
 
+    /** The shared parts of the prompt or {@code null} until their fingerprints are computed. */
+    private List<SharedPart> sharedParts;
+
     /**
      * Creates an identity.
      *
@@ -88,19 +91,44 @@
      */
     SuspectRequest suspect() {
         RequestSummary summary =
-                new RequestSummary(
+                RequestSummary.of(
                         request.method().name(), route.host(), request.path(), organisation);
         return new SuspectRequest(fingerprint(), summary, sharedParts());
     }
 
     /**
-     * Returns the ids of the prompt parts that other requests may share, which all but the last
-     * are.
+     * Returns the parts of the prompt that other requests may share, which all but the last are.
+     *
+     * @return The parts in their order, empty if the caller stated no prompt.
      */
-    private List<String> sharedParts() {
-        List<PromptPart> parts = generation.map(GenerationMetadata::parts).orElse(List.of());
-        return parts.subList(0, Math.max(0, parts.size() - 1)).stream()
-                .map(PromptPart::id)
+    List<SharedPart> sharedParts() {
+        if (sharedParts == null) {
+            sharedParts = generation.map(this::sharedParts).orElse(List.of());
+        }
+        return sharedParts;
+    }
+
+    private List<SharedPart> sharedParts(GenerationMetadata prompt) {
+        int count = prompt.parts().size() - 1;
+        if (count < 1) {
+            return List.of();
+        }
+        long partScope = function.partScope(prompt.model());
+        return prompt.parts().subList(0, count).stream()
+                .map(each -> new SharedPart(each.id(), function.ofPart(partScope, each.id())))
                 .toList();
     }
+
+    /**
+     * Returns whether the request, or a shared part of its prompt, has a fingerprint.
+     *
+     * @param other The fingerprint.
+     * @return {@code true} if it has.
+     */
+    boolean matches(Fingerprint other) {
+        // Compares the scope first, since the fingerprint may need a hash of the body.
+        return scope() == other.scope()
+                ? fingerprint().equals(other)
+                : sharedParts().stream().anyMatch(each -> each.fingerprint().equals(other));
+    }
 }
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -47,6 +47,12 @@
 
     private boolean bodyStarted;
 
+    /** The time at which the first chunk of the body arrived, in milliseconds. */
+    private long bodyStartedMillis;
+
+    /** Set once the dispatch knows that the target outlived the beginning of its answer. */
+    private boolean outlived;
+
     /** Set once the dispatch ignores further events of this attempt. */
     private boolean over;
 
@@ -158,7 +164,7 @@
     public void bodyPartReceived(byte[] piece) {
         lastReceivedMillis = dispatch.now();
         if (!over) {
-            recordBodyStart();
+            recordBodyProgress();
             dispatch.bodyReceived(piece);
         }
     }
@@ -184,13 +190,19 @@
     }
 
     /**
-     * Records the first chunk of the body, which shows that the target has prefilled the prompt.
+     * Records the first chunk of the body, which shows that the target has prefilled the prompt,
+     * and the first one some time later, which shows that the target runs on.
      */
-    private void recordBodyStart() {
+    private void recordBodyProgress() {
         if (!bodyStarted) {
             bodyStarted = true;
+            bodyStartedMillis = lastReceivedMillis;
             target.load().firstEventArrived(running);
             dispatch.bodyStarted(this);
+        } else if (!outlived
+                && lastReceivedMillis - bodyStartedMillis >= HarmfulRequests.OUTLIVED_MILLIS) {
+            outlived = true;
+            dispatch.answerContinues();
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/SuspectRequest.java
+++ b/src/main/java/org/martenwell/gateway/SuspectRequest.java
@@ -10,6 +10,6 @@
  *
  * @param fingerprint The fingerprint, by which a repeated request is recognised.
  * @param summary The description that is shown to operators.
- * @param parts The ids of its shared prompt parts.
+ * @param parts The shared parts of its prompt.
  */
-record SuspectRequest(Fingerprint fingerprint, RequestSummary summary, List<String> parts) {}
+record SuspectRequest(Fingerprint fingerprint, RequestSummary summary, List<SharedPart> parts) {}
--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -200,6 +200,17 @@
         }
     }
 
+    /**
+     * Returns whether a target is known to have crashed lately.
+     *
+     * @param target The target.
+     * @return {@code true} if its incarnation crashed after an attempt at it.
+     */
+    boolean hasCrashed(KnownTarget target) {
+        Incarnation incarnation = incarnations.get(incarnationOf(target));
+        return incarnation != null && incarnation.crashed;
+    }
+
     private void probed(KnownTarget target, Incarnation incarnation, ConnectResult result) {
         // An accepted probe doesn't prove that the target is running: it may have reached the next
         // incarnation. The directory may still report the crash later.
--- a/src/main/java/org/martenwell/quarantine/FingerprintFunction.java
+++ b/src/main/java/org/martenwell/quarantine/FingerprintFunction.java
@@ -14,6 +14,9 @@
     /** Derives a key for fingerprints, distinct from other uses of the fleet's key. */
     private static final String KEY_PURPOSE = "fingerprint of a request";
 
+    /** Begins the scope of prompt parts; no HTTP method is like it. */
+    private static final String PART_PURPOSE = "part of a prompt";
+
     /** Separates the parts of a scope, none of which can contain a line feed. */
     private static final char SEPARATOR = '\n';
 
@@ -43,6 +46,34 @@
         return function.hashString(all, StandardCharsets.UTF_8).asLong();
     }
 
+    /**
+     * Computes the scope of the prompt parts of a model.
+     *
+     * @param model The name of the model.
+     * @return The scope of their fingerprints.
+     */
+    public long partScope(String model) {
+        String all = PART_PURPOSE + SEPARATOR + model;
+        return function.hashString(all, StandardCharsets.UTF_8).asLong();
+    }
+
+    /**
+     * Computes the fingerprint of a prompt part.
+     *
+     * @param scope The scope, as returned by {@link #partScope}.
+     * @param id The part's id.
+     * @return The fingerprint.
+     */
+    public Fingerprint ofPart(long scope, String id) {
+        long content =
+                function.newHasher()
+                        .putLong(scope)
+                        .putString(id, StandardCharsets.UTF_8)
+                        .hash()
+                        .asLong();
+        return new Fingerprint(scope, content);
+    }
+
     /**
      * Computes a fingerprint.
      *
--- a/src/main/java/org/martenwell/quarantine/Quarantine.java
+++ b/src/main/java/org/martenwell/quarantine/Quarantine.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 
 /**
- * Quarantine of requests that crash targets. Evidence comes from this gateway, from peers and from
- * the directory; the decisions don't depend on the order in which it arrives.
+ * Quarantine of requests that crash targets, and of parts of prompts that crash each target that
+ * answers on them. A part has a fingerprint like a request; all that holds for requests here holds
+ * for parts. Evidence comes from this gateway, from peers and from the directory; the decisions
+ * don't depend on the order in which it arrives.
  *
  * <p>A crash is any unplanned end of a target's process. A target that restarts is a new
  * incarnation, which can crash again.
@@ -51,9 +53,15 @@
     /** The requests in the state {@link QuarantineState#QUARANTINED}. */
     private final Set<Fingerprint> quarantined = new HashSet<>();
 
+    /** The prompt parts that are not harmful, since targets lately answered on them. */
+    private final SoundParts soundParts = new SoundParts();
+
     /** The updates to send to peers. */
     private final UpdateQueue updates = new UpdateQueue();
 
+    /** Set while updates are queued that peers should receive without delay. */
+    private boolean urgent;
+
     /** Creates a quarantine that tracks no request. */
     public Quarantine() {}
 
@@ -67,9 +75,13 @@
      * @return {@code true} if the crash is new, so that peers should be informed at once.
      */
     public boolean recordCrash(Fingerprint fingerprint, String incarnation, long now) {
+        if (soundParts.contains(fingerprint, now)) {
+            return false;
+        }
         boolean added = addCrash(fingerprint, incarnation, now);
         if (added) {
             updates.add(QuarantineUpdate.crash(fingerprint, incarnation), now);
+            urgent = true;
         }
         return added;
     }
@@ -88,10 +100,24 @@
         if (suspicion != null && suspicion.isSuspected()) {
             clearSuspicion(fingerprint, now);
             updates.add(QuarantineUpdate.cleared(fingerprint), now);
+            urgent = true;
         }
         return wasQuarantined;
     }
 
+    /**
+     * Records that a target answered on a prompt part without crashing, which clears the part for
+     * some seconds.
+     *
+     * @param part The part.
+     * @param now The current time, in milliseconds.
+     * @return {@code true} if the part was quarantined.
+     */
+    public boolean partAnswered(Fingerprint part, long now) {
+        soundParts.add(part, now);
+        return clear(part, now);
+    }
+
     /**
      * Applies an update from a peer.
      *
@@ -103,7 +129,10 @@
         Fingerprint fingerprint = update.fingerprint();
         return switch (update.kind()) {
             case TARGET_CRASHED -> {
-                addCrash(fingerprint, update.incarnation(), now);
+                if (addCrash(fingerprint, update.incarnation(), now)
+                        && soundParts.contains(fingerprint, now)) {
+                    clear(fingerprint, now);
+                }
                 yield false;
             }
             case CLEARED -> {
@@ -177,6 +206,17 @@
         return suspicion == null ? QuarantineState.FREE : suspicion.state();
     }
 
+    /**
+     * Returns whether a request or a part is suspected or quarantined.
+     *
+     * @param fingerprint The request or part.
+     * @return {@code true} if at least one crash counts against it, or it is quarantined.
+     */
+    public boolean suspects(Fingerprint fingerprint) {
+        Suspicion suspicion = suspicions.get(fingerprint);
+        return suspicion != null && suspicion.isSuspected();
+    }
+
     /** {@return the number of quarantined requests} */
     public int quarantinedCount() {
         return quarantined.size();
@@ -205,6 +245,18 @@
         return suspicion == null ? Set.of() : Set.copyOf(suspicion.crashedIncarnations());
     }
 
+    /**
+     * Returns whether updates are queued that peers should receive without delay: crashes, and
+     * requests or parts that were cleared. Calling this forgets it.
+     *
+     * @return {@code true} if there are such updates since the last call.
+     */
+    public boolean takeUrgent() {
+        boolean taken = urgent;
+        urgent = false;
+        return taken;
+    }
+
     /**
      * Takes the updates that are due to be sent to peers.
      *
--- a/src/main/java/org/martenwell/quarantine/QuarantineState.java
+++ b/src/main/java/org/martenwell/quarantine/QuarantineState.java
@@ -25,6 +25,16 @@
         this.refusal = refusal;
     }
 
+    /**
+     * Returns the state of a request of which several things are known.
+     *
+     * @param other Another state.
+     * @return The stricter one of both.
+     */
+    public QuarantineState or(QuarantineState other) {
+        return compareTo(other) >= 0 ? this : other;
+    }
+
     /**
      * Returns the error with which a request in this state is refused.
      *
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -111,7 +111,7 @@
     private static QuarantinedRequest request(long sinceMillis) {
         return new QuarantinedRequest(
                 HARMFUL,
-                new RequestSummary("POST", "h", "/a", "clinic"),
+                RequestSummary.of("POST", "h", "/a", "clinic"),
                 Set.of("one@1", "two@1", "three@1"),
                 "gateway",
                 sinceMillis);
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -25,9 +25,7 @@
 
     private static final SuspectRequest SUSPECT =
             new SuspectRequest(
-                    new Fingerprint(1, 2),
-                    new RequestSummary("GET", "h", "/", "clinic"),
-                    List.of());
+                    new Fingerprint(1, 2), RequestSummary.of("GET", "h", "/", "clinic"), List.of());
 
     private final EventLoopThread thread = EventLoopThread.start("target-crash-detector");
 
