Split dispositions, retry delays and the set-up of engine routing off RequestDispatch

No behaviour changes. DispositionCount counts a model request once, RetryDelay names the delays of refusals, EngineRouting.of decides whether a request is routed to engines. Tests of routing, gateways on the platform and architecture pass.

--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -11,8 +11,10 @@
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.error.ErrorKind;
+import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.Route;
+import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.share.ShareTier;
 import org.martenwell.share.ShareUse;
 
@@ -71,6 +73,40 @@
         this.service = service;
     }
 
+    /**
+     * Creates the routing of a request.
+     *
+     * @param core The state that all requests share.
+     * @param service The configuration of its service, empty if there is none.
+     * @param generation The properties of a model request, empty for others.
+     * @param organisation The caller's organisation or an empty string.
+     * @param route The request's route.
+     * @param arrivedMillis The time at which it arrived, in milliseconds.
+     * @return The routing, or empty if the service is plain or the caller stated no prompt.
+     */
+    static Optional<EngineRouting> of(
+            GatewayCore core,
+            Optional<ServiceConfiguration> service,
+            Optional<GenerationMetadata> generation,
+            String organisation,
+            Route route,
+            long arrivedMillis) {
+        Optional<EngineCapacity> capacity = service.flatMap(ServiceConfiguration::engine);
+        if (capacity.isEmpty() || generation.isEmpty()) {
+            return Optional.empty();
+        }
+        GenerationMetadata prompt = generation.get();
+        EngineDemand demand =
+                new EngineDemand(
+                        organisation,
+                        PromptChain.of(prompt.model(), prompt.parts()),
+                        prompt.promptTokens(),
+                        prompt.responseTokens(),
+                        route.objectiveMillis(),
+                        arrivedMillis);
+        return Optional.of(new EngineRouting(core, demand, capacity.get(), service.get().name()));
+    }
+
     /** Records the organisation's demand and the prompt parts that the request may share. */
     void recordDemand() {
         for (int index = 0; index < demand.chain().length(); index++) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.martenwell.balance.EngineChoice;
-import org.martenwell.balance.EngineDemand;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
@@ -17,13 +16,10 @@
 import org.martenwell.exchange.OutboundRequest;
 import org.martenwell.exchange.ResponseFailure;
 import org.martenwell.exchange.ResponseFraming;
-import org.martenwell.prompt.PromptChain;
 import org.martenwell.quarantine.Fingerprint;
-import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.OrganisationConfiguration;
 import org.martenwell.route.Route;
-import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.share.Disposition;
 import org.martenwell.share.ShareUse;
 import org.martenwell.version.ServiceVersion;
@@ -43,20 +39,6 @@
 
     private static final String SILENT_CAUSE = "silent";
 
-    /** The delay before a retry if there is no target or no capacity, in seconds. */
-    private static final double RETRY_CAPACITY_SECONDS = 0.4;
-
-    /**
-     * The delay before a retry that the load balancer should send to another gateway, in seconds.
-     */
-    private static final double RETRY_ELSEWHERE_SECONDS = 0.05;
-
-    /** The delay before a retry if the organisation exceeds its fair share, in seconds. */
-    private static final double RETRY_SHARE_SECONDS = 2;
-
-    /** The delay before a retry of a request that is suspected to crash targets, in seconds. */
-    private static final double RETRY_SUSPECTED_SECONDS = 1;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
@@ -115,8 +97,7 @@
 
     private final LocalResponder localResponder;
 
-    /** Set once the disposition of the request is counted. */
-    private boolean dispositionCounted;
+    private final DispositionCount dispositionCount;
 
     private boolean over;
 
@@ -133,6 +114,7 @@
         this.arrivedMillis = exchange.request().arrivedMillis();
         this.relay = new ResponseRelay(core, exchange);
         this.localResponder = new LocalResponder(core, exchange, metadata);
+        this.dispositionCount = new DispositionCount(core, metadata);
     }
 
     /** Starts the dispatch, or refuses the request at once. */
@@ -140,16 +122,16 @@
         core.beginRequest();
         Optional<GatewayConfiguration> configuration = core.configuration();
         if (core.closing()) {
-            respond(ErrorKind.DRAINING, RETRY_ELSEWHERE_SECONDS);
+            respond(ErrorKind.DRAINING, RetryDelay.ELSEWHERE);
             return;
         }
         if (configuration.isEmpty()) {
-            respond(ErrorKind.NOT_READY, RETRY_CAPACITY_SECONDS);
+            respond(ErrorKind.NOT_READY, RetryDelay.CAPACITY);
             return;
         }
         Optional<Route> found = core.routes().find(metadata.host(), exchange.request().path());
         if (found.isEmpty()) {
-            respond(ErrorKind.UNKNOWN_PATH, 0);
+            respond(ErrorKind.UNKNOWN_PATH, RetryDelay.NONE);
             return;
         }
         route = found.get();
@@ -159,46 +141,20 @@
                             .map(configuration.get().keys()::get)
                             .map(OrganisationConfiguration::name);
             if (organisation.isEmpty()) {
-                respond(ErrorKind.UNAUTHENTICATED, 0);
+                respond(ErrorKind.UNAUTHENTICATED, RetryDelay.NONE);
                 return;
             }
         }
-        countRequested();
+        dispositionCount.requested(organisation.orElse(""));
         if (core.heap().nearlyFull()
                 || core.loopLag().shouldRefuse()
                 || core.processor().shouldRefuse()) {
-            respond(ErrorKind.ROUTER_FULL, RETRY_ELSEWHERE_SECONDS);
+            respond(ErrorKind.ROUTER_FULL, RetryDelay.ELSEWHERE);
             return;
         }
         accept(configuration.get());
     }
 
-    /** Counts the arrival of a request for the log. */
-    private void countRequested() {
-        if (costTokens() > 0) {
-            core.dispositions().requested(organisation.orElse(""), costTokens());
-        }
-    }
-
-    /**
-     * Counts what became of the request, once.
-     *
-     * @param disposition The disposition.
-     */
-    private void countDisposition(Disposition disposition) {
-        if (!dispositionCounted && costTokens() > 0) {
-            core.dispositions().ended(organisation.orElse(""), costTokens(), disposition);
-        }
-        dispositionCounted = true;
-    }
-
-    /** Returns the cost of the request in tokens, 0 if the caller stated no prompt. */
-    private double costTokens() {
-        return metadata.generation()
-                .map(each -> EngineDemand.cost(each.promptTokens(), each.responseTokens()))
-                .orElse(0.0);
-    }
-
     /** Accepts a request whose route and organisation are known, and tries to send it. */
     private void accept(GatewayConfiguration configuration) {
         long timeout =
@@ -230,13 +186,13 @@
         }
         Optional<GatewayConfiguration> configuration = core.configuration();
         if (found.isEmpty() || configuration.isEmpty()) {
-            fail(ErrorKind.STREAM_UNKNOWN, RETRY_ELSEWHERE_SECONDS);
+            fail(ErrorKind.STREAM_UNKNOWN, RetryDelay.ELSEWHERE);
             return;
         }
         ServiceVersion version = found.get().version();
         core.log().streamFound(requestId(), metadata.resumedAttempt(), found.get());
         if (!route.leadsTo(version.service())) {
-            fail(ErrorKind.VERSION_GONE, 0);
+            fail(ErrorKind.VERSION_GONE, RetryDelay.NONE);
             return;
         }
         metadata.resumedAttempt()
@@ -248,33 +204,16 @@
     /** Begins to send the request to the targets that may serve it. */
     private void dispatch(GatewayConfiguration configuration, TargetSelector targets) {
         selector = targets;
-        engines = engineRouting(configuration);
-        engines.ifPresent(EngineRouting::recordDemand);
-        trySend();
-    }
-
-    /**
-     * Creates the routing to model engines.
-     *
-     * @param configuration The configuration.
-     * @return The routing, or empty if the service is plain or the caller stated no prompt.
-     */
-    private Optional<EngineRouting> engineRouting(GatewayConfiguration configuration) {
-        Optional<EngineCapacity> capacity =
-                configuration.service(selector.service()).flatMap(ServiceConfiguration::engine);
-        if (capacity.isEmpty() || metadata.generation().isEmpty()) {
-            return Optional.empty();
-        }
-        GenerationMetadata generation = metadata.generation().get();
-        EngineDemand demand =
-                new EngineDemand(
+        engines =
+                EngineRouting.of(
+                        core,
+                        configuration.service(targets.service()),
+                        metadata.generation(),
                         organisation.orElse(""),
-                        PromptChain.of(generation.model(), generation.parts()),
-                        generation.promptTokens(),
-                        generation.responseTokens(),
-                        route.objectiveMillis(),
+                        route,
                         arrivedMillis);
-        return Optional.of(new EngineRouting(core, demand, capacity.get(), selector.service()));
+        engines.ifPresent(EngineRouting::recordDemand);
+        trySend();
     }
 
     /**
@@ -310,7 +249,7 @@
         }
         Optional<ErrorKind> refusal = core.harmful().refusal(identity);
         if (refusal.isPresent()) {
-            fail(refusal.get(), RETRY_SUSPECTED_SECONDS);
+            fail(refusal.get(), RetryDelay.SUSPECTED);
             return;
         }
         long now = core.now();
@@ -331,7 +270,7 @@
     /** Refuses a request for which no target is available. */
     private void refuseWithoutTarget(long now) {
         if (selector.version().isPresent() && !core.targets().mayAcceptRequestsLater(selector)) {
-            fail(ErrorKind.VERSION_GONE, 0);
+            fail(ErrorKind.VERSION_GONE, RetryDelay.NONE);
         } else {
             fail(ErrorKind.NO_TARGET, noTargetRetrySeconds(now));
         }
@@ -347,8 +286,8 @@
     private double noTargetRetrySeconds(long now) {
         OptionalLong pause = core.targets().minPauseMillis(selector, now);
         return pause.isPresent()
-                ? Math.max(RETRY_CAPACITY_SECONDS, pause.getAsLong() / MILLIS_PER_SECOND)
-                : RETRY_CAPACITY_SECONDS;
+                ? Math.max(RetryDelay.CAPACITY.seconds(), pause.getAsLong() / MILLIS_PER_SECOND)
+                : RetryDelay.CAPACITY.seconds();
     }
 
     /**
@@ -365,7 +304,7 @@
         } else if (decision.refusal().isPresent()) {
             ErrorKind kind = decision.refusal().get();
             boolean share = kind == ErrorKind.RATE_EXCEEDED;
-            fail(kind, share ? RETRY_SHARE_SECONDS : RETRY_CAPACITY_SECONDS);
+            fail(kind, share ? RetryDelay.SHARE : RetryDelay.CAPACITY);
         } else {
             core.queue().add(this);
         }
@@ -396,7 +335,7 @@
         PlainRouting routing = core.plainRouting(selector.service());
         boolean firstAttempt = history.attempts() == 0;
         if (firstAttempt && !routing.admits(available, route.objectiveMillis(), now)) {
-            fail(ErrorKind.WAIT_TOO_LONG, RETRY_CAPACITY_SECONDS);
+            fail(ErrorKind.WAIT_TOO_LONG, RetryDelay.CAPACITY);
             return;
         }
         routing.choose(available, now).ifPresent(load -> sendToChosenTarget(routing, load, now));
@@ -436,7 +375,7 @@
         String id = load.target().id();
         Optional<KnownTarget> target = core.targets().find(id);
         if (target.isEmpty()) {
-            fail(ErrorKind.NO_TARGET, RETRY_CAPACITY_SECONDS);
+            fail(ErrorKind.NO_TARGET, RetryDelay.CAPACITY);
             return;
         }
         if (history.recordAttempt(id)) {
@@ -510,7 +449,7 @@
         core.log().firstChunk(elapsedMillis());
         if (relay.streaming()) {
             engines.ifPresent(routing -> routing.recordResponseStart(from.running()));
-            countDisposition(Disposition.SERVED);
+            dispositionCount.ended(organisation.orElse(""), Disposition.SERVED);
         }
     }
 
@@ -568,7 +507,7 @@
             responseCompleted(from, ResponseFraming.CONNECTION, endedMillis);
         } else {
             history.markPossiblyRun();
-            fail(ErrorKind.TARGET_FAILED, 0);
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         }
     }
 
@@ -594,7 +533,7 @@
         } else if (NOT_RUN_STATUSES.contains(status)) {
             // The dialect did not recognise this as a refusal, so the request may have run.
             history.markPossiblyRun();
-            fail(ErrorKind.TARGET_FAILED, 0);
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         } else {
             if (framing.showsTruncation() && !failure) {
                 core.harmful().served(identity);
@@ -636,7 +575,7 @@
         if (mayRetry()) {
             trySend();
         } else {
-            fail(ErrorKind.TARGET_REFUSED, RETRY_CAPACITY_SECONDS);
+            fail(ErrorKind.TARGET_REFUSED, RetryDelay.CAPACITY);
         }
     }
 
@@ -671,7 +610,7 @@
             core.harmful().attemptFailed(from.target(), identity, this::retryFailed);
         } else {
             core.harmful().attemptFailed(from.target(), identity, () -> {});
-            fail(ErrorKind.TARGET_FAILED, 0);
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         }
     }
 
@@ -701,7 +640,7 @@
         if (mayRetry()) {
             trySend();
         } else {
-            fail(ErrorKind.TARGET_FAILED, 0);
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         }
     }
 
@@ -713,7 +652,7 @@
     void stopIfQuarantined(Fingerprint fingerprint) {
         if (identity.matches(fingerprint)) {
             cancelAttempt();
-            fail(ErrorKind.ENDS_TARGETS, 0);
+            fail(ErrorKind.ENDS_TARGETS, RetryDelay.NONE);
         }
     }
 
@@ -726,7 +665,7 @@
         if (history.mayTryAnotherTarget() && remainingMillis() > 0) {
             trySend();
         } else {
-            fail(ErrorKind.NO_TARGET, RETRY_CAPACITY_SECONDS);
+            fail(ErrorKind.NO_TARGET, RetryDelay.CAPACITY);
         }
     }
 
@@ -743,7 +682,7 @@
         }
         cancelAttempt();
         boolean neverSent = history.attempts() == 0;
-        fail(neverSent ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, 0);
+        fail(neverSent ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, RetryDelay.NONE);
     }
 
     private void callerDisconnected() {
@@ -781,12 +720,16 @@
             logFailure(ErrorKind.STREAM_BROKEN);
             abort();
         } else if (history.mayHaveRun() && NOT_RUN_STATUSES.contains(kind.status())) {
-            respond(ErrorKind.TARGET_FAILED, 0);
+            respond(ErrorKind.TARGET_FAILED, RetryDelay.NONE.seconds());
         } else {
             respond(kind, retrySeconds);
         }
     }
 
+    private void fail(ErrorKind kind, RetryDelay delay) {
+        fail(kind, delay.seconds());
+    }
+
     /** Ends the request by closing the caller's connection. */
     private void abort() {
         exchange.abort();
@@ -805,8 +748,12 @@
         finish();
     }
 
+    private void respond(ErrorKind kind, RetryDelay delay) {
+        respond(kind, delay.seconds());
+    }
+
     private void logFailure(ErrorKind kind) {
-        countDisposition(Disposition.of(kind));
+        dispositionCount.ended(organisation.orElse(""), Disposition.of(kind));
         core.log()
                 .failed(
                         requestId(),
