Find out that the answer to a watch of configurations was lost

Callers saw: keys of a new version refused with 401 for 8 s and more, at all gateways.

Cause: a watch whose answer is lost on a connection that stays open looks like one without changes until its wait ends, 8 to 25 s later. If all gateways lose that answer, no peer can tell another. The ping behind each watch shows only that the store got it.

A list newer than what the pending watch told of is applied; peers learn of it as of any version. A list that fails ends the watch, as a failed ping does.

The targets' and evacuations' watches have no such list: peers and answers tell of leaving targets; open for evacuations.

--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.observe.LogEvent;
@@ -18,7 +19,8 @@
  * advanced.
  *
  * <p>A watch that the store never received looks like one without changes. So each watch is
- * followed by a ping, and given up if the ping gets no answer.
+ * followed by a ping, and given up if the ping gets no answer. One whose answer was lost does too;
+ * see {@link LostAnswerCheck}.
  *
  * <p>While the store is unavailable, the last known objects stay in use. Objects that are missing
  * afterwards are retained for a grace period; see {@link RetainedEntries}.
@@ -133,10 +135,48 @@
     /** Lists all objects immediately, abandoning any call in progress. */
     public void refresh() {
         generation++;
+        watching = false;
         listDue = true;
         makeNextCall(generation);
     }
 
+    /**
+     * Applies a list that was made while a watch was pending, if it has changes of which the watch
+     * has not told. Its answer is lost or on its way.
+     *
+     * @param listing All objects.
+     * @param startedMillis The time at which the list was requested, in milliseconds.
+     */
+    void applyIfNewer(KindListing listing, long startedMillis) {
+        if (!watching
+                || listing.revision() < revision
+                || revisions(listing.entries()).equals(revisions(entries))) {
+            return;
+        }
+        LOGGER.info(LogEvent.of("watch-overtaken").with("kind", source.kind()).message());
+        generation++;
+        watching = false;
+        asOfMillis = startedMillis;
+        applyListing(generation, listing);
+    }
+
+    /**
+     * Gives up a pending watch, since the store did not answer another call.
+     *
+     * @param failure The failure of that call.
+     */
+    void checkFailed(Exception failure) {
+        if (watching) {
+            availability.watchFailed(failure);
+            refresh();
+        }
+    }
+
+    private static Map<String, Long> revisions(Map<String, StoredEntry> all) {
+        return all.values().stream()
+                .collect(Collectors.toMap(StoredEntry::name, StoredEntry::revision));
+    }
+
     /**
      * {@return the time on the event loop's clock as of which the objects are current, in
      * milliseconds}
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -60,6 +60,8 @@
 
     private final KindWatcher configurations;
 
+    private final LostAnswerCheck configurationCheck;
+
     private final KindWatcher targets;
 
     private final KindWatcher evacuations;
@@ -119,6 +121,11 @@
                         this::watchTiming,
                         entry -> reader.configurationKind(),
                         this::applyConfigurations);
+        this.configurationCheck =
+                new LostAnswerCheck(
+                        new KindSource(reactor, store, reader.configurationKind(), random),
+                        () -> members.size(),
+                        configurations);
         this.targets =
                 new KindWatcher(
                         new KindSource(reactor, store, reader.targetKind(), random),
@@ -153,6 +160,7 @@
         join();
         return configurations
                 .start()
+                .then(configurationCheck::start)
                 .then(evacuations::start)
                 .then(gateways::start)
                 .then(quarantinedRequests::start);
@@ -162,6 +170,7 @@
     public Promise<Void> stop() {
         return configurations
                 .stop()
+                .then(configurationCheck::stop)
                 .then(targets::stop)
                 .then(evacuations::stop)
                 .then(gateways::stop)
