--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -19,8 +19,8 @@
  * advanced.
  *
  * <p>A watch that the store never received looks like one without changes. So each watch is
- * followed by a ping, and given up if the ping gets no answer. One whose answer was lost does too;
- * see {@link LostAnswerCheck}.
+ * followed by a ping, and given up if the ping gets no response. A watch whose response was lost
+ * looks the same; see {@link LostResponseCheck}.
  *
  * <p>While the store is unavailable, the last known objects stay in use. Objects that are missing
  * afterwards are retained for a grace period; see {@link RetainedEntries}.
@@ -142,7 +142,7 @@
 
     /**
      * Applies a list that was made while a watch was pending, if it has changes of which the watch
-     * has not told. Its answer is lost or on its way.
+     * has not reported. Its response is lost or in transit.
      *
      * @param listing All objects.
      * @param startedMillis The time at which the list was requested, in milliseconds.
@@ -161,7 +161,7 @@
     }
 
     /**
-     * Gives up a pending watch, since the store did not answer another call.
+     * Gives up a pending watch, since the store did not respond to another call.
      *
      * @param failure The failure of that call.
      */
--- a/src/main/java/org/martenwell/directory/LostAnswerCheck.java
+++ b/src/main/java/org/martenwell/directory/LostResponseCheck.java
@@ -5,11 +5,11 @@
 import org.martenwell.service.ManagedService;
 
 /**
- * Lists the objects of a watched kind from time to time. A watch whose answer was lost looks like
+ * Lists the objects of a watched kind from time to time. A watch whose response was lost looks like
  * one without changes until its wait ends. All gateways together make about three lists in two
  * seconds, whatever their number, since one that learns of a change passes it on to its peers.
  */
-final class LostAnswerCheck implements ManagedService {
+final class LostResponseCheck implements ManagedService {
 
     /**
      * The mean interval between two lists of a gateway per gateway of the fleet, in milliseconds.
@@ -35,7 +35,7 @@
      * @param members Returns the number of gateways, 0 if it is unknown.
      * @param watcher The watcher of the same objects.
      */
-    LostAnswerCheck(KindSource source, IntSupplier members, KindWatcher watcher) {
+    LostResponseCheck(KindSource source, IntSupplier members, KindWatcher watcher) {
         this.source = source;
         this.members = members;
         this.watcher = watcher;
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -60,7 +60,7 @@
 
     private final KindWatcher configurations;
 
-    private final LostAnswerCheck configurationCheck;
+    private final LostResponseCheck configurationCheck;
 
     private final KindWatcher targets;
 
@@ -122,7 +122,7 @@
                         entry -> reader.configurationKind(),
                         this::applyConfigurations);
         this.configurationCheck =
-                new LostAnswerCheck(
+                new LostResponseCheck(
                         new KindSource(reactor, store, reader.configurationKind(), random),
                         () -> members.size(),
                         configurations);
--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -173,7 +173,7 @@
     }
 
     /**
-     * Sends the head of a response of unknown length. Until a response without framing has ended,
+     * Sends the head of a response of unknown length. Until a close-delimited response has ended,
      * any close resets the connection, also the one at the end of the process.
      *
      * @param status The status code.
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -100,15 +100,14 @@
     }
 
     /**
-     * Sends a response whose body may be truncated. It ends with the connection, so that nothing is
-     * claimed about the body.
+     * Sends a close-delimited response, which doesn't state that its body is complete.
      *
      * @param status The status code.
      * @param headers The headers, without those that frame the body.
      * @param body The body as far as it is known.
      */
-    public void respondUnframed(int status, HttpHeaders headers, byte[] body) {
-        begin(status, headers, ResponseFraming.CONNECTION);
+    public void respondCloseDelimited(int status, HttpHeaders headers, byte[] body) {
+        begin(status, headers, ResponseFraming.CLOSE_DELIMITED);
         write(body);
         end();
     }
@@ -128,15 +127,15 @@
      *
      * @param status The status code.
      * @param headers The headers, without those that frame the body.
-     * @param wanted {@link ResponseFraming#CHUNKED}, or {@link ResponseFraming#CONNECTION} for a
-     *     body that may be truncated without notice. Callers of HTTP/1.0 always get the latter.
+     * @param wanted {@link ResponseFraming#CHUNKED}, or {@link ResponseFraming#CLOSE_DELIMITED} for
+     *     a body that may be truncated without notice. Callers of HTTP/1.0 always get the latter.
      */
     public void begin(int status, HttpHeaders headers, ResponseFraming wanted) {
         if (finished) {
             return;
         }
         headSent = true;
-        framing = chunksAllowed ? wanted : ResponseFraming.CONNECTION;
+        framing = chunksAllowed ? wanted : ResponseFraming.CLOSE_DELIMITED;
         connection.begin(status, headers, framing, keepAlive);
     }
 
@@ -165,8 +164,8 @@
     }
 
     /**
-     * Closes the connection without the last chunk, or resets it if the response has no framing, so
-     * that the caller sees an incomplete response.
+     * Closes the connection without the last chunk, or resets it if the response is
+     * close-delimited, so that the caller sees an incomplete response.
      */
     public void abort() {
         if (!finished) {
--- a/src/main/java/org/martenwell/exchange/ResponseFraming.java
+++ b/src/main/java/org/martenwell/exchange/ResponseFraming.java
@@ -17,8 +17,8 @@
     /** The body ends with its last chunk. */
     CHUNKED(true),
 
-    /** The body ends with the connection, so that a truncated body looks like a complete one. */
-    CONNECTION(false);
+    /** The body ends where the connection closes, so a truncated one looks complete. */
+    CLOSE_DELIMITED(false);
 
     private static final int NO_CONTENT_STATUS = 204;
 
@@ -47,7 +47,7 @@
         if (HttpUtil.isTransferEncodingChunked(head)) {
             return CHUNKED;
         }
-        return HttpUtil.isContentLengthSet(head) ? LENGTH : CONNECTION;
+        return HttpUtil.isContentLengthSet(head) ? LENGTH : CLOSE_DELIMITED;
     }
 
     /** {@return {@code true} if a recipient can tell a truncated body from a complete one} */
--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -32,8 +32,8 @@
     void bodyPartReceived(byte[] piece);
 
     /**
-     * Called once the response has ended. With {@link ResponseFraming#CONNECTION} the body may be
-     * truncated.
+     * Called once the response has ended. With {@link ResponseFraming#CLOSE_DELIMITED} the body may
+     * be truncated.
      *
      * @param framing The way in which the end was determined.
      */
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -276,7 +276,7 @@
     }
 
     /**
-     * Handles the end of the connection. An orderly close ends a response without framing.
+     * Handles the end of the connection. An orderly close ends a close-delimited response.
      *
      * @param orderly {@code true} if the target closed the connection, {@code false} for a socket
      *     error.
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -181,7 +181,7 @@
             String request, int status, ResponseFraming framing, int attempts, long elapsedMillis) {
         metrics.counter("requests_answered").inc();
         if (!framing.showsTruncation()) {
-            metrics.counter("responses_ended_by_connection").inc();
+            metrics.counter("responses_close_delimited").inc();
         }
         if (mayWrite()) {
             write(
@@ -315,8 +315,8 @@
     }
 
     /**
-     * Records that a target crashed while running a request with a prompt part, on which no target
-     * has lately answered.
+     * Records that a target crashed while running a request with a prompt part that no target has
+     * served recently.
      *
      * @param part The part.
      * @param incarnation The target's incarnation.
@@ -335,7 +335,7 @@
     }
 
     /**
-     * Records that a target answered on a suspected prompt part.
+     * Records that a target served a suspected prompt part.
      *
      * @param part The part.
      */
--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -28,10 +28,10 @@
 final class HarmfulRequests {
 
     /**
-     * The time after the beginning or the end of an answer for which its target must run on to show
-     * that the parts of the prompt are harmless, in milliseconds.
+     * The time for which a target must keep running after the start of a response, or after the end
+     * of a close-delimited one, to show that the parts of the prompt are harmless, in milliseconds.
      */
-    static final long OUTLIVED_MILLIS = 500;
+    static final long SURVIVAL_MILLIS = 500;
 
     /** The number of suspected requests whose summaries are retained. */
     private static final int MAX_SUMMARIES = 1_024;
@@ -180,29 +180,28 @@
      * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
      *     that isn't known in time.
      */
-    void endedWithConnection(
-            KnownTarget target, RequestIdentity identity, Consumer<Boolean> afterProbe) {
+    void endedByClose(KnownTarget target, RequestIdentity identity, Consumer<Boolean> afterProbe) {
         if (target.load().availability().isDraining() || target.connections().closed()) {
             afterProbe.accept(false);
         } else {
             List<SharedPart> parts = identity.sharedParts();
-            crashDetector.endedWithConnection(
+            crashDetector.endedByClose(
                     target,
                     identity::suspect,
                     crashed -> {
                         if (!crashed && !parts.isEmpty()) {
                             reactor.delayBackground(
-                                    OUTLIVED_MILLIS, () -> answeredIfAlive(target, parts));
+                                    SURVIVAL_MILLIS, () -> servedIfAlive(target, parts));
                         }
                         afterProbe.accept(crashed);
                     });
         }
     }
 
-    /** Clears parts of a prompt unless the target that answered on it has crashed meanwhile. */
-    private void answeredIfAlive(KnownTarget target, List<SharedPart> parts) {
+    /** Clears parts of a prompt unless the target that served it has crashed meanwhile. */
+    private void servedIfAlive(KnownTarget target, List<SharedPart> parts) {
         if (!crashDetector.hasCrashed(target)) {
-            partsAnswered(parts);
+            partsServed(parts);
         }
     }
 
@@ -248,21 +247,21 @@
     }
 
     /**
-     * Records that a target answered on a prompt without crashing: it answered in full, or it has
-     * answered for {@link #OUTLIVED_MILLIS}.
+     * Records that a target served a prompt without crashing: its response is complete, or has been
+     * in progress for {@link #SURVIVAL_MILLIS}.
      *
      * @param identity The request's identity.
      */
-    void promptAnswered(RequestIdentity identity) {
-        partsAnswered(identity.sharedParts());
+    void promptServed(RequestIdentity identity) {
+        partsServed(identity.sharedParts());
     }
 
-    private void partsAnswered(List<SharedPart> parts) {
+    private void partsServed(List<SharedPart> parts) {
         long now = reactor.currentTimeMillis();
         for (SharedPart each : parts) {
             Fingerprint part = each.fingerprint();
             boolean suspected = quarantine.suspects(part);
-            if (quarantine.partAnswered(part, now)) {
+            if (quarantine.partServed(part, now)) {
                 directory.ifPresent(present -> present.release(part));
             }
             if (suspected) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -453,9 +453,9 @@
         }
     }
 
-    /** Handles that a target has answered for a while and runs on. */
-    void answerContinues() {
-        core.harmful().promptAnswered(identity);
+    /** Handles that a response has been in progress for a while. */
+    void responseContinues() {
+        core.harmful().promptServed(identity);
     }
 
     /**
@@ -489,7 +489,7 @@
         } else {
             long endedMillis = core.now();
             core.harmful()
-                    .endedWithConnection(
+                    .endedByClose(
                             from.target(),
                             identity,
                             crashed -> targetProbed(from, crashed, endedMillis));
@@ -504,7 +504,7 @@
         if (crashed) {
             attemptFailed(from, ResponseFailure.BROKEN_OFF);
         } else if (relay.mayEnd()) {
-            responseCompleted(from, ResponseFraming.CONNECTION, endedMillis);
+            responseCompleted(from, ResponseFraming.CLOSE_DELIMITED, endedMillis);
         } else {
             history.markPossiblyRun();
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
@@ -538,7 +538,7 @@
             if (framing.showsTruncation() && !failure) {
                 core.harmful().served(identity);
                 if (status < FIRST_REDIRECTION_STATUS) {
-                    core.harmful().promptAnswered(identity);
+                    core.harmful().promptServed(identity);
                 }
             }
             relay.end();
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -14,8 +14,8 @@
 /**
  * Forwards the responses of targets to a caller. Streams are forwarded as they arrive, all other
  * responses once they are complete. A resumable stream is forwarded in complete events only, so
- * that another target can continue it. A response that ends with the target's connection ends with
- * the caller's one too, since only the target knows whether it is complete.
+ * that another target can continue it. A close-delimited response is forwarded as one, since only
+ * the target knows whether it is complete.
  */
 final class ResponseRelay {
 
@@ -139,7 +139,7 @@
 
     /**
      * Returns whether {@link #end} can pass on the end of the response without claiming more than
-     * is known. It can't if a stream began with a framing and was resumed by a response without.
+     * is known. It can't if a chunked stream was resumed by a close-delimited response.
      *
      * @return {@code true} if the caller gets the framing of the target's response, or none.
      */
@@ -156,7 +156,7 @@
             exchange.write(events.tail());
             exchange.end();
         } else if (!framing.showsTruncation()) {
-            exchange.respondUnframed(
+            exchange.respondCloseDelimited(
                     status(), core.dialect().forCaller(head.headers()), bufferedBody.toByteArray());
         } else {
             exchange.respond(
@@ -205,7 +205,7 @@
             ResponseFraming wanted =
                     framing.showsTruncation()
                             ? ResponseFraming.CHUNKED
-                            : ResponseFraming.CONNECTION;
+                            : ResponseFraming.CLOSE_DELIMITED;
             exchange.begin(OK, core.dialect().forCaller(head.headers()), wanted);
         }
     }
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -50,8 +50,8 @@
     /** The time at which the first chunk of the body arrived, in milliseconds. */
     private long bodyStartedMillis;
 
-    /** Set once the dispatch knows that the target outlived the beginning of its answer. */
-    private boolean outlived;
+    /** Set once the dispatch was notified that the target survived the start of its response. */
+    private boolean survived;
 
     /** Set once the dispatch ignores further events of this attempt. */
     private boolean over;
@@ -199,10 +199,10 @@
             bodyStartedMillis = lastReceivedMillis;
             target.load().firstEventArrived(running);
             dispatch.bodyStarted(this);
-        } else if (!outlived
-                && lastReceivedMillis - bodyStartedMillis >= HarmfulRequests.OUTLIVED_MILLIS) {
-            outlived = true;
-            dispatch.answerContinues();
+        } else if (!survived
+                && lastReceivedMillis - bodyStartedMillis >= HarmfulRequests.SURVIVAL_MILLIS) {
+            survived = true;
+            dispatch.responseContinues();
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -125,14 +125,14 @@
 
     /**
      * Finds out whether a target crashed at the end of a response that its connection ended. A
-     * target that accepts a connection afterwards outlived the response.
+     * target that accepts a connection afterwards survived the response.
      *
      * @param target The target.
      * @param suspect Supplies the request, for which its body may have to be hashed.
      * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
      *     the probe has timed out.
      */
-    void endedWithConnection(
+    void endedByClose(
             KnownTarget target, Supplier<SuspectRequest> suspect, Consumer<Boolean> afterProbe) {
         Incarnation incarnation = touch(target);
         if (incarnation.crashed) {
--- a/src/main/java/org/martenwell/quarantine/Quarantine.java
+++ b/src/main/java/org/martenwell/quarantine/Quarantine.java
@@ -10,10 +10,10 @@
 import java.util.Set;
 
 /**
- * Quarantine of requests that crash targets, and of parts of prompts that crash each target that
- * answers on them. A part has a fingerprint like a request; all that holds for requests here holds
- * for parts. Evidence comes from this gateway, from peers and from the directory; the decisions
- * don't depend on the order in which it arrives.
+ * Quarantine of requests that crash targets, and of prompt parts that crash each target that serves
+ * them. A part has a fingerprint like a request; all that holds for requests here holds for parts.
+ * Evidence comes from this gateway, from peers and from the directory; the decisions don't depend
+ * on the order in which it arrives.
  *
  * <p>A crash is any unplanned end of a target's process. A target that restarts is a new
  * incarnation, which can crash again.
@@ -53,8 +53,8 @@
     /** The requests in the state {@link QuarantineState#QUARANTINED}. */
     private final Set<Fingerprint> quarantined = new HashSet<>();
 
-    /** The prompt parts that are not harmful, since targets lately answered on them. */
-    private final SoundParts soundParts = new SoundParts();
+    /** The prompt parts that are harmless, since targets served them recently. */
+    private final HarmlessParts harmlessParts = new HarmlessParts();
 
     /** The updates to send to peers. */
     private final UpdateQueue updates = new UpdateQueue();
@@ -75,7 +75,7 @@
      * @return {@code true} if the crash is new, so that peers should be informed at once.
      */
     public boolean recordCrash(Fingerprint fingerprint, String incarnation, long now) {
-        if (soundParts.contains(fingerprint, now)) {
+        if (harmlessParts.contains(fingerprint, now)) {
             return false;
         }
         boolean added = addCrash(fingerprint, incarnation, now);
@@ -106,15 +106,15 @@
     }
 
     /**
-     * Records that a target answered on a prompt part without crashing, which clears the part for
-     * some seconds.
+     * Records that a target served a prompt part without crashing, which clears the part for some
+     * seconds.
      *
      * @param part The part.
      * @param now The current time, in milliseconds.
      * @return {@code true} if the part was quarantined.
      */
-    public boolean partAnswered(Fingerprint part, long now) {
-        soundParts.add(part, now);
+    public boolean partServed(Fingerprint part, long now) {
+        harmlessParts.add(part, now);
         return clear(part, now);
     }
 
@@ -130,7 +130,7 @@
         return switch (update.kind()) {
             case TARGET_CRASHED -> {
                 if (addCrash(fingerprint, update.incarnation(), now)
-                        && soundParts.contains(fingerprint, now)) {
+                        && harmlessParts.contains(fingerprint, now)) {
                     clear(fingerprint, now);
                 }
                 yield false;
--- a/src/test/java/org/martenwell/exchange/UnframedResponseTest.java
+++ b/src/test/java/org/martenwell/exchange/CloseDelimitedResponseTest.java
@@ -20,7 +20,7 @@
 import org.martenwell.service.LoopbackPorts;
 
 /** Guards against a response without framing that looks complete though its end was lost. */
-class UnframedResponseTest {
+class CloseDelimitedResponseTest {
 
     /** More than the system buffers for a caller that doesn't read. */
     private static final int LARGE_BODY_BYTES = 32 << 20;
@@ -51,7 +51,10 @@
     @Test
     void testResponseEndsWithItsConnection() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
-            request(client, "HTTP/1.1", each -> each.respondUnframed(200, headers(), bytes("ab")));
+            request(
+                    client,
+                    "HTTP/1.1",
+                    each -> each.respondCloseDelimited(200, headers(), bytes("ab")));
             assertThat(client.readAll())
                     .endsWith("\r\n\r\nab")
                     .containsIgnoringCase("connection: close")
@@ -63,7 +66,10 @@
     @Test
     void testEmptyResponseEndsWithItsConnection() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
-            request(client, "HTTP/1.1", each -> each.respondUnframed(200, headers(), bytes("")));
+            request(
+                    client,
+                    "HTTP/1.1",
+                    each -> each.respondCloseDelimited(200, headers(), bytes("")));
             assertThat(client.readAll()).endsWith("\r\n\r\n");
         }
     }
@@ -72,7 +78,7 @@
     void testPipelinedRequestBehindTheResponseIsNotServed() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
             client.send("GET /a HTTP/1.1|Host: x||GET /b HTTP/1.1|Host: x||");
-            run(take(), each -> each.respondUnframed(200, headers(), bytes("ab")));
+            run(take(), each -> each.respondCloseDelimited(200, headers(), bytes("ab")));
             assertThat(client.readAll()).endsWith("\r\n\r\nab");
             assertThat(exchanges).isEmpty();
         }
@@ -100,7 +106,7 @@
     void testSlowCallerGetsTheWholeBody() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
             byte[] body = new byte[LARGE_BODY_BYTES];
-            request(client, "HTTP/1.1", each -> each.respondUnframed(200, headers(), body));
+            request(client, "HTTP/1.1", each -> each.respondCloseDelimited(200, headers(), body));
             Thread.sleep(IDLE_MILLIS / 2);
             assertThat(client.countBytes()).isGreaterThan(LARGE_BODY_BYTES);
         }
@@ -110,7 +116,7 @@
     void testCallerThatDoesNotReadIsReset() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
             byte[] body = new byte[LARGE_BODY_BYTES];
-            request(client, "HTTP/1.1", each -> each.respondUnframed(200, headers(), body));
+            request(client, "HTTP/1.1", each -> each.respondCloseDelimited(200, headers(), body));
             Thread.sleep(IDLE_MILLIS + 1_000);
             assertThat(client.readAll()).endsWith("(reset)");
         }
@@ -140,7 +146,7 @@
         run(
                 exchange,
                 each -> {
-                    each.begin(200, headers(), ResponseFraming.CONNECTION);
+                    each.begin(200, headers(), ResponseFraming.CLOSE_DELIMITED);
                     each.write(bytes("part"));
                 });
         client.readUntil("part");
--- a/src/test/java/org/martenwell/exchange/EmptyUnframedAnswerTest.java
+++ b/src/test/java/org/martenwell/exchange/EmptyCloseDelimitedResponseTest.java
@@ -11,7 +11,7 @@
 import org.martenwell.service.EventLoopThread;
 
 /** Guards against an answer of the store that was cut off behind its head and lists nothing. */
-class EmptyUnframedAnswerTest {
+class EmptyCloseDelimitedResponseTest {
 
     private static final long TIMEOUT_MILLIS = 5_000;
 
--- a/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
@@ -75,7 +75,7 @@
         String response = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nab";
         try (RawTarget target = new RawTarget(RawTarget.Ending.CLOSE, response)) {
             assertThat(send(connections(target.address()), "1"))
-                    .isEqualTo("completed ab by CONNECTION");
+                    .isEqualTo("completed ab by CLOSE_DELIMITED");
         }
     }
 
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -141,7 +141,7 @@
     private void endWithConnection(String id) {
         run(
                 () ->
-                        detector.endedWithConnection(
+                        detector.endedByClose(
                                 known(id),
                                 () -> SUSPECT,
                                 result -> {
--- a/src/test/java/org/martenwell/measure/PromptPartMeasure.java
+++ b/src/test/java/org/martenwell/measure/PromptPartMeasure.java
@@ -45,7 +45,7 @@
                 Fingerprint each =
                         function.ofPart(
                                 scope, Integer.toHexString((request * 31 + part) % DISTINCT));
-                quarantine.partAnswered(each, request);
+                quarantine.partServed(each, request);
             }
         }
         return quarantine.size();
--- a/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
@@ -346,7 +346,7 @@
                 () -> {
                     if (runs(target, incarnation, running)) {
                         request.parts()
-                                .forEach(each -> gateways.get(gateway).partAnswered(each, now));
+                                .forEach(each -> gateways.get(gateway).partServed(each, now));
                     }
                 });
         schedule(
--- a/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
+++ b/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
@@ -95,7 +95,9 @@
     @Test
     void testResponseThatEndsWithItsConnectionIsNotFramed() {
         assertThat(respond(each -> each.respond(200, headers(), bytes("part"))).framed()).isTrue();
-        assertThat(respond(each -> each.respondUnframed(200, headers(), bytes("part"))).framed())
+        assertThat(
+                        respond(each -> each.respondCloseDelimited(200, headers(), bytes("part")))
+                                .framed())
                 .isFalse();
     }
 
