Serve requests that can tell which of two prompt parts is harmful

Callers saw: sound requests refused with 503, then 502 for an hour, since their first part had come together with the harmful one alone until three targets had crashed.

Cause: both parts have the same crashes and no answer speaks for either, so both are quarantined. Once that is so, no request with the first part is sent, and no answer can clear it.

Change: a part is passed over for a request if another blocked part that the request doesn't have explains all crashes that count against it. The request shows which of the two is harmful: an answer clears its part, a crash is one that the other part does not explain. Up to eight crashes are kept for that, in place of three; the store's objects bring them back behind a restart. A request under way is stopped by a verdict only if it is refused now.

Harmful parts that come with one other part alone cost at most one crash more, before their requests without it are blocked.

--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -147,10 +147,7 @@
                 quarantine.tracksScope(identity.scope())
                         ? quarantine.state(identity.fingerprint())
                         : QuarantineState.FREE;
-        for (SharedPart each : identity.sharedParts()) {
-            state = state.or(quarantine.state(each.fingerprint()));
-        }
-        return state.refusal();
+        return state.or(quarantine.state(identity.partFingerprints())).refusal();
     }
 
     /**
@@ -301,7 +298,7 @@
         }
         stored = Set.copyOf(entries.keySet());
         for (Fingerprint each : stored) {
-            if (quarantine.quarantine(each, now)) {
+            if (quarantine.quarantine(each, entries.get(each).crashedIncarnations(), now)) {
                 quarantined(each, "directory");
             }
         }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -650,7 +650,7 @@
      * @param fingerprint The quarantined fingerprint.
      */
     void stopIfQuarantined(Fingerprint fingerprint) {
-        if (identity.matches(fingerprint)) {
+        if (identity.matches(fingerprint) && core.harmful().refusal(identity).isPresent()) {
             cancelAttempt();
             fail(ErrorKind.ENDS_TARGETS, RetryDelay.NONE);
         }
--- a/src/main/java/org/martenwell/gateway/RequestIdentity.java
+++ b/src/main/java/org/martenwell/gateway/RequestIdentity.java
@@ -119,6 +119,15 @@
                 .toList();
     }
 
+    /**
+     * Returns the fingerprints of the shared parts of the prompt.
+     *
+     * @return The fingerprints, empty if the caller stated no prompt.
+     */
+    List<Fingerprint> partFingerprints() {
+        return sharedParts().stream().map(SharedPart::fingerprint).toList();
+    }
+
     /**
      * Returns whether the request, or a shared part of its prompt, has a fingerprint.
      *
--- a/src/main/java/org/martenwell/quarantine/Quarantine.java
+++ b/src/main/java/org/martenwell/quarantine/Quarantine.java
@@ -1,6 +1,7 @@
 package org.martenwell.quarantine;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Quarantine of requests that crash targets, and of prompt parts that crash each target that serves
@@ -151,11 +153,23 @@
      * @return {@code true} if this call quarantined the request.
      */
     public boolean quarantine(Fingerprint fingerprint, long now) {
+        return quarantine(fingerprint, Set.of(), now);
+    }
+
+    /**
+     * Quarantines a request that the directory reports, unless it was cleared recently.
+     *
+     * @param fingerprint The request.
+     * @param crashedIncarnations The incarnations whose crashes count against it.
+     * @param now The current time, in milliseconds.
+     * @return {@code true} if this call quarantined the request.
+     */
+    public boolean quarantine(Fingerprint fingerprint, Set<String> crashedIncarnations, long now) {
         if (quarantined.contains(fingerprint)) {
             return false;
         }
         Suspicion suspicion = markChanged(fingerprint, now);
-        suspicion.quarantine(now);
+        suspicion.quarantine(crashedIncarnations, now);
         updateStateSets(fingerprint, suspicion.state());
         return quarantined.contains(fingerprint);
     }
@@ -217,6 +231,32 @@
         return suspicion != null && suspicion.isSuspected();
     }
 
+    /**
+     * Returns the state of a request with prompt parts. A part is ignored if another one that the
+     * request doesn't have explains all crashes that count against it. The request then shows which
+     * of both is harmful.
+     *
+     * @param parts The shared parts of the request's prompt.
+     * @return The strictest state of the parts, {@link QuarantineState#FREE} if there are none.
+     */
+    public QuarantineState state(Collection<Fingerprint> parts) {
+        QuarantineState strictest = QuarantineState.FREE;
+        for (Fingerprint each : parts) {
+            QuarantineState state = state(each);
+            if (state != QuarantineState.FREE && !explainedByOther(each, parts)) {
+                strictest = strictest.or(state);
+            }
+        }
+        return strictest;
+    }
+
+    private boolean explainedByOther(Fingerprint part, Collection<Fingerprint> parts) {
+        Suspicion suspicion = suspicions.get(part);
+        return Stream.concat(undecided.stream(), quarantined.stream())
+                .filter(other -> other.scope() == part.scope() && !parts.contains(other))
+                .anyMatch(other -> suspicion.isExplainedBy(suspicions.get(other)));
+    }
+
     /** {@return the number of quarantined requests} */
     public int quarantinedCount() {
         return quarantined.size();
--- a/src/main/java/org/martenwell/quarantine/Suspicion.java
+++ b/src/main/java/org/martenwell/quarantine/Suspicion.java
@@ -14,6 +14,12 @@
      */
     private static final int CRASH_THRESHOLD = 3;
 
+    /**
+     * The most crashes that are recorded. Those beyond the threshold show which of several parts of
+     * a prompt is harmful.
+     */
+    private static final int MAX_CRASHES = 8;
+
     /**
      * The time between the crash that reaches the threshold and the decision, in milliseconds.
      * Allows a frequent, harmless request to complete on another target and the update about it to
@@ -80,7 +86,7 @@
      */
     boolean recordCrash(String incarnation, long now) {
         if (now < ignoreCrashesUntil
-                || crashes.size() >= CRASH_THRESHOLD
+                || crashes.size() >= MAX_CRASHES
                 || mergedCrashes.contains(incarnation)
                 || crashes.putIfAbsent(incarnation, now) != null) {
             return false;
@@ -135,15 +141,27 @@
     /**
      * Quarantines the request, unless it was cleared recently.
      *
+     * @param incarnations Incarnations of targets that crashed while running it.
      * @param now The current time, in milliseconds.
      */
-    void quarantine(long now) {
+    void quarantine(Set<String> incarnations, long now) {
         if (now >= ignoreHoldsUntil) {
+            incarnations.forEach(each -> crashes.putIfAbsent(each, now));
             state = QuarantineState.QUARANTINED;
             changedMillis = now;
         }
     }
 
+    /**
+     * Returns whether another suspect explains all crashes that count against this one.
+     *
+     * @param other The other suspect.
+     * @return {@code true} if there are such crashes and all of them count against the other too.
+     */
+    boolean isExplainedBy(Suspicion other) {
+        return !crashes.isEmpty() && other.crashes.keySet().containsAll(crashes.keySet());
+    }
+
     /** {@return the quarantine state of the request} */
     QuarantineState state() {
         return state;
--- a/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
@@ -167,7 +167,7 @@
     private final List<Target> targets = new ArrayList<>();
 
     /** The quarantined fingerprints that the store holds. */
-    private final Set<Fingerprint> stored = new HashSet<>();
+    private final Map<Fingerprint, Set<String>> stored = new HashMap<>();
 
     private final Map<Integer, List<Long>> crashes = new HashMap<>();
 
@@ -247,7 +247,7 @@
     private void restartGateways() {
         for (int gateway = 0; gateway < load.gateways(); gateway++) {
             Quarantine fresh = new Quarantine();
-            stored.forEach(each -> fresh.quarantine(each, now));
+            stored.forEach((each, crashed) -> fresh.quarantine(each, crashed, now));
             gateways.set(gateway, fresh);
         }
         targets.forEach(each -> each.running.clear());
@@ -299,8 +299,7 @@
 
     private boolean blocked(Request request, Quarantine quarantine) {
         return quarantine.state(request.fingerprint()) != QuarantineState.FREE
-                || request.parts().stream()
-                        .anyMatch(each -> quarantine.state(each) != QuarantineState.FREE);
+                || quarantine.state(request.parts()) != QuarantineState.FREE;
     }
 
     private void send(Request request, int gateway, int attempt) {
@@ -421,7 +420,10 @@
     }
 
     private void report(int gateway) {
-        stored.addAll(gateways.get(gateway).decide(now));
+        Quarantine reporting = gateways.get(gateway);
+        for (Fingerprint each : reporting.decide(now)) {
+            stored.putIfAbsent(each, reporting.crashedIncarnations(each));
+        }
         List<QuarantineUpdate> updates = new ArrayList<>(gateways.get(gateway).takeUpdates(now));
         if (random.nextDouble() * load.gateways() * 1_000 < load.reportMillis()) {
             updates.addAll(gateways.get(gateway).quarantinedRequestUpdates());
