--- a/src/main/java/org/martenwell/quarantine/HarmlessParts.java
+++ b/src/main/java/org/martenwell/quarantine/HarmlessParts.java
@@ -13,7 +13,7 @@
     /** The time for which a response shows that a part is harmless, in milliseconds. */
     private static final long HARMLESS_MILLIS = 10_000;
 
-    /** The most parts that are tracked; each takes about 120 bytes. */
+    /** The most parts that are tracked. */
     private static final int MAX_PARTS = 4_096;
 
     /** The times of the last responses by part, the oldest first, in milliseconds. */
@@ -46,7 +46,7 @@
      * @return {@code true} if a recent response to it is recorded.
      */
     boolean contains(Fingerprint part, long now) {
-        Long answered = servedMillis.get(part);
-        return answered != null && now - answered < HARMLESS_MILLIS;
+        Long served = servedMillis.get(part);
+        return served != null && now - served < HARMLESS_MILLIS;
     }
 }
