--- a/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -111,8 +110,6 @@
             int soundQuarantined,
             double firstPartRefused) {}
 
-    private record Event(long at, long order, Runnable action) {}
-
     /** A request; the harmful part is -1 if there is none. */
     private record Request(long id, int kind, int session, int harmful) {
 
@@ -155,12 +152,7 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(
-                    (one, other) ->
-                            one.at() == other.at()
-                                    ? Long.compare(one.order(), other.order())
-                                    : Long.compare(one.at(), other.at()));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<Quarantine> gateways = new ArrayList<>();
 
@@ -176,10 +168,6 @@
     /** Sound requests and refused ones by second and kind. */
     private final Map<Long, int[]> bySecond = new HashMap<>();
 
-    private long now;
-
-    private long order;
-
     private long lastRequest;
 
     private int refused;
@@ -210,22 +198,18 @@
         for (int part = 0; part < load.harmful(); part++) {
             scheduleHarmful(part, HARMFUL_START_MILLIS + random.nextInt(3_000));
         }
-        UNRELATED_CRASHES_MILLIS.forEach(each -> schedule(each, this::crashUnrelated));
-        schedule(
+        UNRELATED_CRASHES_MILLIS.forEach(each -> events.schedule(each, this::crashUnrelated));
+        events.schedule(
                 PARTITION_END_MILLIS,
                 () ->
                         gateways.get(1)
                                 .snapshot()
-                                .forEach(each -> gateways.get(0).applyUpdate(each, now)));
+                                .forEach(each -> gateways.get(0).applyUpdate(each, events.now())));
         if (load.restartMillis() > 0) {
-            schedule(load.restartMillis(), this::restartGateways);
+            events.schedule(load.restartMillis(), this::restartGateways);
         }
         scheduleArrivals();
-        while (!events.isEmpty() && events.peek().at() < END_MILLIS) {
-            Event next = events.poll();
-            now = next.at();
-            next.action().run();
-        }
+        events.runUntil(END_MILLIS);
         return outcome();
     }
 
@@ -247,19 +231,15 @@
     private void restartGateways() {
         for (int gateway = 0; gateway < load.gateways(); gateway++) {
             Quarantine fresh = new Quarantine();
-            stored.forEach((each, crashed) -> fresh.quarantine(each, crashed, now));
+            stored.forEach((each, crashed) -> fresh.quarantine(each, crashed, events.now()));
             gateways.set(gateway, fresh);
         }
         targets.forEach(each -> each.running.clear());
     }
 
-    private void schedule(long time, Runnable action) {
-        events.add(new Event(time, order++, action));
-    }
-
     private void scheduleArrivals() {
-        schedule(
-                now + 1,
+        events.schedule(
+                events.now() + 1,
                 () -> {
                     double perMillisecond = load.requestsPerSecond() / 1_000.0;
                     int count =
@@ -285,7 +265,7 @@
     }
 
     private void scheduleHarmful(int part, long time) {
-        schedule(
+        events.schedule(
                 time,
                 () -> {
                     send(
@@ -293,7 +273,8 @@
                                     lastRequest++, random.nextInt(KIND_MILLIS.length), -1, part),
                             random.nextInt(load.gateways()),
                             1);
-                    scheduleHarmful(part, now + 1 + random.nextInt(2 * HARMFUL_INTERVAL_MILLIS));
+                    scheduleHarmful(
+                            part, events.now() + 1 + random.nextInt(2 * HARMFUL_INTERVAL_MILLIS));
                 });
     }
 
@@ -306,7 +287,8 @@
         boolean blocked = blocked(request, gateways.get(gateway));
         if (request.harmful() < 0 && attempt == 1) {
             int[] counts =
-                    bySecond.computeIfAbsent(now / 1_000 * 10 + request.kind(), each -> new int[2]);
+                    bySecond.computeIfAbsent(
+                            events.now() / 1_000 * 10 + request.kind(), each -> new int[2]);
             counts[0]++;
             counts[1] += blocked ? 1 : 0;
             refused += blocked ? 1 : 0;
@@ -321,18 +303,18 @@
             countLate(request.harmful(), gateway);
         }
         int incarnation = target.incarnation;
-        long begins = now + 20 + random.nextInt(MAX_PREFILL_MILLIS);
+        long begins = events.now() + 20 + random.nextInt(MAX_PREFILL_MILLIS);
         if (request.harmful() >= 0) {
             long delay =
                     (long) MIN_CRASH_MILLIS + random.nextInt(MAX_CRASH_MILLIS - MIN_CRASH_MILLIS);
-            schedule(
+            events.schedule(
                     begins + delay,
                     () -> {
                         if (runs(target, incarnation, running)) {
                             if (!partitioned(gateway)) {
                                 crashes.computeIfAbsent(
                                                 request.harmful(), each -> new ArrayList<>())
-                                        .add(now);
+                                        .add(events.now());
                             }
                             crash(target);
                         }
@@ -340,20 +322,23 @@
             return;
         }
         long duration = 1L + random.nextInt(2 * KIND_MILLIS[request.kind()]);
-        schedule(
+        events.schedule(
                 begins + Math.min(duration, SURVIVAL_MILLIS),
                 () -> {
                     if (runs(target, incarnation, running)) {
                         request.parts()
-                                .forEach(each -> gateways.get(gateway).partServed(each, now));
+                                .forEach(
+                                        each ->
+                                                gateways.get(gateway)
+                                                        .partServed(each, events.now()));
                     }
                 });
-        schedule(
+        events.schedule(
                 begins + duration,
                 () -> {
                     if (runs(target, incarnation, running)) {
                         target.running.remove(running);
-                        gateways.get(gateway).clear(request.fingerprint(), now);
+                        gateways.get(gateway).clear(request.fingerprint(), events.now());
                     }
                 });
     }
@@ -363,13 +348,15 @@
     }
 
     private boolean partitioned(int gateway) {
-        return gateway == 0 && now >= PARTITION_START_MILLIS && now < PARTITION_END_MILLIS;
+        return gateway == 0
+                && events.now() >= PARTITION_START_MILLIS
+                && events.now() < PARTITION_END_MILLIS;
     }
 
     private void countLate(int part, int gateway) {
         List<Long> times = crashes.getOrDefault(part, List.of());
-        boolean inTouch = gateway != 0 || now > PARTITION_END_MILLIS + LATE_MILLIS;
-        if (inTouch && times.size() >= 5 && now > times.get(4) + LATE_MILLIS) {
+        boolean inTouch = gateway != 0 || events.now() > PARTITION_END_MILLIS + LATE_MILLIS;
+        if (inTouch && times.size() >= 5 && events.now() > times.get(4) + LATE_MILLIS) {
             lateArrivals.merge(part, 1, Integer::sum);
         }
     }
@@ -387,32 +374,33 @@
         target.up = false;
         List<Running> interrupted = List.copyOf(target.running);
         target.running.clear();
-        schedule(
-                now + RESTART_MILLIS,
+        events.schedule(
+                events.now() + RESTART_MILLIS,
                 () -> {
                     target.incarnation++;
                     target.up = true;
                 });
         for (Running each : interrupted) {
             Quarantine quarantine = gateways.get(each.gateway);
-            boolean added = quarantine.recordCrash(each.request.fingerprint(), name, now);
+            boolean added = quarantine.recordCrash(each.request.fingerprint(), name, events.now());
             for (Fingerprint part : each.request.parts()) {
-                added |= quarantine.recordCrash(part, name, now);
+                added |= quarantine.recordCrash(part, name, events.now());
             }
             if (added) {
-                schedule(now + 5, () -> report(each.gateway));
+                events.schedule(events.now() + 5, () -> report(each.gateway));
             }
         }
         for (Running each : interrupted) {
             if (each.attempt < MAX_ATTEMPTS) {
-                schedule(now + 3, () -> send(each.request, each.gateway, each.attempt + 1));
+                events.schedule(
+                        events.now() + 3, () -> send(each.request, each.gateway, each.attempt + 1));
             }
         }
     }
 
     private void scheduleReport(int gateway) {
-        schedule(
-                now + 1 + random.nextInt(2 * load.reportMillis()),
+        events.schedule(
+                events.now() + 1 + random.nextInt(2 * load.reportMillis()),
                 () -> {
                     report(gateway);
                     scheduleReport(gateway);
@@ -421,10 +409,11 @@
 
     private void report(int gateway) {
         Quarantine reporting = gateways.get(gateway);
-        for (Fingerprint each : reporting.decide(now)) {
+        for (Fingerprint each : reporting.decide(events.now())) {
             stored.putIfAbsent(each, reporting.crashedIncarnations(each));
         }
-        List<QuarantineUpdate> updates = new ArrayList<>(gateways.get(gateway).takeUpdates(now));
+        List<QuarantineUpdate> updates =
+                new ArrayList<>(gateways.get(gateway).takeUpdates(events.now()));
         if (random.nextDouble() * load.gateways() * 1_000 < load.reportMillis()) {
             updates.addAll(gateways.get(gateway).quarantinedRequestUpdates());
         }
@@ -440,8 +429,8 @@
                 || random.nextDouble() < REPORT_LOSS) {
             return;
         }
-        schedule(
-                now + 1 + random.nextInt(load.delayMillis()),
-                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, now)));
+        events.schedule(
+                events.now() + 1 + random.nextInt(load.delayMillis()),
+                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, events.now())));
     }
 }
--- a/src/test/java/org/martenwell/quarantine/QuarantineSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/QuarantineSimulation.java
@@ -5,7 +5,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 
@@ -88,9 +87,6 @@
             long longestRefusalMillis,
             int harmlessQuarantined) {}
 
-    /** An action at a simulated time; events at the same time run in the order of creation. */
-    private record Event(long at, long order, Runnable action) {}
-
     /** An attempt that runs on a target. */
     private record Running(int request, int gateway, int attempt) {}
 
@@ -104,12 +100,7 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(
-                    (one, other) ->
-                            one.at() == other.at()
-                                    ? Long.compare(one.order(), other.order())
-                                    : Long.compare(one.at(), other.at()));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<Quarantine> gateways = new ArrayList<>();
 
@@ -119,10 +110,6 @@
 
     private final Map<String, Long> refusedSince = new HashMap<>();
 
-    private long now;
-
-    private long order;
-
     private int refused;
 
     private int harmless;
@@ -149,14 +136,10 @@
         for (int request = 1; request <= load.harmful(); request++) {
             scheduleHarmful(-request, random.nextInt(3_000));
         }
-        UNRELATED_CRASHES_MILLIS.forEach(each -> schedule(each, this::crashUnrelated));
-        schedule(PARTITION_END_MILLIS, this::sendSnapshotToPartitioned);
+        UNRELATED_CRASHES_MILLIS.forEach(each -> events.schedule(each, this::crashUnrelated));
+        events.schedule(PARTITION_END_MILLIS, this::sendSnapshotToPartitioned);
         scheduleArrivals();
-        while (!events.isEmpty() && events.peek().at() < END_MILLIS) {
-            Event next = events.poll();
-            now = next.at();
-            next.action().run();
-        }
+        events.runUntil(END_MILLIS);
         return outcome();
     }
 
@@ -182,13 +165,9 @@
         return new Outcome(most, all, late, refused, harmless, longestRefusalMillis, quarantined);
     }
 
-    private void schedule(long time, Runnable action) {
-        events.add(new Event(time, order++, action));
-    }
-
     private void scheduleArrivals() {
-        schedule(
-                now + 1,
+        events.schedule(
+                events.now() + 1,
                 () -> {
                     double perMillisecond = load.requestsPerSecond() / 1_000.0;
                     int count =
@@ -204,8 +183,8 @@
     }
 
     private void scheduleHarmful(int request, int millis) {
-        schedule(
-                now + millis,
+        events.schedule(
+                events.now() + millis,
                 () -> {
                     send(request, random.nextInt(load.gateways()), 1);
                     scheduleHarmful(request, HARMFUL_INTERVAL_MILLIS);
@@ -227,13 +206,15 @@
         int incarnation = target.incarnation;
         if (request < 0) {
             boolean partitioned =
-                    gateway == 0 && now >= PARTITION_START_MILLIS && now < PARTITION_END_MILLIS;
-            schedule(
-                    now + CRASH_DELAY_MILLIS,
+                    gateway == 0
+                            && events.now() >= PARTITION_START_MILLIS
+                            && events.now() < PARTITION_END_MILLIS;
+            events.schedule(
+                    events.now() + CRASH_DELAY_MILLIS,
                     () -> crashByRequest(request, target, incarnation, partitioned));
         } else {
-            schedule(
-                    now + 1 + random.nextInt(2 * RUN_MILLIS),
+            events.schedule(
+                    events.now() + 1 + random.nextInt(2 * RUN_MILLIS),
                     () -> completed(running, target, incarnation));
         }
     }
@@ -244,14 +225,14 @@
             refusedSince.remove(key);
         } else {
             refused++;
-            long since = refusedSince.computeIfAbsent(key, each -> now);
-            longestRefusalMillis = Math.max(longestRefusalMillis, now - since);
+            long since = refusedSince.computeIfAbsent(key, each -> events.now());
+            longestRefusalMillis = Math.max(longestRefusalMillis, events.now() - since);
         }
     }
 
     private void completed(Running running, Target target, int incarnation) {
         if (target.incarnation == incarnation && target.up && target.running.remove(running)) {
-            gateways.get(running.gateway()).clear(fingerprint(running.request()), now);
+            gateways.get(running.gateway()).clear(fingerprint(running.request()), events.now());
         }
     }
 
@@ -259,7 +240,9 @@
     private void crashByRequest(int request, Target target, int incarnation, boolean partitioned) {
         if (target.incarnation == incarnation && target.up) {
             if (!partitioned) {
-                crashesByRequest.computeIfAbsent(request, each -> new ArrayList<>()).add(now);
+                crashesByRequest
+                        .computeIfAbsent(request, each -> new ArrayList<>())
+                        .add(events.now());
             }
             crash(target);
         }
@@ -278,27 +261,30 @@
         target.up = false;
         List<Running> interrupted = List.copyOf(target.running);
         target.running.clear();
-        schedule(
-                now + RESTART_MILLIS,
+        events.schedule(
+                events.now() + RESTART_MILLIS,
                 () -> {
                     target.incarnation++;
                     target.up = true;
                 });
         for (Running each : interrupted) {
-            if (gateways.get(each.gateway()).recordCrash(fingerprint(each.request()), name, now)) {
-                schedule(now + 5, () -> report(each.gateway()));
+            if (gateways.get(each.gateway())
+                    .recordCrash(fingerprint(each.request()), name, events.now())) {
+                events.schedule(events.now() + 5, () -> report(each.gateway()));
             }
         }
         for (Running each : interrupted) {
             if (each.attempt() < MAX_ATTEMPTS) {
-                schedule(now + 3, () -> send(each.request(), each.gateway(), each.attempt() + 1));
+                events.schedule(
+                        events.now() + 3,
+                        () -> send(each.request(), each.gateway(), each.attempt() + 1));
             }
         }
     }
 
     private void scheduleReport(int gateway) {
-        schedule(
-                now + 1 + random.nextInt(2 * load.reportMillis()),
+        events.schedule(
+                events.now() + 1 + random.nextInt(2 * load.reportMillis()),
                 () -> {
                     report(gateway);
                     scheduleReport(gateway);
@@ -306,8 +292,9 @@
     }
 
     private void report(int gateway) {
-        gateways.get(gateway).decide(now);
-        List<QuarantineUpdate> updates = new ArrayList<>(gateways.get(gateway).takeUpdates(now));
+        gateways.get(gateway).decide(events.now());
+        List<QuarantineUpdate> updates =
+                new ArrayList<>(gateways.get(gateway).takeUpdates(events.now()));
         if (random.nextDouble() * load.gateways() * 1_000 < load.reportMillis()) {
             updates.addAll(gateways.get(gateway).quarantinedRequestUpdates());
         }
@@ -318,19 +305,19 @@
 
     private void send(int gateway, int peer, List<QuarantineUpdate> updates) {
         boolean partitioned =
-                now >= PARTITION_START_MILLIS
-                        && now < PARTITION_END_MILLIS
+                events.now() >= PARTITION_START_MILLIS
+                        && events.now() < PARTITION_END_MILLIS
                         && (gateway == 0 || peer == 0);
         if (gateway == peer || partitioned || random.nextDouble() < REPORT_LOSS) {
             return;
         }
-        schedule(
-                now + 1 + random.nextInt(load.delayMillis()),
-                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, now)));
+        events.schedule(
+                events.now() + 1 + random.nextInt(load.delayMillis()),
+                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, events.now())));
     }
 
     private void sendSnapshotToPartitioned() {
-        gateways.get(1).snapshot().forEach(each -> gateways.get(0).applyUpdate(each, now));
+        gateways.get(1).snapshot().forEach(each -> gateways.get(0).applyUpdate(each, events.now()));
     }
 
     private static Fingerprint fingerprint(int request) {
