Log why callers' connections were closed

The report of a whole request that got neither an answer nor a refusal can't be traced: no line tells that the gateway closed a caller's connection, why, and whether a request had arrived on it.

A line connection-closed for closes that no whole answer announced tells the reason, the state and its age, for how long of that the loop was late, the bytes that had arrived unread (FIONREAD, nothing is consumed), the unwritten ones and the limits in force. It has a rate limit of its own (10 a second, bursts of 50), so that a configuration which closes thousands of connections at once costs no lines about requests. Counters tell each reason, and closes with unread bytes. The configuration line tells the limits of the version.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -78,6 +78,9 @@
      */
     private long stateSinceMillis;
 
+    /** The time for which the event loop had been late when the state began, in milliseconds. */
+    private long lateBeforeMillis;
+
     /** Set while a request has arrived in part. */
     private boolean receiving;
 
@@ -91,6 +94,9 @@
 
     private boolean closed;
 
+    /** The reason of a graceful close that has started. */
+    private CloseReason closeReason = CloseReason.RESPONSE_COMPLETE;
+
     /**
      * Creates a connection. No data is read before {@link #start}.
      *
@@ -103,7 +109,7 @@
         this.socket = socket;
         this.server = server;
         this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
-        this.stateSinceMillis = reactor.currentTimeMillis();
+        stateBegan();
     }
 
     /** Starts reading. */
@@ -117,6 +123,17 @@
         return unwrittenBytes;
     }
 
+    /** {@return the state} */
+    ConnectionState state() {
+        if (closing) {
+            return ConnectionState.CLOSING;
+        }
+        if (exchange != null) {
+            return ConnectionState.SERVING;
+        }
+        return receiving ? ConnectionState.RECEIVING : ConnectionState.IDLE;
+    }
+
     /** {@return {@code true} if no request is being received or served} */
     boolean idle() {
         return exchange == null && !receiving;
@@ -145,7 +162,7 @@
         ConnectionLimits limits = server.limits();
         long allowed = receiving ? limits.headerTimeoutMillis() : limits.idleTimeoutMillis();
         if (nowMillis - stateSinceMillis > allowed) {
-            abort();
+            abort(receiving ? CloseReason.REQUEST_TIMEOUT : CloseReason.IDLE_TIMEOUT);
         }
     }
 
@@ -217,10 +234,13 @@
     /**
      * Closes the connection at once, without a complete response and without notifying the
      * exchange.
+     *
+     * @param reason The reason.
      */
-    void abort() {
+    void abort(CloseReason reason) {
+        ConnectionState state = state();
         exchange = null;
-        close();
+        close(reason, state);
     }
 
     private static void setConnectionHeader(HttpHeaders headers, boolean persistent) {
@@ -250,7 +270,7 @@
         }
         if (idle()) {
             receiving = true;
-            stateSinceMillis = reactor.currentTimeMillis();
+            stateBegan();
             server.becameActive(this);
         }
         if (exchange != null) {
@@ -339,7 +359,7 @@
             body = new ByteArrayOutputStream();
             foldDetector.reset();
             if (inputEnded()) {
-                abort();
+                abort(CloseReason.CALLER_LEFT);
             } else {
                 server.handle(exchange);
             }
@@ -393,6 +413,7 @@
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, 0);
         setConnectionHeader(headers, false);
+        closeReason = CloseReason.BAD_REQUEST;
         send(
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -412,7 +433,7 @@
     private void finishRequest(boolean persistent) {
         exchange = null;
         receiving = false;
-        stateSinceMillis = reactor.currentTimeMillis();
+        stateBegan();
         if (!persistent) {
             closeGracefully();
             return;
@@ -463,21 +484,26 @@
         } else {
             reactor.delayBackground(
                     Math.max(CLOSE_TIMEOUT_MILLIS, server.limits().idleTimeoutMillis()),
-                    this::close);
+                    this::closeSlowCaller);
         }
     }
 
+    private void closeSlowCaller() {
+        close(unwrittenBytes > 0 ? CloseReason.SLOW_CALLER : closeReason, ConnectionState.CLOSING);
+    }
+
     private void closeOutput() {
         if (closed) {
             return;
         }
-        reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, this::close);
+        reactor.delayBackground(
+                CLOSE_TIMEOUT_MILLIS, () -> close(closeReason, ConnectionState.CLOSING));
         if (socket instanceof TcpSocket tcp) {
             try {
                 AbortiveClose.set(tcp, false);
                 tcp.getSocketChannel().shutdownOutput();
             } catch (IOException exception) {
-                close();
+                close(CloseReason.CALLER_LEFT, ConnectionState.CLOSING);
             }
         }
     }
@@ -485,22 +511,48 @@
     /** Handles the end of input or a socket failure, and notifies the exchange being served. */
     private void disconnected() {
         CallerExchange abandoned = exchange;
+        ConnectionState state = state();
         exchange = null;
-        close();
+        close(closing && unwrittenBytes == 0 ? closeReason : CloseReason.CALLER_LEFT, state);
         if (abandoned != null) {
             abandoned.callerDisconnected();
         }
     }
 
-    private void close() {
+    private void close(CloseReason reason, ConnectionState state) {
         if (!closed) {
+            ClosedConnection connection =
+                    new ClosedConnection(
+                            reason,
+                            state,
+                            reactor.currentTimeMillis() - stateSinceMillis,
+                            server.clock().omittedMillis() - lateBeforeMillis,
+                            unreadBytes(),
+                            unwrittenBytes,
+                            server.limits());
             closed = true;
             closing = true;
             decodedParts.forEach(ReferenceCountUtil::release);
             decodedParts.clear();
             socket.close();
             codec.finishAndReleaseAll();
-            server.closed(this);
+            server.closed(this, connection);
+        }
+    }
+
+    private int unreadBytes() {
+        if (!(socket instanceof TcpSocket tcp) || tcp.isClosed()) {
+            return 0;
+        }
+        try {
+            return tcp.getSocketChannel().socket().getInputStream().available();
+        } catch (IOException exception) {
+            return 0;
         }
     }
+
+    private void stateBegan() {
+        stateSinceMillis = reactor.currentTimeMillis();
+        lateBeforeMillis = server.clock().omittedMillis();
+    }
 }
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -170,7 +170,7 @@
     public void abort() {
         if (!finished) {
             finished = true;
-            connection.abort();
+            connection.abort(CloseReason.RESPONSE_ABORTED);
         }
     }
 
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -8,7 +8,9 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.martenwell.service.ManagedService;
+import org.martenwell.service.ResponsiveClock;
 import org.martenwell.service.ServerStarter;
 
 /**
@@ -31,6 +33,8 @@
 
     private final SimpleServer server;
 
+    private final ResponsiveClock clock;
+
     private final Set<CallerConnection> connections = new HashSet<>();
 
     /** The connections without a request, the one that has been idle for longest first. */
@@ -44,6 +48,8 @@
 
     private ConnectionLimits limits = ConnectionLimits.DEFAULTS;
 
+    private Consumer<ClosedConnection> closeListener = closed -> {};
+
     /** Set once each connection closes after its current request. */
     private boolean draining;
 
@@ -59,6 +65,7 @@
     public CallerServer(NioReactor reactor, InetSocketAddress address, RequestHandler handler) {
         this.reactor = reactor;
         this.handler = handler;
+        this.clock = new ResponsiveClock(reactor);
         this.server =
                 SimpleServer.builder(reactor, this::accepted).withListenAddress(address).build();
     }
@@ -66,14 +73,14 @@
     @Override
     public Promise<Void> start() {
         reactor.delayBackground(TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
-        return ServerStarter.start(server);
+        return clock.start().then(() -> ServerStarter.start(server));
     }
 
     @Override
     public Promise<Void> stop() {
         stopped = true;
-        Set.copyOf(connections).forEach(CallerConnection::abort);
-        return server.close().toVoid();
+        Set.copyOf(connections).forEach(each -> each.abort(CloseReason.STOP));
+        return clock.stop().then(server::close).toVoid();
     }
 
     /**
@@ -101,7 +108,7 @@
 
     private void closeLongestIdle() {
         closedAtLimit++;
-        idleConnections.iterator().next().abort();
+        idleConnections.iterator().next().abort(CloseReason.CONNECTION_LIMIT);
     }
 
     /** Closes each connection after the request that is served on it, or after its next one. */
@@ -117,7 +124,16 @@
         long before = reactor.currentTimeMillis() - MIN_IDLE_MILLIS;
         Set.copyOf(connections).stream()
                 .filter(each -> each.idleSince(before))
-                .forEach(CallerConnection::abort);
+                .forEach(each -> each.abort(CloseReason.DRAIN));
+    }
+
+    /**
+     * Sets the observer of closed connections.
+     *
+     * @param listener Called with each connection that was closed.
+     */
+    public void onClose(Consumer<ClosedConnection> listener) {
+        closeListener = listener;
     }
 
     /** {@return the number of open connections} */
@@ -130,6 +146,11 @@
         return limits;
     }
 
+    /** {@return the clock of timeouts} */
+    ResponsiveClock clock() {
+        return clock;
+    }
+
     /** {@return {@code true} if connections close after their current request} */
     boolean draining() {
         return draining;
@@ -148,10 +169,12 @@
      * Removes a connection that has closed.
      *
      * @param connection The connection.
+     * @param closed Its state at the close.
      */
-    void closed(CallerConnection connection) {
+    void closed(CallerConnection connection, ClosedConnection closed) {
         connections.remove(connection);
         idleConnections.remove(connection);
+        closeListener.accept(closed);
     }
 
     /**
--- /dev/null
+++ b/src/main/java/org/martenwell/exchange/ClosedConnection.java
@@ -0,0 +1,22 @@
+package org.martenwell.exchange;
+
+/**
+ * A caller's connection that was closed.
+ *
+ * @param reason The reason for the close.
+ * @param state The state before the close.
+ * @param stateMillis The time since the state began, in milliseconds. While a request is served,
+ *     the time since its first byte.
+ * @param lateMillis The part of this time for which the event loop was late, in milliseconds.
+ * @param unreadBytes The bytes that had arrived but were not read.
+ * @param unwrittenBytes The bytes of responses that were not written to the socket.
+ * @param limits The limits in force.
+ */
+public record ClosedConnection(
+        CloseReason reason,
+        ConnectionState state,
+        long stateMillis,
+        long lateMillis,
+        int unreadBytes,
+        int unwrittenBytes,
+        ConnectionLimits limits) {}
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -110,6 +110,7 @@
         DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
                 .ifPresent(callers::setMaxConnections);
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
+        callers.onClose(log::connectionClosed);
         this.readiness =
                 new CallerServer(
                         reactor, IpAddress.of(settings.readinessAddress()), this::serveBalancer);
@@ -209,7 +210,7 @@
     @Override
     public void configurationChanged(
             GatewayConfiguration configuration, String document, Optional<String> peer) {
-        log.configured(configuration.version(), peer);
+        log.configured(configuration.version(), configuration.limits(), peer);
         core.configure(configuration);
         callers.setLimits(configuration.limits());
         peerReporter.document(document);
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -12,6 +12,8 @@
 import org.martenwell.balance.NoticeSource;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.error.ErrorKind;
+import org.martenwell.exchange.ClosedConnection;
+import org.martenwell.exchange.ConnectionLimits;
 import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.observe.HighDynamicRangeReservoir;
 import org.martenwell.observe.LogEvent;
@@ -27,6 +29,14 @@
 
     private static final Logger LOGGER = LogManager.getLogger(GatewayLog.class);
 
+    private static final double LINES_PER_SECOND = 120;
+
+    private static final double BURST_LINES = 600;
+
+    private static final double CLOSES_PER_SECOND = 10;
+
+    private static final double BURST_CLOSES = 50;
+
     private final NioReactor reactor;
 
     private final MetricRegistry metrics = new MetricRegistry();
@@ -35,7 +45,11 @@
     private final Histogram firstChunkMillis =
             metrics.register("first_piece_millis", new Histogram(new HighDynamicRangeReservoir()));
 
-    private final LogRateLimiter rateLimiter = new LogRateLimiter();
+    private final LogRateLimiter rateLimiter = new LogRateLimiter(LINES_PER_SECOND, BURST_LINES);
+
+    /** Apart from other lines, since many connections may close at once. */
+    private final LogRateLimiter closeRateLimiter =
+            new LogRateLimiter(CLOSES_PER_SECOND, BURST_CLOSES);
 
     /**
      * Creates a log.
@@ -423,9 +437,10 @@
      * Records that a configuration became active.
      *
      * @param version Its version.
+     * @param limits Its limits on callers' connections.
      * @param peer The peer that forwarded it, empty if the directory provided it.
      */
-    void configured(long version, Optional<String> peer) {
+    void configured(long version, ConnectionLimits limits, Optional<String> peer) {
         String from = peer.isPresent() ? "peer" : "directory";
         metrics.counter("configurations_by_" + from).inc();
         LOGGER.info(
@@ -433,9 +448,38 @@
                         .with("detail", version)
                         .with("learntFrom", from)
                         .with("peer", peer.orElse(""))
+                        .with("maxHeaderBytes", limits.maxHeaderBytes())
+                        .with("maxBodyBytes", limits.maxBodyBytes())
+                        .with("headerTimeoutMillis", limits.headerTimeoutMillis())
+                        .with("idleTimeoutMillis", limits.idleTimeoutMillis())
                         .message());
     }
 
+    /**
+     * Records that a caller's connection was closed.
+     *
+     * @param closed The connection.
+     */
+    void connectionClosed(ClosedConnection closed) {
+        metrics.counter("connections_closed_" + closed.reason().label()).inc();
+        if (closed.unreadBytes() > 0) {
+            metrics.counter("connections_closed_unread").inc();
+        }
+        if (closed.reason().unannounced() && mayWrite(closeRateLimiter)) {
+            write(
+                    LogEvent.of("connection-closed")
+                            .with("reason", closed.reason().label())
+                            .with("state", closed.state().label())
+                            .with("stateMillis", closed.stateMillis())
+                            .with("lateMillis", closed.lateMillis())
+                            .with("unreadBytes", closed.unreadBytes())
+                            .with("unwrittenBytes", closed.unwrittenBytes())
+                            .with("headerTimeoutMillis", closed.limits().headerTimeoutMillis())
+                            .with("idleTimeoutMillis", closed.limits().idleTimeoutMillis()),
+                    closeRateLimiter);
+        }
+    }
+
     /**
      * Logs a change of the gateway's state. These lines are not rate-limited.
      *
@@ -448,10 +492,14 @@
 
     /** Returns whether a rate-limited line may be written, and counts it if not. */
     private boolean mayWrite() {
+        return mayWrite(rateLimiter);
+    }
+
+    private boolean mayWrite(LogRateLimiter limiter) {
         if (!LOGGER.isInfoEnabled()) {
             return false;
         }
-        boolean allowed = rateLimiter.tryAcquire(reactor.currentTimeMillis());
+        boolean allowed = limiter.tryAcquire(reactor.currentTimeMillis());
         if (!allowed) {
             metrics.counter("log_lines_dropped").inc();
         }
@@ -459,7 +507,11 @@
     }
 
     private void write(LogEvent event) {
-        long suppressed = rateLimiter.takeSuppressed();
+        write(event, rateLimiter);
+    }
+
+    private void write(LogEvent event, LogRateLimiter limiter) {
+        long suppressed = limiter.takeSuppressed();
         LOGGER.info((suppressed > 0 ? event.with("linesDropped", suppressed) : event).message());
     }
 }
--- a/src/main/java/org/martenwell/gateway/LogRateLimiter.java
+++ b/src/main/java/org/martenwell/gateway/LogRateLimiter.java
@@ -1,16 +1,16 @@
 package org.martenwell.gateway;
 
-/** Token bucket that limits log lines about requests and counts the lines that it suppresses. */
+/** Token bucket that limits log lines and counts the lines that it suppresses. */
 final class LogRateLimiter {
 
-    private static final double LINES_PER_SECOND = 120;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
-    private static final double BURST_LINES = 600;
+    private final double linesPerSecond;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
+    private final double burstLines;
 
     /** The lines that may be written now. */
-    private double availableLines = BURST_LINES;
+    private double availableLines;
 
     /** The time of the last refill, in milliseconds. */
     private long refilledMillis = Long.MIN_VALUE;
@@ -18,8 +18,17 @@
     /** The lines suppressed since the last call of {@link #takeSuppressed}. */
     private long suppressed;
 
-    /** Creates a limiter with a full burst. */
-    LogRateLimiter() {}
+    /**
+     * Creates a limiter with a full burst.
+     *
+     * @param linesPerSecond The mean rate of lines.
+     * @param burstLines The most lines that may be written at once.
+     */
+    LogRateLimiter(double linesPerSecond, double burstLines) {
+        this.linesPerSecond = linesPerSecond;
+        this.burstLines = burstLines;
+        this.availableLines = burstLines;
+    }
 
     /**
      * Acquires permission to write a line. A line that is denied counts as suppressed.
@@ -29,8 +38,8 @@
      */
     boolean tryAcquire(long now) {
         if (refilledMillis != Long.MIN_VALUE) {
-            double refill = (now - refilledMillis) * LINES_PER_SECOND / MILLIS_PER_SECOND;
-            availableLines = Math.min(BURST_LINES, availableLines + refill);
+            double refill = (now - refilledMillis) * linesPerSecond / MILLIS_PER_SECOND;
+            availableLines = Math.min(burstLines, availableLines + refill);
         }
         refilledMillis = now;
         if (availableLines < 1) {
