--- a/src/test/java/org/martenwell/exchange/RawHttpClient.java
+++ b/src/test/java/org/martenwell/exchange/RawHttpClient.java
@@ -62,6 +62,11 @@
         return socket.getInputStream().transferTo(OutputStream.nullOutputStream());
     }
 
+    /** Reads and discards up to a number of bytes; returns how many, or -1 at the end of input. */
+    int skip(int most) throws IOException {
+        return socket.getInputStream().read(new byte[most]);
+    }
+
     /** Closes the connection with a TCP reset. */
     void reset() throws IOException {
         socket.setSoLinger(true, 0);
