--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -10,25 +10,17 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
-import java.util.Deque;
 
 /**
  * A connection from a caller. It serves one request at a time but keeps reading while a request is
@@ -60,15 +52,7 @@
 
     private final EmbeddedChannel codec;
 
-    private final ObsoleteFoldDetector foldDetector = new ObsoleteFoldDetector();
-
-    /** Message parts that are decoded but not processed because a request is being served. */
-    private final Deque<HttpObject> decodedParts = new ArrayDeque<>();
-
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
-
-    /** The head of the request whose body is arriving, or {@code null}. */
-    private HttpRequest head;
+    private final RequestDecoder decoder;
 
     /** The exchange being served, or {@code null}. */
     private CallerExchange exchange;
@@ -109,6 +93,7 @@
         this.socket = socket;
         this.server = server;
         this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
+        this.decoder = new RequestDecoder(codec);
         stateBegan();
     }
 
@@ -275,23 +260,16 @@
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
-        } else if (foldDetector.containsFold(bytes.array(), bytes.head(), bytes.readRemaining())) {
+        } else if (decoder.containsFold(bytes)) {
             bytes.recycle();
             rejectRequest(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        decode(bytes);
+        decoder.decode(bytes);
         processDecodedParts();
         continueReading();
     }
 
-    private void decode(ByteBuf bytes) {
-        CodecChannels.decode(codec, bytes);
-        for (HttpObject each = codec.readInbound(); each != null; each = codec.readInbound()) {
-            decodedParts.add(each);
-        }
-    }
-
     /** Reads on unless the limit of pipelined bytes is exceeded. */
     private void continueReading() {
         if (!closed && pipelinedBytes <= MAX_PIPELINED_BYTES) {
@@ -301,68 +279,46 @@
 
     /** Processes decoded parts until a request is complete and handed to the server. */
     private void processDecodedParts() {
-        while (exchange == null && !closing && !decodedParts.isEmpty()) {
-            HttpObject next = decodedParts.poll();
-            try {
-                processPart(next);
-            } finally {
-                ReferenceCountUtil.release(next);
+        boolean more = true;
+        while (more && exchange == null && !closing) {
+            switch (decoder.next(server.limits().maxBodyBytes())) {
+                case NONE -> more = false;
+                case BEGUN -> requestBegan();
+                case CONTINUED -> {}
+                case COMPLETE -> requestComplete();
+                case REJECTED -> rejectRequest(decoder.rejection());
             }
         }
     }
 
-    private void processPart(HttpObject part) {
-        if (part.decoderResult().isFailure()) {
-            rejectRequest(statusOf(part.decoderResult().cause()));
-            return;
-        }
-        if (part instanceof HttpRequest requestHead) {
-            head = requestHead;
-            receiving = true;
-            server.becameActive(this);
-            body.reset();
-            if (HttpUtil.is100ContinueExpected(requestHead)) {
-                writeBytes(ByteBuf.wrapForReading(CONTINUE_RESPONSE.clone()));
-            }
-        }
-        if (part instanceof HttpContent content && head != null) {
-            appendContent(content);
+    private void requestBegan() {
+        receiving = true;
+        server.becameActive(this);
+        if (HttpUtil.is100ContinueExpected(decoder.head())) {
+            writeBytes(ByteBuf.wrapForReading(CONTINUE_RESPONSE.clone()));
         }
     }
 
-    private void appendContent(HttpContent content) {
-        if (body.size() + content.content().readableBytes() > server.limits().maxBodyBytes()) {
-            rejectRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
-            return;
-        }
-        byte[] piece = new byte[content.content().readableBytes()];
-        content.content().getBytes(content.content().readerIndex(), piece);
-        body.writeBytes(piece);
-        if (content instanceof LastHttpContent) {
-            CallerRequest request =
-                    new CallerRequest(
-                            head.method(),
-                            head.uri(),
-                            head.headers(),
-                            Body.of(body.toByteArray()),
-                            stateSinceMillis);
-            exchange =
-                    new CallerExchange(
-                            this,
-                            request,
-                            HttpUtil.isKeepAlive(head),
-                            head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
-            head = null;
-            receiving = false;
-            // A new buffer, since reset() would keep the grown array for as long as the connection
-            // is idle, which is 15 KB after a body of 12 KB.
-            body = new ByteArrayOutputStream();
-            foldDetector.reset();
-            if (inputEnded()) {
-                abort(CloseReason.CALLER_LEFT);
-            } else {
-                server.handle(exchange);
-            }
+    private void requestComplete() {
+        HttpRequest head = decoder.head();
+        CallerRequest request =
+                new CallerRequest(
+                        head.method(),
+                        head.uri(),
+                        head.headers(),
+                        decoder.takeBody(),
+                        stateSinceMillis);
+        exchange =
+                new CallerExchange(
+                        this,
+                        request,
+                        HttpUtil.isKeepAlive(head),
+                        head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
+        receiving = false;
+        if (inputEnded()) {
+            abort(CloseReason.CALLER_LEFT);
+        } else {
+            server.handle(exchange);
         }
     }
 
@@ -381,7 +337,7 @@
             int count = tcp.getSocketChannel().read(next);
             if (count > 0) {
                 pipelinedBytes += count;
-                decode(ByteBuf.wrapForReading(next.array()));
+                decoder.decode(ByteBuf.wrapForReading(next.array()));
             }
             return count < 0;
         } catch (IOException exception) {
@@ -389,20 +345,6 @@
         }
     }
 
-    /**
-     * Maps a decoder failure to a response status.
-     *
-     * @param cause The exception of the decoder.
-     * @return The status: 431 for an excessive head, else 400.
-     */
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException
-                || cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        return HttpResponseStatus.BAD_REQUEST;
-    }
-
     /**
      * Responds to a request that can't be processed and closes the connection, since the position
      * of the next request is unknown.
@@ -441,7 +383,7 @@
         server.becameIdle(this);
         boolean paused = pipelinedBytes > MAX_PIPELINED_BYTES;
         pipelinedBytes = 0;
-        if (!decodedParts.isEmpty()) {
+        if (decoder.hasParts()) {
             reactor.postLast(this::processDecodedParts);
         }
         if (paused) {
@@ -532,8 +474,7 @@
                             server.limits());
             closed = true;
             closing = true;
-            decodedParts.forEach(ReferenceCountUtil::release);
-            decodedParts.clear();
+            decoder.release();
             socket.close();
             codec.finishAndReleaseAll();
             server.closed(this, connection);
