Keep the limits under which a caller's connection came to rest

Callers lost requests beside a configuration that shortens the idle timeout: connections that had rested for longer than the new one were closed within 200 ms, though their callers knew the old one and took them up. Likewise a request whose head had arrived was cut by a shorter header timeout, and refused with 413 under a smaller limit of bodies.

The cause is that each check asked for the limits in force at that moment. The limits now belong to the state of a connection: it keeps those with which the state began, a change extends them where it allows more, and the next state takes those in force.

3 tests of LateLoopCallerTest that failed before pass: testConnectionThatRestedUnderALongerTimeoutIsKept, testShorterRequestTimeoutSparesARequestThatIsArriving, testSmallerBodyLimitSparesARequestThatIsArriving. CallerServerTest 20 and ConnectionCloseReasonTest 8 pass.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -76,6 +76,12 @@
     /** The same on the clock that leaves out the delays of the event loop. */
     private long responsiveSinceMillis;
 
+    /**
+     * The limits on the current state. Limits that change apply to the next state, since a caller
+     * may rely on those that were in force when this one began.
+     */
+    private ConnectionLimits limits;
+
     /** Set while a read of the socket is pending. */
     private boolean reading;
 
@@ -125,6 +131,15 @@
         return unwrittenBytes;
     }
 
+    /**
+     * Replaces the limits on the current state where the new ones allow more.
+     *
+     * @param changed The new limits.
+     */
+    void extendLimits(ConnectionLimits changed) {
+        limits = limits.extendedBy(changed);
+    }
+
     /**
      * Checks for a minimum idle time.
      *
@@ -143,7 +158,7 @@
      */
     void closeIfTimedOut(long nowMillis) {
         if (state == ConnectionState.IDLE) {
-            long allowed = server.limits().idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
+            long allowed = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
             if (nowMillis - stateSinceMillis > allowed) {
                 closeIfSilent(CloseReason.IDLE_TIMEOUT);
             }
@@ -269,8 +284,7 @@
 
     private boolean requestTimedOut() {
         return state == ConnectionState.RECEIVING
-                && server.clock().millis() - responsiveSinceMillis
-                        > server.limits().headerTimeoutMillis();
+                && server.clock().millis() - responsiveSinceMillis > limits.headerTimeoutMillis();
     }
 
     /** Closes the connection if a request is still incomplete once all that has arrived is read. */
@@ -350,7 +364,7 @@
     private void processDecodedParts() {
         boolean more = true;
         while (more && exchange == null && state != ConnectionState.CLOSING) {
-            switch (decoder.next(server.limits().maxBodyBytes())) {
+            switch (decoder.next(limits.maxBodyBytes())) {
                 case NONE -> more = false;
                 case BEGUN -> requestBegan();
                 case CONTINUED -> {}
@@ -497,7 +511,7 @@
             closeOutput();
         } else {
             reactor.delayBackground(
-                    Math.max(CLOSE_TIMEOUT_MILLIS, server.limits().idleTimeoutMillis()),
+                    Math.max(CLOSE_TIMEOUT_MILLIS, limits.idleTimeoutMillis()),
                     this::closeSlowCaller);
         }
     }
@@ -550,7 +564,7 @@
         long ageMillis = reactor.currentTimeMillis() - stateSinceMillis;
         long responsiveMillis = server.clock().millis() - responsiveSinceMillis;
         return new ClosedConnection(
-                reason, state, ageMillis, ageMillis - responsiveMillis, 0, 0, server.limits());
+                reason, state, ageMillis, ageMillis - responsiveMillis, 0, 0, limits);
     }
 
     private int unreadBytes() {
@@ -568,5 +582,6 @@
         state = next;
         stateSinceMillis = reactor.currentTimeMillis();
         responsiveSinceMillis = server.clock().millis();
+        limits = server.limits();
     }
 }
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -85,12 +85,14 @@
     }
 
     /**
-     * Replaces the limits of connections.
+     * Replaces the limits of connections. A request that is arriving and an idle connection keep
+     * their limits where the new ones allow less, since their callers may rely on them.
      *
      * @param changed The new limits; the maximum header size applies to new connections only.
      */
     public void setLimits(ConnectionLimits changed) {
         limits = changed;
+        connections.forEach(each -> each.extendLimits(changed));
     }
 
     /**
--- a/src/main/java/org/martenwell/exchange/ConnectionLimits.java
+++ b/src/main/java/org/martenwell/exchange/ConnectionLimits.java
@@ -15,4 +15,18 @@
     /** The limits until a configuration is loaded. */
     public static final ConnectionLimits DEFAULTS =
             new ConnectionLimits(16_384, 4 << 20, 3_000, 15_000);
+
+    /**
+     * Returns limits that allow whatever either of two allows.
+     *
+     * @param other The other limits.
+     * @return The larger of each limit.
+     */
+    ConnectionLimits extendedBy(ConnectionLimits other) {
+        return new ConnectionLimits(
+                Math.max(maxHeaderBytes, other.maxHeaderBytes),
+                Math.max(maxBodyBytes, other.maxBodyBytes),
+                Math.max(headerTimeoutMillis, other.headerTimeoutMillis),
+                Math.max(idleTimeoutMillis, other.idleTimeoutMillis));
+    }
 }
