Refuse a caller's request that stays incomplete instead of cutting it

A request that had arrived in part when its time was over, or when the server stopped, saw its connection cut. It has not run and never will, but the caller can't tell, and doesn't repeat what may run only once.

It gets 408 (503 at a stop) with Connection: close now, both of which promise that it hasn't run, and the connection is half-closed, so that bytes still on their way don't reset it before the answer is read.

3 tests of LateLoopCallerTest that failed before pass: testIncompleteRequestIsRefusedAtItsTimeout, testRequestThatTricklesInIsRefusedAtItsTimeout, testSilentConnectionsOfALateLoopAreClosed. Two new ones, for a stop and for a new connection at the limit, pass too; they were not run on the code before. CallerServerTest 20, ConnectionCloseReasonTest 8, AbandonedRequestTest 2, CloseDelimitedResponseTest 8, IdleConnectionMemoryTest 1 and ArchitectureTest 7 pass.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -163,7 +163,7 @@
                 closeIfSilent(CloseReason.IDLE_TIMEOUT);
             }
         } else if (requestTimedOut()) {
-            closeIfIncomplete(CloseReason.REQUEST_TIMEOUT);
+            refuseIfIncomplete(CloseReason.REQUEST_TIMEOUT, HttpResponseStatus.REQUEST_TIMEOUT);
         }
     }
 
@@ -188,14 +188,14 @@
         refusing = true;
         start();
         closeIfSilent(reason);
-        closeIfIncomplete(reason);
+        refuseIfIncomplete(reason, HttpResponseStatus.SERVICE_UNAVAILABLE);
         abort(reason);
     }
 
     /** Closes the connection, after a response to what has arrived on it and isn't being served. */
     void stop() {
         closeIfSilent(CloseReason.STOP);
-        closeIfIncomplete(CloseReason.STOP);
+        refuseIfIncomplete(CloseReason.STOP, HttpResponseStatus.SERVICE_UNAVAILABLE);
         abort(CloseReason.STOP);
     }
 
@@ -287,15 +287,18 @@
                 && server.clock().millis() - responsiveSinceMillis > limits.headerTimeoutMillis();
     }
 
-    /** Closes the connection if a request is still incomplete once all that has arrived is read. */
-    private void closeIfIncomplete(CloseReason reason) {
+    /**
+     * Refuses a request that is still incomplete once all that has arrived of it is read. It has
+     * not run and never will.
+     */
+    private void refuseIfIncomplete(CloseReason reason, HttpResponseStatus status) {
         for (int count = 0; count < MAX_LAST_READS && state == ConnectionState.RECEIVING; count++) {
             if (!readArrived()) {
                 break;
             }
         }
         if (state == ConnectionState.RECEIVING) {
-            abort(reason);
+            rejectRequest(reason, status);
         }
     }
 
--- a/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
+++ b/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
@@ -172,6 +172,35 @@
         }
     }
 
+    @Test
+    void testNewConnectionWithARequestIsRefusedAtTheLimitOfALateLoop() throws Exception {
+        server.setMaxConnections(1);
+        try (RawHttpClient busy = new RawHttpClient(address)) {
+            busy.send("GET /wait HTTP/1.1|Host: x||");
+            sleep(ARRIVAL_MILLIS);
+            CountDownLatch late = delayLoop();
+            try (RawHttpClient other = new RawHttpClient(address)) {
+                other.send(SECOND);
+                sleep(ARRIVAL_MILLIS);
+                late.countDown();
+                assertThat(other.readAll())
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("connection: close");
+            }
+            assertThat(connections()).isOne();
+        }
+    }
+
+    @Test
+    void testIncompleteRequestIsRefusedAtTheStop() throws Exception {
+        try (RawHttpClient client = usedConnection()) {
+            client.send(HEAD + "x".repeat(600));
+            sleep(ARRIVAL_MILLIS);
+            thread.call(server::stop);
+            assertThat(client.readAll()).startsWith("HTTP/1.1 503");
+        }
+    }
+
     @Test
     void testRequestBeforeAShutdownOfALateLoopIsAnswered() throws Exception {
         try (RawHttpClient client = usedConnection()) {
@@ -393,6 +422,9 @@
         if (request.path().equals("/fault")) {
             throw new IllegalStateException("A fault of the handler.");
         }
+        if (request.path().equals("/wait")) {
+            return;
+        }
         byte[] content =
                 request.path().equals("/large")
                         ? new byte[LARGE_BYTES]
