Answer a caller whose request meets an exception or error

Callers saw their connection cut without an answer when something threw while their bytes were processed: ActiveJ catches whatever a handler of readable bytes throws, reports it as a defect and closes the socket beneath the connection. Nobody told CallerConnection, so it stayed in the server's set, and its exchange counted as active.

Each step of a connection runs behind a guard now that catches exceptions and errors, logs the defect and answers: 500 for a request that was passed to the handler, 503 for one that was not, and a cut if a response had begun. The exchange's disconnect listener runs, so that the handler gives up what it began.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -21,6 +21,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.martenwell.observe.LogEvent;
 
 /**
  * A connection from a caller. It serves one request at a time but keeps reading while a request is
@@ -28,6 +31,8 @@
  */
 final class CallerConnection {
 
+    private static final Logger LOGGER = LogManager.getLogger(CallerConnection.class);
+
     /**
      * The number of bytes received during a request above which reading pauses until its response
      * is sent.
@@ -88,6 +93,9 @@
     /** The number of reads that brought bytes or the end of input. */
     private long reads;
 
+    /** Set once a response to the request being served is passed to the socket. */
+    private boolean responseBegun;
+
     private int pipelinedBytes;
 
     /** Response bytes handed to the socket whose write hasn't completed. */
@@ -313,9 +321,9 @@
                             reading = false;
                             reads++;
                             if (failure != null || bytes == null) {
-                                disconnected();
+                                guard(this::disconnected);
                             } else {
-                                processBytes(bytes);
+                                guard(() -> processBytes(bytes));
                             }
                         });
     }
@@ -407,10 +415,45 @@
         } else if (refusing) {
             rejectRequest(CloseReason.CONNECTION_LIMIT, HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
+            responseBegun = false;
             server.handle(exchange);
         }
     }
 
+    /**
+     * Runs a step of the connection, which calls the handler of requests. The event loop would
+     * close the socket of a step that fails without a notice to the connection.
+     */
+    private void guard(Runnable step) {
+        try {
+            step.run();
+        } catch (Throwable failure) {
+            stepFailed(failure);
+        }
+    }
+
+    /** Ends the request being received or served with an answer, if none has begun. */
+    private void stepFailed(Throwable failure) {
+        CallerExchange failed = exchange;
+        try {
+            LOGGER.error(LogEvent.of("defect").with("in", "CallerConnection").message(), failure);
+            if (state == ConnectionState.RECEIVING) {
+                rejectRequest(CloseReason.DEFECT, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            } else if (state == ConnectionState.SERVING && !responseBegun) {
+                rejectRequest(CloseReason.DEFECT, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+            } else {
+                abort(CloseReason.DEFECT);
+            }
+            if (failed != null) {
+                failed.callerDisconnected();
+            }
+        } finally {
+            if (state != ConnectionState.CLOSING) {
+                abort(CloseReason.DEFECT);
+            }
+        }
+    }
+
     /**
      * Checks whether the caller has closed the connection behind its request, which a loaded event
      * loop may read long after it was sent. A byte of a further request is decoded.
@@ -471,14 +514,16 @@
         server.becameIdle(this);
         if (pipelinedBytes > 0 || decoder.hasParts()) {
             receive();
-            reactor.postLast(this::processDecodedParts);
+            reactor.postLast(() -> guard(this::processDecodedParts));
         }
         pipelinedBytes = 0;
         read();
     }
 
     private void send(Object message) {
-        writeBytes(CodecChannels.encode(codec, message));
+        ByteBuf bytes = CodecChannels.encode(codec, message);
+        responseBegun = true;
+        writeBytes(bytes);
     }
 
     private void writeBytes(ByteBuf bytes) {
--- a/src/main/java/org/martenwell/exchange/CloseReason.java
+++ b/src/main/java/org/martenwell/exchange/CloseReason.java
@@ -26,6 +26,9 @@
     /** A response was aborted. */
     RESPONSE_ABORTED(true),
 
+    /** A step of the connection or the handler of a request failed. */
+    DEFECT(true),
+
     /** A response was complete and announced the close. */
     RESPONSE_COMPLETE(false),
 
--- a/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
+++ b/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
@@ -333,6 +333,26 @@
         }
     }
 
+    /** The connection of a failed request must not count for as long as the server runs. */
+    @Test
+    void testErrorOfTheHandlerIsAnsweredAndItsConnectionForgotten() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /error HTTP/1.1|Host: x||");
+            assertThat(client.readAll()).startsWith("HTTP/1.1 500");
+        }
+        sleep(ARRIVAL_MILLIS);
+        assertThat(connections()).isZero();
+    }
+
+    /** A response that has begun can't be replaced, so the caller must see that it is cut. */
+    @Test
+    void testExceptionWithinAResponseCutsIt() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /fault-behind-head HTTP/1.1|Host: x||");
+            assertThat(client.readAll()).startsWith("HTTP/1.1 200").doesNotContain("\r\n0\r\n");
+        }
+    }
+
     @Test
     void testRequestsBeyondThePipelineLimitAreAnswered() throws Exception {
         int requests = 3_000;
@@ -422,6 +442,13 @@
         if (request.path().equals("/fault")) {
             throw new IllegalStateException("A fault of the handler.");
         }
+        if (request.path().equals("/error")) {
+            throw new OutOfMemoryError("An error of the handler.");
+        }
+        if (request.path().equals("/fault-behind-head")) {
+            exchange.begin(200, DefaultHttpHeadersFactory.headersFactory().newHeaders());
+            throw new IllegalStateException("A fault behind the head of a response.");
+        }
         if (request.path().equals("/wait")) {
             return;
         }
