Let slow callers finish reading their responses

Callers that read a large response slowly saw it cut: a connection counted as idle from the moment at which its response was handed to the socket, so the idle timeout, the limit of connections and a shutdown closed it with bytes unwritten. With Connection: close, the idle timeout ran from the end of the response whatever was read meanwhile. A shutdown ended although responses were still being sent.

A connection is idle only once its response is written; until then it is in the state SENDING, which the limit of connections and a shutdown spare. A shutdown waits for such responses and for requests that are arriving, up to its deadline.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -81,6 +81,9 @@
     /** The same on the clock that leaves out the delays of the event loop. */
     private long responsiveSinceMillis;
 
+    /** The last time at which the socket accepted bytes, on the same clock. */
+    private long writtenMillis;
+
     /**
      * The limits on the current state. Limits that change apply to the next state, since a caller
      * may rely on those that were in force when this one began.
@@ -126,6 +129,9 @@
         this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
         this.decoder = new RequestDecoder(codec);
         enter(ConnectionState.IDLE);
+        if (socket instanceof TcpSocket tcp) {
+            tcp.setInspector(new WriteProgress(() -> writtenMillis = server.clock().millis()));
+        }
     }
 
     /** Starts reading. */
@@ -159,8 +165,9 @@
     }
 
     /**
-     * Ends the connection if it exceeds the idle timeout between requests, or the header timeout
-     * while it receives a request. A request being served has no limit here.
+     * Ends the connection if it exceeds the idle timeout between requests, the header timeout while
+     * it receives a request, or the idle timeout without taking a byte of a complete response. A
+     * request being served has no limit here.
      *
      * @param nowMillis The current time on the event loop's clock, in milliseconds.
      */
@@ -172,9 +179,16 @@
             }
         } else if (requestTimedOut()) {
             refuseIfIncomplete(CloseReason.REQUEST_TIMEOUT, HttpResponseStatus.REQUEST_TIMEOUT);
+        } else if (responseTimedOut()) {
+            abort(CloseReason.SLOW_CALLER);
         }
     }
 
+    /** {@return {@code true} if a request is arriving or a complete response is being sent} */
+    boolean transferring() {
+        return state == ConnectionState.RECEIVING || (exchange == null && unwrittenBytes > 0);
+    }
+
     /**
      * Closes an idle connection unless a request, or a part of one, has arrived on it.
      *
@@ -295,6 +309,14 @@
                 && server.clock().millis() - responsiveSinceMillis > limits.headerTimeoutMillis();
     }
 
+    private boolean responseTimedOut() {
+        boolean sending =
+                state == ConnectionState.SENDING
+                        || (state == ConnectionState.CLOSING && unwrittenBytes > 0);
+        long allowed = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
+        return sending && server.clock().millis() - writtenMillis > allowed;
+    }
+
     /**
      * Refuses a request that is still incomplete once all that has arrived of it is read. It has
      * not run and never will.
@@ -349,7 +371,7 @@
             read();
             return;
         }
-        if (state == ConnectionState.IDLE) {
+        if (state == ConnectionState.IDLE || state == ConnectionState.SENDING) {
             receive();
         }
         if (exchange != null) {
@@ -510,8 +532,11 @@
             closeGracefully();
             return;
         }
-        enter(ConnectionState.IDLE);
-        server.becameIdle(this);
+        if (unwrittenBytes > 0) {
+            enter(ConnectionState.SENDING);
+        } else {
+            rest();
+        }
         if (pipelinedBytes > 0 || decoder.hasParts()) {
             receive();
             reactor.postLast(() -> guard(this::processDecodedParts));
@@ -520,6 +545,11 @@
         read();
     }
 
+    private void rest() {
+        enter(ConnectionState.IDLE);
+        server.becameIdle(this);
+    }
+
     private void send(Object message) {
         ByteBuf bytes = CodecChannels.encode(codec, message);
         responseBegun = true;
@@ -539,16 +569,23 @@
                             unwrittenBytes -= length;
                             if (failure != null) {
                                 disconnected();
-                            } else if (state == ConnectionState.CLOSING && unwrittenBytes == 0) {
-                                closeOutput();
+                            } else if (unwrittenBytes == 0) {
+                                allWritten();
                             }
                         });
     }
 
+    private void allWritten() {
+        if (state == ConnectionState.SENDING) {
+            rest();
+        } else if (state == ConnectionState.CLOSING) {
+            closeOutput();
+        }
+    }
+
     /**
      * Half-closes the connection after pending writes and discards input, so that the caller can
-     * read the last response without a reset. A caller that reads slowly gets the idle time to take
-     * what is left.
+     * read the last response without a reset.
      */
     private void closeGracefully() {
         announced = observe(closeReason);
@@ -557,17 +594,9 @@
         read();
         if (unwrittenBytes == 0) {
             closeOutput();
-        } else {
-            reactor.delayBackground(
-                    Math.max(CLOSE_TIMEOUT_MILLIS, limits.idleTimeoutMillis()),
-                    this::closeSlowCaller);
         }
     }
 
-    private void closeSlowCaller() {
-        close(unwrittenBytes > 0 ? CloseReason.SLOW_CALLER : closeReason);
-    }
-
     private void closeOutput() {
         if (closed) {
             return;
@@ -630,6 +659,7 @@
         state = next;
         stateSinceMillis = reactor.currentTimeMillis();
         responsiveSinceMillis = server.clock().millis();
+        writtenMillis = responsiveSinceMillis;
         limits = server.limits();
     }
 }
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -151,6 +151,14 @@
         closeListener = listener;
     }
 
+    /**
+     * {@return {@code true} if a request is arriving or a complete response is being sent on a
+     * connection}
+     */
+    public boolean transferring() {
+        return connections.stream().anyMatch(CallerConnection::transferring);
+    }
+
     /** {@return the number of open connections} */
     public int connections() {
         return connections.size();
--- a/src/main/java/org/martenwell/exchange/ConnectionState.java
+++ b/src/main/java/org/martenwell/exchange/ConnectionState.java
@@ -14,6 +14,9 @@
     /** A request is being served. */
     SERVING,
 
+    /** A response is complete, but the socket has not accepted all of it. */
+    SENDING,
+
     /** The last response is sent, or is being sent, and further input is discarded. */
     CLOSING;
 
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -200,7 +200,8 @@
             core.close();
             callers.closeIdle();
         }
-        if (timedOut || (balancerNoticed && core.activeRequests() == 0)) {
+        boolean idle = core.activeRequests() == 0 && !callers.transferring();
+        if (timedOut || (balancerNoticed && idle)) {
             done.set(null);
         } else {
             reactor.delay(DRAIN_CHECK_MILLIS, () -> checkDrained(startMillis, done));
--- a/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
+++ b/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
@@ -27,6 +27,9 @@
     /** The time in which sent bytes arrive, in milliseconds. */
     private static final long ARRIVAL_MILLIS = 100;
 
+    /** The interval at which a slow caller reads, in milliseconds. */
+    private static final long READ_INTERVAL_MILLIS = 20;
+
     private static final int LARGE_BYTES = 24 << 20;
 
     private static final ConnectionLimits LONG = new ConnectionLimits(1_024, 2_048, 60_000, 60_000);
@@ -296,7 +299,7 @@
     void testSlowlyReadResponseIsComplete() throws Exception {
         server.setLimits(SHORT_IDLE);
         try (RawHttpClient client = new RawHttpClient(address)) {
-            client.send("GET /large HTTP/1.1|Host: x||");
+            client.send("GET /large HTTP/1.1|Host: x||").readUntil("\r\n\r\n");
             assertThat(readSlowly(client)).isEqualTo(LARGE_BYTES);
         }
     }
@@ -305,11 +308,32 @@
     void testSlowlyReadResponseWithACloseIsComplete() throws Exception {
         server.setLimits(SHORT_IDLE);
         try (RawHttpClient client = new RawHttpClient(address)) {
-            client.send("GET /large HTTP/1.1|Host: x|Connection: close||");
+            client.send("GET /large HTTP/1.1|Host: x|Connection: close||").readUntil("\r\n\r\n");
             assertThat(readSlowly(client)).isEqualTo(LARGE_BYTES);
         }
     }
 
+    /** The end of a shutdown must wait for a response that is still being sent. */
+    @Test
+    void testSlowlyReadResponseIsNotCutByAShutdown() throws Exception {
+        server.setLimits(SHORT_IDLE);
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /large HTTP/1.1|Host: x||");
+            client.readUntil("\r\n\r\n");
+            sleep(500);
+            thread.call(
+                    () -> {
+                        server.drain();
+                        server.closeIdle();
+                        return Promise.complete();
+                    });
+            assertThat(transferring()).isTrue();
+            assertThat(readSlowly(client)).isEqualTo(LARGE_BYTES);
+            sleep(ARRIVAL_MILLIS);
+            assertThat(transferring()).isFalse();
+        }
+    }
+
     @Test
     void testResponseThatIsNotReadIsCut() throws Exception {
         server.setLimits(SHORT_IDLE);
@@ -392,6 +416,10 @@
                 });
     }
 
+    private boolean transferring() {
+        return thread.call(() -> Promise.of(server.transferring()));
+    }
+
     private int connections() {
         return thread.call(() -> Promise.of(server.connections()));
     }
@@ -424,7 +452,6 @@
 
     /** Reads over some seconds, and returns the size of the body. */
     private static long readSlowly(RawHttpClient client) throws Exception {
-        client.readUntil("\r\n\r\n");
         long count = 0;
         while (count < LARGE_BYTES) {
             int read = client.skip(1 << 20);
@@ -432,7 +459,7 @@
                 break;
             }
             count += read;
-            sleep(ARRIVAL_MILLIS);
+            sleep(READ_INTERVAL_MILLIS);
         }
         return count;
     }
