Log how late the loop was when it took others for silent

A decision taken from silence by a loop that is itself late looks in the log like one about a target, the store or a peer that really says nothing.

Attempts that fail with the cause silent state the target's silence and by how much the loop was late when it decided. The reason of a failed call to the store says how late its timer was, so watch-failed and store-lost tell. Two new lines, peer-disconnected and relay, name connections to peers that end and relays that are replaced, neither of which was logged.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -91,6 +91,7 @@
      */
     private PendingCall begin(long timeoutMillis, boolean reuseConnection) {
         PendingCall call = new PendingCall(reuseConnection);
+        call.dueMillis = reactor.currentTimeMillis() + timeoutMillis;
         call.timer = reactor.delayBackground(timeoutMillis, call::timedOut);
         return call;
     }
@@ -112,6 +113,9 @@
 
         private ScheduledRunnable timer;
 
+        /** The time for which the timer is scheduled, in milliseconds. */
+        private long dueMillis;
+
         /** The connection, or {@code null} while it is being opened. */
         private TargetConnection connection;
 
@@ -182,7 +186,8 @@
             // Idle connections may be dead for the same reason, and each would cost a call its
             // timeout.
             connections.closeIdle();
-            fail("The internal HTTP call took too long.");
+            long lateMillis = reactor.currentTimeMillis() - dueMillis;
+            fail("The internal HTTP call took too long, by a timer " + lateMillis + " ms late.");
         }
 
         private void fail(String message) {
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -27,6 +27,8 @@
 
     private static final Logger LOGGER = LogManager.getLogger(GatewayLog.class);
 
+    private static final String SILENT_CAUSE = "silent";
+
     private final NioReactor reactor;
 
     private final MetricRegistry metrics = new MetricRegistry();
@@ -204,7 +206,7 @@
     }
 
     /**
-     * Records an attempt that the target didn't run, or whose target was silent.
+     * Records an attempt that the target didn't run.
      *
      * @param request The id that the caller gave to the attempt.
      * @param target The target's id.
@@ -221,6 +223,26 @@
         }
     }
 
+    /**
+     * Records an attempt whose target was silent.
+     *
+     * @param request The id that the caller gave to the attempt.
+     * @param target The target's id.
+     * @param silence The circumstances.
+     */
+    void targetSilent(String request, String target, Silence silence) {
+        metrics.counter("attempts_failed_" + SILENT_CAUSE).inc();
+        if (mayWrite()) {
+            write(
+                    LogEvent.of("attempt-failed")
+                            .with("request", request)
+                            .with("target", target)
+                            .with("cause", SILENT_CAUSE)
+                            .with("silentMillis", silence.millis())
+                            .with("lateMillis", silence.lateMillis()));
+        }
+    }
+
     /**
      * Records an attempt that failed after the request was sent.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -91,6 +91,9 @@
     /** The time for which the last urgent report was scheduled, in milliseconds. */
     private long urgentMillis = Long.MIN_VALUE / 2;
 
+    /** The relay of this gateway's failure domain at the last report, empty if there was none. */
+    private String lastRelay = "";
+
     private boolean stopped;
 
     /**
@@ -373,9 +376,19 @@
         }
     }
 
+    /** Logs the relay of this gateway's failure domain if it has changed. */
+    private void logRelay() {
+        String relay = topology.usesRelays() ? topology.relay(core.now()) : "";
+        if (!relay.equals(lastRelay)) {
+            lastRelay = relay;
+            core.log().changed("relay", relay);
+        }
+    }
+
     /** Sends this gateway's report to its peers or its relay. */
     private void sendReport() {
         connect();
+        logRelay();
         // Doesn't refresh for each draining target that a peer reports, since the directory usually
         // delivers the change soon after.
         if (core.targets().detectStaleDirectory(core.now())) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -37,8 +37,6 @@
     /** The time for which a target that is not the intended one is suspended, in milliseconds. */
     private static final long MISDIRECTED_SUSPENSION_MILLIS = 5_000;
 
-    private static final String SILENT_CAUSE = "silent";
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
@@ -396,10 +394,10 @@
     /**
      * Records a failure of a silent target, and retries the request elsewhere if that is allowed.
      */
-    private void targetSilent(SendAttempt silentAttempt) {
+    private void targetSilent(SendAttempt silentAttempt, Silence silence) {
         silentAttempt.target().load().health().failed(core.now());
         if (route.repeatable() && mayRetry()) {
-            core.log().attemptFailed(requestId(), targetId(silentAttempt), SILENT_CAUSE);
+            core.log().targetSilent(requestId(), targetId(silentAttempt), silence);
             history.markPossiblyRun();
             cancelAttempt();
             trySend();
--- a/src/main/java/org/martenwell/gateway/StallDetector.java
+++ b/src/main/java/org/martenwell/gateway/StallDetector.java
@@ -1,6 +1,5 @@
 package org.martenwell.gateway;
 
-import java.util.function.Consumer;
 import org.martenwell.route.Route;
 
 /** Detects attempts whose target sends nothing for longer than the route allows. */
@@ -23,18 +22,28 @@
     /** The allowed silence of a target, in milliseconds. */
     private final long allowedMillis;
 
-    /** Called with an attempt whose target is silent. */
-    private final Consumer<SendAttempt> listener;
+    private final Listener listener;
+
+    /** Receives the attempts whose targets are silent. */
+    interface Listener {
+
+        /**
+         * Called when a target is silent, repeatedly until it sends or the attempt is over.
+         *
+         * @param attempt The attempt.
+         * @param silence The circumstances of the decision.
+         */
+        void targetSilent(SendAttempt attempt, Silence silence);
+    }
 
     /**
      * Creates a detector for the attempts of a request.
      *
      * @param core The gateway's state.
      * @param route The request's route.
-     * @param listener Called with an attempt whose target is silent, repeatedly until the target
-     *     sends or the attempt is over.
+     * @param listener Receives the attempts whose targets are silent.
      */
-    StallDetector(GatewayCore core, Route route, Consumer<SendAttempt> listener) {
+    StallDetector(GatewayCore core, Route route, Listener listener) {
         this.core = core;
         this.listener = listener;
         long objectives = OBJECTIVES_ALLOWED * route.objectiveMillis();
@@ -48,20 +57,23 @@
      * @param attempt The attempt.
      */
     void watch(SendAttempt attempt) {
-        core.reactor().delayBackground(allowedMillis, () -> check(attempt));
+        long dueMillis = core.now() + allowedMillis;
+        core.reactor().delayBackground(allowedMillis, () -> check(attempt, dueMillis));
     }
 
     /**
      * Reports an attempt whose target is silent, and schedules the next check.
      *
      * @param attempt The attempt.
+     * @param dueMillis The time for which this check was scheduled, in milliseconds.
      */
-    private void check(SendAttempt attempt) {
+    private void check(SendAttempt attempt, long dueMillis) {
         if (attempt.over()) {
             return;
         }
-        if (attempt.silentMillis() >= allowedMillis) {
-            listener.accept(attempt);
+        long silentMillis = attempt.silentMillis();
+        if (silentMillis >= allowedMillis) {
+            listener.targetSilent(attempt, new Silence(silentMillis, core.now() - dueMillis));
         }
         if (!attempt.over()) {
             watch(attempt);
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -13,7 +13,10 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.time.Duration;
 import java.util.Random;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.martenwell.message.PeerMessage;
+import org.martenwell.observe.LogEvent;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.TcpConnector;
 
@@ -23,6 +26,8 @@
  */
 final class PeerConnection {
 
+    private static final Logger LOGGER = LogManager.getLogger(PeerConnection.class);
+
     /**
      * The timeout for connecting, in milliseconds. It is shorter than the retransmission timeout of
      * TCP, which is about 1 s, so a new attempt is faster than waiting for a lost packet.
@@ -82,6 +87,9 @@
     /** Signs frames; {@code null} until the peer has sent the nonce of an open connection. */
     private FrameCodec codec;
 
+    /** The time at which the last bytes were received, in milliseconds. */
+    private long lastReadMillis;
+
     /** Set while a flush is queued in the event loop. */
     private boolean flushScheduled;
 
@@ -204,7 +212,7 @@
                         () ->
                                 input.decodeStream(ByteBufsDecoders.ofFixedSize(1))
                                         .streamTo(keepAliveConsumer()))
-                .whenComplete(() -> onDisconnected(opened));
+                .whenComplete((ignored, failure) -> onDisconnected(opened, failure));
     }
 
     /**
@@ -212,12 +220,17 @@
      *
      * @return The consumer.
      */
-    private static ChannelConsumer<ByteBuf> keepAliveConsumer() {
-        return ChannelConsumers.ofConsumer(ByteBuf::recycle);
+    private ChannelConsumer<ByteBuf> keepAliveConsumer() {
+        return ChannelConsumers.ofConsumer(
+                bytes -> {
+                    bytes.recycle();
+                    lastReadMillis = reactor.currentTimeMillis();
+                });
     }
 
     private void onNonceReceived(TcpSocket opened, byte[] nonce) {
         socket = opened;
+        lastReadMillis = reactor.currentTimeMillis();
         codec = new FrameCodec(key, nonce);
         messageWriter = new MessageWriter();
         delayMillis = INITIAL_DELAY_MILLIS;
@@ -228,8 +241,17 @@
      * Discards a failed connection with its buffered messages and schedules a reconnect.
      *
      * @param broken The failed connection.
+     * @param failure The cause, or {@code null} if the peer closed the connection.
      */
-    private void onDisconnected(TcpSocket broken) {
+    private void onDisconnected(TcpSocket broken, Exception failure) {
+        if (established() && !closed) {
+            LOGGER.info(
+                    LogEvent.of("peer-disconnected")
+                            .with("peer", name)
+                            .with("reason", failure == null ? "closed" : failure.toString())
+                            .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
+                            .message());
+        }
         broken.close();
         socket = null;
         codec = null;
