Read what the store answered before a call to it times out

A gateway whose event loop was busy for as long as the timeout of a call took the store for silent, though its response lay unread: it listed each kind anew, closed its idle connections and used entries of before.

Cause: ActiveJ runs due timers before it reads its sockets, and the timer of a call ran on the loop that is to read the response.

ResponseTimeout measures by the clock that leaves out delays of the loop, and expires only in the turn behind the one in which it was due, so that the loop has read its sockets in between. The first alone isn't enough, since up to 160 ms of a delay count; the second alone isn't either, since the request may have been written only behind the delay.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -3,12 +3,13 @@
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
-import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.util.function.LongSupplier;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.service.ResponseTimeout;
 
 /**
  * An HTTP client for this program's own requests to one address. Each call completes or fails
@@ -24,28 +25,37 @@
 
     private final NioReactor reactor;
 
+    /** The clock of timeouts. */
+    private final LongSupplier clock;
+
     private final TargetConnections connections;
 
     /**
      * Creates a client.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it timeouts are measured.
      * @param address The server's address.
      */
-    public InternalHttpClient(NioReactor reactor, InetSocketAddress address) {
-        this(reactor, address, ResponseHeadListener.NONE);
+    public InternalHttpClient(NioReactor reactor, LongSupplier clock, InetSocketAddress address) {
+        this(reactor, clock, address, ResponseHeadListener.NONE);
     }
 
     /**
      * Creates a client whose response heads are observed.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it timeouts are measured.
      * @param address The server's address.
      * @param headListener Receives the head of each response.
      */
     public InternalHttpClient(
-            NioReactor reactor, InetSocketAddress address, ResponseHeadListener headListener) {
+            NioReactor reactor,
+            LongSupplier clock,
+            InetSocketAddress address,
+            ResponseHeadListener headListener) {
         this.reactor = reactor;
+        this.clock = clock;
         this.connections =
                 new TargetConnections(
                         reactor, address, CONNECT_TIMEOUT_MILLIS, KeepAlive.PROBED, headListener);
@@ -91,8 +101,7 @@
      */
     private PendingCall begin(long timeoutMillis, boolean reuseConnection) {
         PendingCall call = new PendingCall(reuseConnection);
-        call.dueMillis = reactor.currentTimeMillis() + timeoutMillis;
-        call.timer = reactor.delayBackground(timeoutMillis, call::timedOut);
+        call.timeout = ResponseTimeout.start(reactor, clock, timeoutMillis, call::timedOut);
         return call;
     }
 
@@ -111,10 +120,7 @@
 
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-        private ScheduledRunnable timer;
-
-        /** The time for which the timer is scheduled, in milliseconds. */
-        private long dueMillis;
+        private ResponseTimeout timeout;
 
         /** The connection, or {@code null} while it is being opened. */
         private TargetConnection connection;
@@ -148,7 +154,7 @@
                 failed(ResponseFailure.BROKEN_OFF);
                 return;
             }
-            timer.cancel();
+            timeout.cancel();
             if (reuseConnection) {
                 connections.release(connection, 0);
             } else {
@@ -161,7 +167,7 @@
 
         @Override
         public void failed(ResponseFailure failure) {
-            timer.cancel();
+            timeout.cancel();
             connections.closeIdle();
             fail("The internal HTTP call failed: " + failure);
         }
@@ -186,8 +192,10 @@
             // Idle connections may be dead for the same reason, and each would cost a call its
             // timeout.
             connections.closeIdle();
-            long lateMillis = reactor.currentTimeMillis() - dueMillis;
-            fail("The internal HTTP call took too long, by a timer " + lateMillis + " ms late.");
+            fail(
+                    "The internal HTTP call took too long, by a timer "
+                            + timeout.lateMillis()
+                            + " ms late.");
         }
 
         private void fail(String message) {
--- a/src/main/java/org/martenwell/gateway/CacheChangePoller.java
+++ b/src/main/java/org/martenwell/gateway/CacheChangePoller.java
@@ -45,7 +45,7 @@
     private CacheChangePoller(GatewayCore core, KnownTarget target) {
         this.core = core;
         this.target = target;
-        this.client = core.targets().createClient(target);
+        this.client = core.targets().createClient(target, core.clock()::millis);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/CachedPartsLoader.java
+++ b/src/main/java/org/martenwell/gateway/CachedPartsLoader.java
@@ -85,7 +85,7 @@
             core.reactor().delayBackground(pauseMillis, () -> requestParts(target));
             return;
         }
-        InternalHttpClient client = core.targets().createClient(target);
+        InternalHttpClient client = core.targets().createClient(target, core.clock()::millis);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         headers.set(HttpHeaderNames.HOST, target.load().target().address().getHostString());
         OutboundRequest request =
--- a/src/main/java/org/martenwell/gateway/Deployment.java
+++ b/src/main/java/org/martenwell/gateway/Deployment.java
@@ -2,6 +2,7 @@
 
 import io.activej.reactor.nio.NioReactor;
 import java.util.ServiceLoader;
+import java.util.function.LongSupplier;
 import org.martenwell.directory.DirectoryListener;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.error.ErrorKind;
@@ -27,12 +28,16 @@
      * Creates the client of the directory service.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it timeouts of calls are measured.
      * @param settings The gateway's settings.
      * @param listener Receives the contents of the directory and their changes.
      * @return The client, not started.
      */
     FleetDirectory directory(
-            NioReactor reactor, GatewaySettings settings, DirectoryListener listener);
+            NioReactor reactor,
+            LongSupplier clock,
+            GatewaySettings settings,
+            DirectoryListener listener);
 
     /**
      * Finds a deployment by name.
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -24,6 +24,7 @@
 import org.martenwell.route.RouteTable;
 import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.route.WarmUpLimit;
+import org.martenwell.service.ResponsiveClock;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.settings.ProcessorSettings;
 import org.martenwell.share.DispositionCounts;
@@ -43,6 +44,9 @@
 
     private final NioReactor reactor;
 
+    /** The clock of timeouts for targets, peers and the directory. */
+    private final ResponsiveClock clock;
+
     private final RequestDialect dialect;
 
     private final TargetTable targets;
@@ -132,6 +136,7 @@
             Random random,
             GatewayLog log) {
         this.reactor = reactor;
+        this.clock = new ResponsiveClock(reactor);
         this.dialect = dialect;
         this.random = random;
         this.log = log;
@@ -210,6 +215,11 @@
         return reactor.currentTimeMillis();
     }
 
+    /** {@return the clock of timeouts for targets, peers and the directory} */
+    ResponsiveClock clock() {
+        return clock;
+    }
+
     /** {@return the HTTP formats of callers and targets} */
     RequestDialect dialect() {
         return dialect;
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -125,7 +125,7 @@
                         settings.name(),
                         callers::connections,
                         peerReporter::informationAge);
-        this.directory = deployment.directory(reactor, settings, this);
+        this.directory = deployment.directory(reactor, core.clock()::millis, settings, this);
         this.cachedPartsLoader = new CachedPartsLoader(core, settings.name());
         this.cachedPartsFollower = new CachedPartsFollower(core, peerReporter.livePeers());
         peerReporter.directory(directory);
@@ -135,8 +135,9 @@
     @Override
     public Promise<Void> start() {
         log.changed("gateway-start", settings.name());
-        return readiness
+        return core.clock()
                 .start()
+                .then(readiness::start)
                 .then(callers::start)
                 .then(() -> metrics.map(CallerServer::start).orElseGet(Promise::complete))
                 .then(peerReporter::start)
@@ -164,6 +165,7 @@
                 .then(callers::stop)
                 .then(() -> metrics.map(CallerServer::stop).orElseGet(Promise::complete))
                 .then(readiness::stop)
+                .then(core.clock()::stop)
                 .whenResult(() -> log.changed("gateway-stopped", settings.name()));
     }
 
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import org.martenwell.balance.Availabilities;
 import org.martenwell.balance.Availability;
 import org.martenwell.balance.NoticeSource;
@@ -507,11 +508,13 @@
      * Creates a client for requests of the gateway itself to a target.
      *
      * @param target The target.
+     * @param clock Returns the time, in milliseconds; by it timeouts are measured.
      * @return The client, which has its own connections and must be closed.
      */
-    InternalHttpClient createClient(KnownTarget target) {
+    InternalHttpClient createClient(KnownTarget target, LongSupplier clock) {
         return new InternalHttpClient(
                 reactor,
+                clock,
                 target.load().target().address(),
                 head -> listener.responseReceived(target.load(), head));
     }
--- a/src/test/java/org/martenwell/exchange/EmptyCloseDelimitedResponseTest.java
+++ b/src/test/java/org/martenwell/exchange/EmptyCloseDelimitedResponseTest.java
@@ -48,7 +48,10 @@
     private BufferedResponse call(RawTarget target) {
         return thread.call(
                 () ->
-                        new InternalHttpClient(thread.loop(), target.address())
+                        new InternalHttpClient(
+                                        thread.loop(),
+                                        thread.loop()::currentTimeMillis,
+                                        target.address())
                                 .call(
                                         new OutboundRequest(
                                                 HttpMethod.GET,
