Read what a target sent before it is taken for silent

Behind a delay of its own event loop, a gateway took targets for silent whose response lay unread: it cancelled requests in progress, sent them again and counted the failure against the target, which pauses it at three.

Cause: the check for silence is due by the clock, and ActiveJ runs what is due before it reads its sockets. Silence was measured on the loop's own clock.

Silence is measured by the clock that leaves out delays of the loop, and an attempt that seems silent is checked once more behind the next read. The time for which a response has gone on, after which its prompt counts as survived, is measured by the same clock, since a late loop would count its own delay there too (by reading, no test of its own).

--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -786,12 +786,12 @@
     }
 
     /**
-     * Returns the current time.
+     * Returns the time on the clock that leaves out delays of the event loop.
      *
-     * @return The time of the event loop, in milliseconds.
+     * @return The time in milliseconds.
      */
-    long now() {
-        return core.now();
+    long responsiveMillis() {
+        return core.clock().millis();
     }
 
     /** Returns the time until the deadline, in milliseconds, negative after it. */
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -42,12 +42,12 @@
     /** The idle timeout of the connection, in milliseconds, or 0 if the target stated none. */
     private long idleMillis;
 
-    /** The time at which the last chunk of the body arrived, in milliseconds. */
+    /** The time at which the last chunk of the body arrived on the responsive clock. */
     private long lastReceivedMillis;
 
     private boolean bodyStarted;
 
-    /** The time at which the first chunk of the body arrived, in milliseconds. */
+    /** The time at which the first chunk of the body arrived on the responsive clock. */
     private long bodyStartedMillis;
 
     /** Set once the dispatch was notified that the target survived the start of its response. */
@@ -67,7 +67,7 @@
         this.dispatch = dispatch;
         this.target = target;
         this.running = running;
-        this.lastReceivedMillis = running.sentMillis();
+        this.lastReceivedMillis = dispatch.responsiveMillis();
     }
 
     /**
@@ -99,12 +99,12 @@
     }
 
     /**
-     * Returns the time since the last chunk of the body arrived.
+     * Returns the time since the last chunk of the body arrived, without delays of the event loop.
      *
      * @return The time in milliseconds, counted from sending before the first chunk.
      */
     long silentMillis() {
-        return dispatch.now() - lastReceivedMillis;
+        return dispatch.responsiveMillis() - lastReceivedMillis;
     }
 
     /**
@@ -162,7 +162,7 @@
 
     @Override
     public void bodyPartReceived(byte[] piece) {
-        lastReceivedMillis = dispatch.now();
+        lastReceivedMillis = dispatch.responsiveMillis();
         if (!over) {
             recordBodyProgress();
             dispatch.bodyReceived(piece);
--- a/src/main/java/org/martenwell/gateway/StallDetector.java
+++ b/src/main/java/org/martenwell/gateway/StallDetector.java
@@ -1,6 +1,7 @@
 package org.martenwell.gateway;
 
 import org.martenwell.route.Route;
+import org.martenwell.service.ResponseTimeout;
 
 /** Detects attempts whose target sends nothing for longer than the route allows. */
 final class StallDetector {
@@ -62,18 +63,36 @@
     }
 
     /**
-     * Reports an attempt whose target is silent, and schedules the next check.
+     * Checks an attempt once more behind the next read if its target seems silent, else later.
      *
      * @param attempt The attempt.
      * @param dueMillis The time for which this check was scheduled, in milliseconds.
      */
     private void check(SendAttempt attempt, long dueMillis) {
+        if (attempt.over()) {
+            return;
+        }
+        if (attempt.silentMillis() < allowedMillis) {
+            watch(attempt);
+            return;
+        }
+        long lateMillis = core.now() - dueMillis;
+        ResponseTimeout.afterNextRead(core.reactor(), () -> decide(attempt, lateMillis));
+    }
+
+    /**
+     * Reports an attempt whose target is silent, and schedules the next check.
+     *
+     * @param attempt The attempt.
+     * @param lateMillis The delay of the event loop at the check, in milliseconds.
+     */
+    private void decide(SendAttempt attempt, long lateMillis) {
         if (attempt.over()) {
             return;
         }
         long silentMillis = attempt.silentMillis();
         if (silentMillis >= allowedMillis) {
-            listener.targetSilent(attempt, new Silence(silentMillis, core.now() - dueMillis));
+            listener.targetSilent(attempt, new Silence(silentMillis, lateMillis));
         }
         if (!attempt.over()) {
             watch(attempt);
