Read a response that has arrived before its request times out

A gateway whose event loop was busy while a request's deadline passed answered 504 though the target's response lay unread, and cancelled the attempt. The caller was still there and got nothing for work that was done.

The deadline stays what it is. Only the decision is taken behind the next read if an attempt is in progress, which costs a punctual loop 1 ms and a late one a turn. What is not read whole by then is cut, as before: a caller's deadline and a route's timeout stay bounds, and a response of several reads isn't worth holding a request past them.

--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -20,6 +20,7 @@
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.OrganisationConfiguration;
 import org.martenwell.route.Route;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.share.Disposition;
 import org.martenwell.share.ShareUse;
 import org.martenwell.version.ServiceVersion;
@@ -160,7 +161,8 @@
         deadlineMillis = arrivedMillis + timeout;
         exchange.onDisconnect(this::callerDisconnected);
         deadlineTimer =
-                core.reactor().delayBackground(Math.max(1, remainingMillis()), this::timedOut);
+                core.reactor()
+                        .delayBackground(Math.max(1, remainingMillis()), this::deadlinePassed);
         stallDetector = new StallDetector(core, route, this::targetSilent);
         identity =
                 new RequestIdentity(
@@ -674,6 +676,15 @@
                 && core.takeRetry();
     }
 
+    /** Ends the request, behind the next read if a response to it may have arrived. */
+    private void deadlinePassed() {
+        if (attempt == null) {
+            timedOut();
+        } else {
+            ResponseTimeout.afterNextRead(core.reactor(), this::timedOut);
+        }
+    }
+
     private void timedOut() {
         if (over) {
             return;
