See the result of a probe before a late loop gives it up

A response without framing that a crashed target truncated was passed on like a whole one, and failed attempts were repeated before the crash was known, by a gateway whose event loop was busy for longer than a probe may take (0.1 s).

Cause: the timer of the probe ran before the loop saw that the connection was refused. Its decision is taken behind the next read now.

--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.martenwell.exchange.ConnectResult;
+import org.martenwell.service.ResponseTimeout;
 
 /**
  * Detects whether a target crashed when attempts at it fail, and reports the requests that it was
@@ -156,7 +157,9 @@
 
     /** Calls a listener once a probe that begins now is complete or has timed out. */
     private void awaitProbe(KnownTarget target, Incarnation incarnation, ProbeListener waiting) {
-        reactor.delayBackground(
+        ResponseTimeout.start(
+                reactor,
+                reactor::currentTimeMillis,
                 PROBE_TIMEOUT_MILLIS,
                 () -> {
                     if (incarnation.waiting.remove(waiting)
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -16,6 +16,7 @@
 import org.martenwell.exchange.CallerServer;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.RequestSummary;
+import org.martenwell.service.BusyLoop;
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
@@ -27,6 +28,9 @@
             new SuspectRequest(
                     new Fingerprint(1, 2), RequestSummary.of("GET", "h", "/", "clinic"), List.of());
 
+    /** Longer than an attempt waits for its probe, in milliseconds. */
+    private static final long BUSY_MILLIS = 700;
+
     private final EventLoopThread thread = EventLoopThread.start("target-crash-detector");
 
     private final String address = LoopbackPorts.free(1).get(0);
@@ -138,16 +142,31 @@
         assertThat(crashed()).containsExactly("false");
     }
 
-    private void endWithConnection(String id) {
+    /** A busy loop must not take a probe that it has not seen refused for one without a result. */
+    @Test
+    void testCrashIsSeenByABusyLoop() {
+        updateTable(target("a", 1, false));
         run(
-                () ->
-                        detector.endedByClose(
-                                known(id),
-                                () -> SUSPECT,
-                                result -> {
-                                    crashed.add(Boolean.toString(result));
-                                    completedProbes.incrementAndGet();
-                                }));
+                () -> {
+                    probeBehindAResponse("a");
+                    BusyLoop.block(BUSY_MILLIS);
+                });
+        await(() -> completedProbes.get() == 1);
+        assertThat(crashed()).containsExactly("a@1", "true");
+    }
+
+    private void endWithConnection(String id) {
+        run(() -> probeBehindAResponse(id));
+    }
+
+    private void probeBehindAResponse(String id) {
+        detector.endedByClose(
+                known(id),
+                () -> SUSPECT,
+                result -> {
+                    crashed.add(Boolean.toString(result));
+                    completedProbes.incrementAndGet();
+                });
     }
 
     private void listen() {
