Read keep-alives before a silent peer's connection is closed

A gateway or router whose event loop was busy for 2.5 s closed the connections to all of its peers at once, with all messages that awaited being written, and opened them again, though keep-alives lay unread.

Cause: the read timeout of a socket is a timer that ActiveJ runs before it reads. The connection has its own timeout now, which expires behind the next read.

BusyLoopPeerTest (a peer on a loop of its own, busy for 2.9 s): 2 connections were established before, 1 now. PeerNetworkTest shows that a peer that sends no keep-alives or no nonce is still left (3 of 3).

--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.martenwell.peer;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufPool;
 import io.activej.csp.binary.BinaryChannelSupplier;
@@ -11,13 +12,13 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
-import java.time.Duration;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.service.TcpConnector;
 
 /**
@@ -90,6 +91,9 @@
     /** The time at which the last bytes were received, in milliseconds. */
     private long lastReadMillis;
 
+    /** The read timeout of the open connection, or {@code null} if there is none. */
+    private ResponseTimeout readTimeout;
+
     /** Set while a flush is queued in the event loop. */
     private boolean flushScheduled;
 
@@ -145,7 +149,11 @@
 
     /** Connects, and reconnects after a failure until {@link #close} is called. */
     void open() {
-        TcpConnector.connect(reactor, IpAddress.of(address), CONNECT_TIMEOUT_MILLIS, settings())
+        TcpConnector.connect(
+                        reactor,
+                        IpAddress.of(address),
+                        CONNECT_TIMEOUT_MILLIS,
+                        SocketSettings.create())
                 .whenResult(this::onConnected)
                 .whenException(exception -> retryLater());
     }
@@ -159,12 +167,6 @@
         }
     }
 
-    private static SocketSettings settings() {
-        return SocketSettings.builder()
-                .withImplReadTimeout(Duration.ofMillis(READ_TIMEOUT_MILLIS))
-                .build();
-    }
-
     /** Closes the connection and stops reconnecting. */
     void close() {
         closed = true;
@@ -205,6 +207,12 @@
             opened.close();
             return;
         }
+        readTimeout =
+                ResponseTimeout.start(
+                        reactor,
+                        reactor::currentTimeMillis,
+                        READ_TIMEOUT_MILLIS,
+                        () -> opened.closeEx(new AsyncTimeoutException("The peer is silent")));
         BinaryChannelSupplier input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(opened));
         input.decode(ByteBufsDecoders.ofFixedSize(FrameCodec.NONCE_BYTES))
                 .whenResult(nonce -> onNonceReceived(opened, nonce.asArray()))
@@ -224,13 +232,18 @@
         return ChannelConsumers.ofConsumer(
                 bytes -> {
                     bytes.recycle();
-                    lastReadMillis = reactor.currentTimeMillis();
+                    bytesReceived();
                 });
     }
 
+    private void bytesReceived() {
+        lastReadMillis = reactor.currentTimeMillis();
+        readTimeout.restart();
+    }
+
     private void onNonceReceived(TcpSocket opened, byte[] nonce) {
         socket = opened;
-        lastReadMillis = reactor.currentTimeMillis();
+        bytesReceived();
         codec = new FrameCodec(key, nonce);
         messageWriter = new MessageWriter();
         delayMillis = INITIAL_DELAY_MILLIS;
@@ -252,6 +265,7 @@
                             .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
                             .message());
         }
+        readTimeout.cancel();
         broken.close();
         socket = null;
         codec = null;
