Let a late loop keep its relays and live peers

In a large fleet a gateway whose event loop was busy for over 0.7 s took the relays of all failure domains for down, since it had read no report of theirs: it closed its connection to its relay and opened others, and its reports were lost until the next relay was found. Behind 1.5 s it had no live peers, so that it owned every target and followed all of their prompt caches.

Cause: both are decided from the time of the last report on the loop's clock, in a timer that runs before the loop reads the reports. Peers and relays are judged without the loop's delays now.

A failed try: the time for which a gateway acts as a relay because others report to it was measured without delays, too.

LivePeersTest.testPeersOfABusyLoopStayLive holds that a peer that is silent without such a delay is dead behind 1.5 s as before.

--- a/src/main/java/org/martenwell/gateway/LivePeers.java
+++ b/src/main/java/org/martenwell/gateway/LivePeers.java
@@ -2,9 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
 import org.martenwell.hash.RendezvousHash;
 
-/** Tracks the gateways that reported recently and assigns each target to one of them. */
+/**
+ * Tracks the gateways that reported recently and assigns each target to one of them. Delays of the
+ * event loop, in which it reads no reports, make no gateway look dead.
+ */
 final class LivePeers {
 
     /** The time for which a gateway counts as live after its last report, in milliseconds. */
@@ -12,16 +16,21 @@
 
     private final String self;
 
-    /** The time of the last report by peer, in milliseconds. */
+    /** Returns the total delay of the event loop, in milliseconds. */
+    private final LongSupplier delay;
+
+    /** The time of the last report by peer without delays of the event loop, in milliseconds. */
     private final Map<String, Long> lastReportMillis = new HashMap<>();
 
     /**
      * Creates a tracker without live peers.
      *
      * @param self This gateway's name.
+     * @param delay Returns the total delay of the event loop so far, in milliseconds.
      */
-    LivePeers(String self) {
+    LivePeers(String self, LongSupplier delay) {
         this.self = self;
+        this.delay = delay;
     }
 
     /**
@@ -31,7 +40,7 @@
      * @param now The current time, in milliseconds.
      */
     void recordReport(String peer, long now) {
-        lastReportMillis.put(peer, now);
+        lastReportMillis.put(peer, withoutDelays(now));
     }
 
     /**
@@ -43,7 +52,7 @@
      */
     boolean isLive(String peer, long now) {
         return lastReportMillis.containsKey(peer)
-                && now - lastReportMillis.get(peer) <= LIVE_MILLIS;
+                && withoutDelays(now) - lastReportMillis.get(peer) <= LIVE_MILLIS;
     }
 
     /**
@@ -66,9 +75,14 @@
      * @return {@code true} if it is.
      */
     boolean owns(String target, long now) {
-        lastReportMillis.values().removeIf(millis -> now - millis > LIVE_MILLIS);
+        long time = withoutDelays(now);
+        lastReportMillis.values().removeIf(millis -> time - millis > LIVE_MILLIS);
         long own = RendezvousHash.score(self, target);
         return lastReportMillis.keySet().stream()
                 .allMatch(each -> RendezvousHash.score(each, target) <= own);
     }
+
+    private long withoutDelays(long now) {
+        return now - delay.getAsLong();
+    }
 }
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -110,10 +110,11 @@
         this.core = core;
         this.reportBuilder = new ReportBuilder(core, name, random.nextLong());
         this.reportReceiver = new ReportReceiver(core);
-        this.livePeers = new LivePeers(name);
+        this.livePeers = new LivePeers(name, core.clock()::omittedMillis);
         this.relayedReports = new RelayedReports(name);
         this.catchUp = new ConfigurationCatchUp(name);
-        this.topology = new ReportTopology(name, settings.failureDomain());
+        this.topology =
+                new ReportTopology(name, settings.failureDomain(), core.clock()::omittedMillis);
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
--- a/src/main/java/org/martenwell/gateway/ReportTopology.java
+++ b/src/main/java/org/martenwell/gateway/ReportTopology.java
@@ -5,8 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.hash.RendezvousHash;
 
@@ -15,7 +17,8 @@
  * gateways of each failure domain report to one of them, the relay, which forwards their reports to
  * the gateways of its domain and to the relays of the other domains. Each gateway selects the
  * relays by itself, without an election. A domain may have two relays for a moment, which is
- * harmless because reports are idempotent.
+ * harmless because reports are idempotent. Delays of the event loop, in which it reads no reports,
+ * make no relay look down.
  */
 final class ReportTopology {
 
@@ -50,6 +53,9 @@
 
     private final String domain;
 
+    /** Returns the total delay of the event loop, in milliseconds. */
+    private final LongSupplier delay;
+
     /** The selector of the relay of each failure domain. */
     private final Map<String, RelaySelector> relays = new TreeMap<>();
 
@@ -66,10 +72,12 @@
      *
      * @param self The gateway's name.
      * @param domain The gateway's failure domain.
+     * @param delay Returns the total delay of the event loop so far, in milliseconds.
      */
-    ReportTopology(String self, String domain) {
+    ReportTopology(String self, String domain, LongSupplier delay) {
         this.self = self;
         this.domain = domain;
+        this.delay = delay;
         relays.put(domain, new RelaySelector());
     }
 
@@ -92,7 +100,8 @@
      * @param now The current time, in milliseconds.
      */
     void recordRelay(String relay, long now) {
-        relays.values().forEach(each -> each.recordRelay(relay, now));
+        long time = withoutDelays(now);
+        relays.values().forEach(each -> each.recordRelay(relay, time));
     }
 
     /**
@@ -136,7 +145,7 @@
      * @return The relay's name, which may be this gateway's own.
      */
     String relay(long now) {
-        return relays.get(domain).choose(self, now).orElse(self);
+        return choose(relays.get(domain), now).orElse(self);
     }
 
     /**
@@ -167,7 +176,7 @@
         relays.forEach(
                 (name, selector) -> {
                     if (!name.equals(domain)) {
-                        selector.choose(self, now).ifPresent(names::add);
+                        choose(selector, now).ifPresent(names::add);
                     }
                 });
         return names;
@@ -211,10 +220,18 @@
                 .filter(each -> each.candidates().contains(gateway))
                 .filter(each -> each != relays.get(domain))
                 .findAny()
-                .flatMap(each -> each.choose(self, now))
+                .flatMap(each -> choose(each, now))
                 .orElse(gateway);
     }
 
+    private Optional<String> choose(RelaySelector selector, long now) {
+        return selector.choose(self, withoutDelays(now));
+    }
+
+    private long withoutDelays(long now) {
+        return now - delay.getAsLong();
+    }
+
     /**
      * Returns whether a gateway is outside this one's failure domain.
      *
--- a/src/test/java/org/martenwell/gateway/DeadMemberDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/DeadMemberDetectorTest.java
@@ -38,7 +38,7 @@
 
     /** Checks, waits while some gateways report, and checks again. */
     private static List<String> detectTwice(String self, long waitMillis, String... reporting) {
-        LivePeers live = new LivePeers(self);
+        LivePeers live = new LivePeers(self, () -> 0);
         DeadMemberDetector detector = new DeadMemberDetector();
         List<String> peers = FLEET.stream().filter(each -> !each.equals(self)).toList();
         report(live, self, 0, reporting);
--- a/src/test/java/org/martenwell/gateway/ReportTopologyTest.java
+++ b/src/test/java/org/martenwell/gateway/ReportTopologyTest.java
@@ -37,7 +37,7 @@
         String other = relay.equals("x-1") ? "x-2" : "x-1";
         members.removeIf(each -> each.name().equals(other));
         members.add(new GatewayMember(other, "x", "unused", 1.5));
-        ReportTopology topology = new ReportTopology("x-3", "x");
+        ReportTopology topology = new ReportTopology("x-3", "x", () -> 0);
         topology.members(members);
         assertThat(topology.relay(0)).isEqualTo(other);
     }
@@ -67,7 +67,7 @@
     }
 
     private static ReportTopology topology(String name, String domain, int size) {
-        ReportTopology topology = new ReportTopology(name, domain);
+        ReportTopology topology = new ReportTopology(name, domain, () -> 0);
         topology.members(members(size));
         return topology;
     }
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -88,7 +88,7 @@
 
     /** Returns the name of a failure domain's relay. */
     String relayOf(String domain) {
-        ReportTopology topology = new ReportTopology("none", domain);
+        ReportTopology topology = new ReportTopology("none", domain, () -> 0);
         topology.members(members.values());
         return topology.relay(0);
     }
@@ -146,6 +146,7 @@
                             new PeerReporter(
                                     thread.loop(), settings, core, new Random(member.hashCode()));
                     reporter.directory(new ForwardedOnlyDirectory(member.name()));
+                    core.clock().start();
                     cores.put(member.name(), core);
                     reporters.put(member.name(), reporter);
                 });
