--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -91,6 +91,9 @@
     /** The time for which the last urgent report was scheduled, in milliseconds. */
     private long urgentMillis = Long.MIN_VALUE / 2;
 
+    /** The relay of this gateway's failure domain at the last report, empty if there was none. */
+    private String lastRelay = "";
+
     private boolean stopped;
 
     /**
@@ -107,10 +110,11 @@
         this.core = core;
         this.reportBuilder = new ReportBuilder(core, name, random.nextLong());
         this.reportReceiver = new ReportReceiver(core);
-        this.livePeers = new LivePeers(name);
+        this.livePeers = new LivePeers(name, core.clock()::omittedMillis);
         this.relayedReports = new RelayedReports(name);
         this.catchUp = new ConfigurationCatchUp(name);
-        this.topology = new ReportTopology(name, settings.failureDomain());
+        this.topology =
+                new ReportTopology(name, settings.failureDomain(), core.clock()::omittedMillis);
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
@@ -373,9 +377,19 @@
         }
     }
 
+    /** Logs the relay of this gateway's failure domain if it has changed. */
+    private void logRelay() {
+        String relay = topology.usesRelays() ? topology.relay(core.now()) : "";
+        if (!relay.equals(lastRelay)) {
+            lastRelay = relay;
+            core.log().changed("relay", relay);
+        }
+    }
+
     /** Sends this gateway's report to its peers or its relay. */
     private void sendReport() {
         connect();
+        logRelay();
         // Doesn't refresh for each draining target that a peer reports, since the directory usually
         // delivers the change soon after.
         if (core.targets().detectStaleDirectory(core.now())) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -20,6 +20,7 @@
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.OrganisationConfiguration;
 import org.martenwell.route.Route;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.share.Disposition;
 import org.martenwell.share.ShareUse;
 import org.martenwell.version.ServiceVersion;
@@ -37,8 +38,6 @@
     /** The time for which a target that is not the intended one is suspended, in milliseconds. */
     private static final long MISDIRECTED_SUSPENSION_MILLIS = 5_000;
 
-    private static final String SILENT_CAUSE = "silent";
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
@@ -162,7 +161,8 @@
         deadlineMillis = arrivedMillis + timeout;
         exchange.onDisconnect(this::callerDisconnected);
         deadlineTimer =
-                core.reactor().delayBackground(Math.max(1, remainingMillis()), this::timedOut);
+                core.reactor()
+                        .delayBackground(Math.max(1, remainingMillis()), this::deadlinePassed);
         stallDetector = new StallDetector(core, route, this::targetSilent);
         identity =
                 new RequestIdentity(
@@ -396,10 +396,10 @@
     /**
      * Records a failure of a silent target, and retries the request elsewhere if that is allowed.
      */
-    private void targetSilent(SendAttempt silentAttempt) {
+    private void targetSilent(SendAttempt silentAttempt, Silence silence) {
         silentAttempt.target().load().health().failed(core.now());
         if (route.repeatable() && mayRetry()) {
-            core.log().attemptFailed(requestId(), targetId(silentAttempt), SILENT_CAUSE);
+            core.log().targetSilent(requestId(), targetId(silentAttempt), silence);
             history.markPossiblyRun();
             cancelAttempt();
             trySend();
@@ -676,6 +676,15 @@
                 && core.takeRetry();
     }
 
+    /** Ends the request, behind the next read if a response to it may have arrived. */
+    private void deadlinePassed() {
+        if (attempt == null) {
+            timedOut();
+        } else {
+            ResponseTimeout.afterNextRead(core.reactor(), this::timedOut);
+        }
+    }
+
     private void timedOut() {
         if (over) {
             return;
@@ -788,12 +797,12 @@
     }
 
     /**
-     * Returns the current time.
+     * Returns the time on the clock that leaves out delays of the event loop.
      *
-     * @return The time of the event loop, in milliseconds.
+     * @return The time in milliseconds.
      */
-    long now() {
-        return core.now();
+    long responsiveMillis() {
+        return core.clock().millis();
     }
 
     /** Returns the time until the deadline, in milliseconds, negative after it. */
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -1,5 +1,6 @@
 package org.martenwell.peer;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufPool;
 import io.activej.csp.binary.BinaryChannelSupplier;
@@ -11,10 +12,13 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
-import java.time.Duration;
 import java.util.Random;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.martenwell.message.PeerMessage;
+import org.martenwell.observe.LogEvent;
 import org.martenwell.service.IpAddress;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.service.TcpConnector;
 
 /**
@@ -23,6 +27,8 @@
  */
 final class PeerConnection {
 
+    private static final Logger LOGGER = LogManager.getLogger(PeerConnection.class);
+
     /**
      * The timeout for connecting, in milliseconds. It is shorter than the retransmission timeout of
      * TCP, which is about 1 s, so a new attempt is faster than waiting for a lost packet.
@@ -82,6 +88,12 @@
     /** Signs frames; {@code null} until the peer has sent the nonce of an open connection. */
     private FrameCodec codec;
 
+    /** The time at which the last bytes were received, in milliseconds. */
+    private long lastReadMillis;
+
+    /** The read timeout of the open connection, or {@code null} if there is none. */
+    private ResponseTimeout readTimeout;
+
     /** Set while a flush is queued in the event loop. */
     private boolean flushScheduled;
 
@@ -137,7 +149,11 @@
 
     /** Connects, and reconnects after a failure until {@link #close} is called. */
     void open() {
-        TcpConnector.connect(reactor, IpAddress.of(address), CONNECT_TIMEOUT_MILLIS, settings())
+        TcpConnector.connect(
+                        reactor,
+                        IpAddress.of(address),
+                        CONNECT_TIMEOUT_MILLIS,
+                        SocketSettings.create())
                 .whenResult(this::onConnected)
                 .whenException(exception -> retryLater());
     }
@@ -151,12 +167,6 @@
         }
     }
 
-    private static SocketSettings settings() {
-        return SocketSettings.builder()
-                .withImplReadTimeout(Duration.ofMillis(READ_TIMEOUT_MILLIS))
-                .build();
-    }
-
     /** Closes the connection and stops reconnecting. */
     void close() {
         closed = true;
@@ -197,6 +207,12 @@
             opened.close();
             return;
         }
+        readTimeout =
+                ResponseTimeout.start(
+                        reactor,
+                        reactor::currentTimeMillis,
+                        READ_TIMEOUT_MILLIS,
+                        () -> opened.closeEx(new AsyncTimeoutException("The peer is silent")));
         BinaryChannelSupplier input = BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(opened));
         input.decode(ByteBufsDecoders.ofFixedSize(FrameCodec.NONCE_BYTES))
                 .whenResult(nonce -> onNonceReceived(opened, nonce.asArray()))
@@ -204,7 +220,7 @@
                         () ->
                                 input.decodeStream(ByteBufsDecoders.ofFixedSize(1))
                                         .streamTo(keepAliveConsumer()))
-                .whenComplete(() -> onDisconnected(opened));
+                .whenComplete((ignored, failure) -> onDisconnected(opened, failure));
     }
 
     /**
@@ -212,12 +228,22 @@
      *
      * @return The consumer.
      */
-    private static ChannelConsumer<ByteBuf> keepAliveConsumer() {
-        return ChannelConsumers.ofConsumer(ByteBuf::recycle);
+    private ChannelConsumer<ByteBuf> keepAliveConsumer() {
+        return ChannelConsumers.ofConsumer(
+                bytes -> {
+                    bytes.recycle();
+                    bytesReceived();
+                });
+    }
+
+    private void bytesReceived() {
+        lastReadMillis = reactor.currentTimeMillis();
+        readTimeout.restart();
     }
 
     private void onNonceReceived(TcpSocket opened, byte[] nonce) {
         socket = opened;
+        bytesReceived();
         codec = new FrameCodec(key, nonce);
         messageWriter = new MessageWriter();
         delayMillis = INITIAL_DELAY_MILLIS;
@@ -228,8 +254,18 @@
      * Discards a failed connection with its buffered messages and schedules a reconnect.
      *
      * @param broken The failed connection.
+     * @param failure The cause, or {@code null} if the peer closed the connection.
      */
-    private void onDisconnected(TcpSocket broken) {
+    private void onDisconnected(TcpSocket broken, Exception failure) {
+        if (established() && !closed) {
+            LOGGER.info(
+                    LogEvent.of("peer-disconnected")
+                            .with("peer", name)
+                            .with("reason", failure == null ? "closed" : failure.toString())
+                            .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
+                            .message());
+        }
+        readTimeout.cancel();
         broken.close();
         socket = null;
         codec = null;
