--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
@@ -115,7 +116,11 @@
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
         core.streams().peers(origins);
-        core.log().metrics().registerGauge("peers_connected", network::establishedConnections);
+        MetricRegistry metrics = core.log().metrics();
+        metrics.registerGauge("peers_connected", network::establishedConnections);
+        metrics.registerGauge("peer_bytes_sent", network.traffic()::bytesSent);
+        metrics.registerGauge("peer_bytes_received", network.traffic()::bytesReceived);
+        metrics.registerGauge("peer_bytes_pending", network::pendingBytes);
     }
 
     /**
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -135,6 +135,11 @@
         return codec != null;
     }
 
+    /** {@return the bytes of messages that wait to be framed} */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Connects, and reconnects after a failure until {@link #close} is called. */
     void open() {
         TcpConnector.connect(reactor, IpAddress.of(address), CONNECT_TIMEOUT_MILLIS, settings())
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -120,6 +120,11 @@
         return connections.values().stream().filter(PeerConnection::established).count();
     }
 
+    /** {@return the bytes of messages that wait to be framed, summed over all peers} */
+    public long pendingBytes() {
+        return connections.values().stream().mapToLong(PeerConnection::pendingBytes).sum();
+    }
+
     /**
      * Sends a message to all peers with an established connection.
      *
