Let a gateway report again after a report that failed

A gateway whose periodic report failed once, as for lack of memory, sent none from then on: the next one was scheduled only behind a successful one. Peers took it for dead while it served, and a relay kept all reports that it was to forward, which filled its heap for good.

The next report is scheduled first, and what was to be forwarded is discarded behind each try.

FailedReportTest: not within 30 s before, passes now. Beside it RelayedSnapshotsTest 1, RelayedReportsTest 4, LargeFleetReportsTest 3 and ReportBuilderTest 3 pass.

--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -376,22 +376,31 @@
     /** Sends a regular report and schedules the next one. */
     private void reportPeriodically() {
         if (!stopped) {
-            sendReport();
             scheduleReport();
+            sendReport();
         }
     }
 
     /** Sends this gateway's report to its peers or its relay. */
     private void sendReport() {
-        connect();
-        // Doesn't refresh for each draining target that a peer reports, since the directory usually
-        // delivers the change soon after.
-        if (core.targets().detectStaleDirectory(core.now())) {
-            directory.refresh();
+        try {
+            connect();
+            // Doesn't refresh for each draining target that a peer reports, since the directory
+            // usually delivers the change soon after.
+            if (core.targets().detectStaleDirectory(core.now())) {
+                directory.refresh();
+            }
+            origins.sendNew();
+            sendToPeers(
+                    reportBuilder.next(topology.usesRelays()),
+                    core.targets().listingNotices().takeNew());
+        } finally {
+            // Also after a failure, so that reports that can't be forwarded don't fill the heap.
+            relayedReports.clear();
         }
-        origins.sendNew();
-        List<TargetNotice> notices = core.targets().listingNotices().takeNew();
-        GatewayReport own = reportBuilder.next(topology.usesRelays());
+    }
+
+    private void sendToPeers(GatewayReport own, List<TargetNotice> notices) {
         if (!topology.usesRelays()) {
             notices.forEach(network::broadcast);
             network.broadcast(own);
@@ -403,7 +412,6 @@
             notices.forEach(each -> network.send(relay, each));
             network.send(relay, own);
         }
-        relayedReports.clear();
     }
 
     /**
