--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import com.codahale.metrics.MetricRegistry;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
@@ -83,6 +84,8 @@
 
     private final RelayedReports relayedReports;
 
+    private final DuplicateUpdateFilter duplicateFilter = new DuplicateUpdateFilter();
+
     private final OriginExchange origins;
 
     /** Set while an urgent report is scheduled. */
@@ -119,7 +122,11 @@
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
         core.streams().peers(origins);
-        core.log().metrics().registerGauge("peers_connected", network::establishedConnections);
+        MetricRegistry metrics = core.log().metrics();
+        metrics.registerGauge("peers_connected", network::establishedConnections);
+        metrics.registerGauge("peer_bytes_sent", network.traffic()::bytesSent);
+        metrics.registerGauge("peer_bytes_received", network.traffic()::bytesReceived);
+        metrics.registerGauge("peer_bytes_pending", network::pendingBytes);
     }
 
     /**
@@ -273,8 +280,9 @@
     private void receiveDirect(GatewayReport report) {
         if (topology.usesRelays()) {
             topology.usedAsRelay(core.now());
-            relayedReports.add(report);
-            relayUrgently(report);
+            GatewayReport filtered = duplicateFilter.filter(report, core.now());
+            relayedReports.add(filtered);
+            relayUrgently(filtered);
         }
         receiveReport(report);
     }
@@ -372,8 +380,8 @@
     /** Sends a regular report and schedules the next one. */
     private void reportPeriodically() {
         if (!stopped) {
-            sendReport();
             scheduleReport();
+            sendReport();
         }
     }
 
@@ -388,16 +396,25 @@
 
     /** Sends this gateway's report to its peers or its relay. */
     private void sendReport() {
-        connect();
-        logRelay();
-        // Doesn't refresh for each draining target that a peer reports, since the directory usually
-        // delivers the change soon after.
-        if (core.targets().detectStaleDirectory(core.now())) {
-            directory.refresh();
+        try {
+            connect();
+            logRelay();
+            // Doesn't refresh for each draining target that a peer reports, since the directory
+            // usually delivers the change soon after.
+            if (core.targets().detectStaleDirectory(core.now())) {
+                directory.refresh();
+            }
+            origins.sendNew();
+            sendToPeers(
+                    reportBuilder.next(topology.usesRelays()),
+                    core.targets().listingNotices().takeNew());
+        } finally {
+            // Also after a failure, so that reports that can't be forwarded don't fill the heap.
+            relayedReports.clear();
         }
-        origins.sendNew();
-        List<TargetNotice> notices = core.targets().listingNotices().takeNew();
-        GatewayReport own = reportBuilder.next(topology.usesRelays());
+    }
+
+    private void sendToPeers(GatewayReport own, List<TargetNotice> notices) {
         if (!topology.usesRelays()) {
             notices.forEach(network::broadcast);
             network.broadcast(own);
@@ -409,7 +426,6 @@
             notices.forEach(each -> network.send(relay, each));
             network.send(relay, own);
         }
-        relayedReports.clear();
     }
 
     /**
