Log why a stream that a caller takes up does not go on

Callers saw 503 for streams that they took up while new streams began. The log named the kind alone: `stream_unknown` stood for a caller that names no attempt, for two versions of one attempt, for peers that did not answer or don't know and for versions that are not known for long enough, so none of the hypotheses could be told from the others.

A `stream-refused` line names the cause, what was known of listed versions and since when, how many peers were asked and answered, and the wait; counters count each cause, the streams that went on and the new ones that began beside them. Peers don't answer yet that they don't know a stream, so both counts of peers are 0 until they do.

Both stream tests read the result from the new type; no check changed.

--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -168,6 +168,53 @@
         }
     }
 
+    /**
+     * Counts a request that brought its caller an event of a resumable stream.
+     *
+     * @param resumed {@code true} if the caller resumed the stream.
+     */
+    void streamStarted(boolean resumed) {
+        metrics.counter(resumed ? "streams_continued" : "streams_begun").inc();
+    }
+
+    /**
+     * Counts a request that resumed a stream and ended without a target's response. Causes that
+     * concern the stream's version are counted by {@link #streamRefused}.
+     *
+     * @param kind The error.
+     */
+    void resumptionFailed(ErrorKind kind) {
+        if (kind != ErrorKind.STREAM_UNKNOWN && kind != ErrorKind.VERSION_GONE) {
+            metrics.counter("streams_refused_" + kind.code()).inc();
+        }
+    }
+
+    /**
+     * Records that a stream is not continued that a caller resumes.
+     *
+     * @param request The id that the caller gave to the attempt.
+     * @param resumed The attempt that brought the first event, empty if the caller names none.
+     * @param refusal The cause.
+     * @param lookup The search for the stream's version.
+     */
+    void streamRefused(
+            String request, Optional<String> resumed, StreamRefusal refusal, StreamLookup lookup) {
+        metrics.counter("streams_refused_" + refusal.label()).inc();
+        if (mayWrite()) {
+            LookupFacts facts = lookup.facts();
+            write(
+                    LogEvent.of("stream-refused")
+                            .with("request", request)
+                            .with("resumes", resumed.orElse(""))
+                            .with("cause", refusal.label())
+                            .with("versions", facts.versions())
+                            .with("coveredMillis", facts.coveredMillis())
+                            .with("peersAsked", facts.peersAsked())
+                            .with("peersAnswered", facts.peersAnswered())
+                            .with("waitedMillis", facts.waitedMillis()));
+        }
+    }
+
     /**
      * Records a request that ended with a target's response.
      *
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -71,6 +71,12 @@
     /** Set once the request may only be continued at the version that began its stream. */
     private boolean streamBegan;
 
+    /** The search for the version of the stream that the request resumes, empty if it is new. */
+    private Optional<StreamLookup> resumption = Optional.empty();
+
+    /** Set once the first event of this request was counted. */
+    private boolean eventCounted;
+
     /** The caller's organisation, empty where callers have no keys. */
     private Optional<String> organisation = Optional.empty();
 
@@ -180,19 +186,20 @@
     }
 
     /** Continues a stream at the version that began it, or refuses that if it can't be known. */
-    private void streamFound(Optional<ResumedStream> found) {
+    private void streamFound(StreamLookup lookup) {
         if (over) {
             return;
         }
+        resumption = Optional.of(lookup);
         Optional<GatewayConfiguration> configuration = core.configuration();
-        if (found.isEmpty() || configuration.isEmpty()) {
-            fail(ErrorKind.STREAM_UNKNOWN, RetryDelay.ELSEWHERE);
+        if (lookup.stream().isEmpty() || configuration.isEmpty()) {
+            refuseStream(lookup.refusal().orElse(StreamRefusal.ROUTE_CHANGED));
             return;
         }
-        ServiceVersion version = found.get().version();
-        core.log().streamFound(requestId(), metadata.resumedAttempt(), found.get());
+        ServiceVersion version = lookup.stream().get().version();
+        core.log().streamFound(requestId(), metadata.resumedAttempt(), lookup.stream().get());
         if (!route.leadsTo(version.service())) {
-            fail(ErrorKind.VERSION_GONE, RetryDelay.NONE);
+            refuseStream(StreamRefusal.ROUTE_CHANGED);
             return;
         }
         metadata.resumedAttempt()
@@ -201,6 +208,16 @@
         dispatch(configuration.get(), TargetSelector.of(version));
     }
 
+    /** Refuses to continue a stream. */
+    private void refuseStream(StreamRefusal refusal) {
+        resumption.ifPresent(
+                lookup ->
+                        core.log()
+                                .streamRefused(
+                                        requestId(), metadata.resumedAttempt(), refusal, lookup));
+        fail(refusal.kind(), refusal.retryDelay());
+    }
+
     /** Begins to send the request to the targets that may serve it. */
     private void dispatch(GatewayConfiguration configuration, TargetSelector targets) {
         selector = targets;
@@ -270,7 +287,7 @@
     /** Refuses a request for which no target is available. */
     private void refuseWithoutTarget(long now) {
         if (selector.version().isPresent() && !core.targets().mayAcceptRequestsLater(selector)) {
-            fail(ErrorKind.VERSION_GONE, RetryDelay.NONE);
+            refuseStream(StreamRefusal.VERSION_GONE);
         } else {
             fail(ErrorKind.NO_TARGET, noTargetRetrySeconds(now));
         }
@@ -465,6 +482,10 @@
      */
     void bodyReceived(byte[] chunk) {
         relay.receive(chunk, route.resumable());
+        if (relay.eventForwarded() && !eventCounted) {
+            eventCounted = true;
+            core.log().streamStarted(resumption.isPresent());
+        }
         if (relay.eventForwarded() && !streamBegan && attempt != null) {
             streamBegan = true;
             DirectoryTarget target = attempt.target().load().target();
@@ -744,6 +765,9 @@
      */
     private void respond(ErrorKind kind, double retrySeconds) {
         logFailure(kind);
+        if (resumption.isPresent()) {
+            core.log().resumptionFailed(kind);
+        }
         localResponder.respond(kind, retrySeconds);
         finish();
     }
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -95,13 +95,13 @@
      * @param attempt The attempt that brought the first event, empty if the caller names none.
      * @param service The only service of the route, empty if it has several.
      * @param sinceMillis The time of the request, in milliseconds.
-     * @param listener Receives the version, or empty if it can't be known.
+     * @param listener Receives the result.
      */
     private record Inquiry(
             Optional<Long> attempt,
             Optional<String> service,
             long sinceMillis,
-            Consumer<Optional<ResumedStream>> listener) {}
+            Consumer<StreamLookup> listener) {}
 
     /**
      * Creates an instance without peers that knows no versions.
@@ -266,10 +266,9 @@
      * @param attempt The id of the attempt that brought the first event, empty if the caller names
      *     none.
      * @param route The route of the request.
-     * @param listener Receives the version, or empty if it can't be known; called at once or within
-     *     {@link #MAX_WAIT_MILLIS}.
+     * @param listener Receives the result; called at once or within {@link #MAX_WAIT_MILLIS}.
      */
-    void find(Optional<String> attempt, Route route, Consumer<Optional<ResumedStream>> listener) {
+    void find(Optional<String> attempt, Route route, Consumer<StreamLookup> listener) {
         Optional<String> service =
                 route.services().size() == 1
                         ? Optional.of(route.services().get(0).service())
@@ -309,24 +308,55 @@
     private boolean resolve(Inquiry inquiry) {
         Optional<ResumedStream> found = inquiry.attempt().flatMap(this::find);
         if (found.isPresent()) {
-            inquiry.listener().accept(found.filter(each -> each.version().isKnown()));
+            if (found.get().version().isKnown()) {
+                accept(inquiry, found.get());
+            } else {
+                refuse(inquiry, StreamRefusal.CONTRADICTORY);
+            }
             return true;
         }
         Optional<ServiceVersion> only = onlyVersion(inquiry);
         if (only.isPresent() && listedAsOfMillis >= inquiry.sinceMillis() - MAX_LIST_AGE_MILLIS) {
-            accept(inquiry, only);
+            accept(inquiry, new ResumedStream(only.get(), OriginSource.ONLY_VERSION));
             return true;
         }
         if (inquiry.attempt().isEmpty() && only.isEmpty()) {
-            inquiry.listener().accept(Optional.empty());
+            refuse(inquiry, refusal(inquiry));
             return true;
         }
         return false;
     }
 
-    private static void accept(Inquiry inquiry, Optional<ServiceVersion> only) {
-        inquiry.listener()
-                .accept(only.map(each -> new ResumedStream(each, OriginSource.ONLY_VERSION)));
+    private void accept(Inquiry inquiry, ResumedStream stream) {
+        inquiry.listener().accept(StreamLookup.found(stream, facts(inquiry)));
+    }
+
+    private void refuse(Inquiry inquiry, StreamRefusal refusal) {
+        inquiry.listener().accept(StreamLookup.refused(refusal, facts(inquiry)));
+    }
+
+    /** Returns why the version of a stream can't be known that no peer has told. */
+    private StreamRefusal refusal(Inquiry inquiry) {
+        if (versionsOf(inquiry) == 1) {
+            return StreamRefusal.HISTORY_TOO_SHORT;
+        }
+        if (inquiry.attempt().isEmpty()) {
+            return StreamRefusal.NO_ATTEMPT_NAMED;
+        }
+        return peers.inContact() ? StreamRefusal.UNKNOWN_TO_PEERS : StreamRefusal.PEERS_SILENT;
+    }
+
+    private LookupFacts facts(Inquiry inquiry) {
+        return new LookupFacts(
+                versionsOf(inquiry),
+                history().coveredMillis(),
+                0,
+                0,
+                now() - inquiry.sinceMillis());
+    }
+
+    private int versionsOf(Inquiry inquiry) {
+        return inquiry.service().map(each -> recentVersions(each).size()).orElse(0);
     }
 
     private Optional<ResumedStream> find(long attempt) {
@@ -355,7 +385,12 @@
     /** Responds to a request for which no version was found in time. */
     private void giveUp(Inquiry inquiry) {
         if (waiting.remove(inquiry)) {
-            accept(inquiry, peers.inContact() ? onlyVersion(inquiry) : Optional.empty());
+            Optional<ServiceVersion> only = onlyVersion(inquiry);
+            if (only.isPresent() && peers.inContact()) {
+                accept(inquiry, new ResumedStream(only.get(), OriginSource.ONLY_VERSION));
+            } else {
+                refuse(inquiry, only.isPresent() ? StreamRefusal.PEERS_SILENT : refusal(inquiry));
+            }
         }
     }
 
--- a/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
@@ -160,8 +160,8 @@
                                 .find(
                                         Optional.of(attempt),
                                         GatewayCores.route(400),
-                                        stream -> {
-                                            found.set(stream);
+                                        result -> {
+                                            found.set(result.stream());
                                             answered.countDown();
                                         }));
         try {
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -123,7 +123,8 @@
     }
 
     private void find() {
-        versions.find(Optional.of("a"), GatewayCores.route(400), found::add);
+        versions.find(
+                Optional.of("a"), GatewayCores.route(400), result -> found.add(result.stream()));
     }
 
     /** Lets time pass and runs the tasks that are due. */
