--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -1,5 +1,8 @@
 package org.martenwell.gateway;
 
+import static org.martenwell.service.Conditions.await;
+
+import com.codahale.metrics.Gauge;
 import io.activej.promise.Promise;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,6 +22,7 @@
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
+import org.martenwell.service.ReleasedPorts;
 import org.martenwell.settings.GatewaySettings;
 
 /**
@@ -39,6 +43,9 @@
 
     private final Map<String, GatewayCore> cores = new HashMap<>();
 
+    /** The number of gateways that were started, from which each gets other random numbers. */
+    private int starts;
+
     /**
      * Starts gateways that don't know each other. They are named by their failure domain and a
      * number, and spread evenly over the domains.
@@ -98,6 +105,30 @@
         run(() -> reporters.remove(gateway).stop());
     }
 
+    /** Stops gateways and starts new ones of their names at their addresses without any state. */
+    void restart(Set<String> gateways) {
+        gateways.forEach(each -> thread.call(reporters.get(each)::stop));
+        for (String each : gateways) {
+            await(() -> ReleasedPorts.all(List.of(members.get(each).peerAddress())));
+            start(members.get(each));
+            run(() -> reporters.get(each).members(members));
+        }
+    }
+
+    /** Returns whether a gateway is connected to all peers that it sends to. */
+    boolean connected(String gateway) {
+        return thread.call(
+                () -> {
+                    ReportTopology topology =
+                            new ReportTopology(gateway, members.get(gateway).failureDomain());
+                    topology.members(members.values());
+                    Gauge<?> gauge =
+                            cores.get(gateway).log().metrics().getGauges().get("peers_connected");
+                    long established = ((Number) gauge.getValue()).longValue();
+                    return Promise.of(established >= topology.requiredPeers(now()).size());
+                });
+    }
+
     /** Activates a configuration at the gateways that a store would provide it to. */
     void provideConfiguration(long version, Predicate<String> provided) {
         run(
@@ -143,8 +174,7 @@
                             new GatewayCore(thread.loop(), null, settings, new Random(1), log);
                     core.targets().update(ALL_TARGETS, 0);
                     PeerReporter reporter =
-                            new PeerReporter(
-                                    thread.loop(), settings, core, new Random(member.hashCode()));
+                            new PeerReporter(thread.loop(), settings, core, new Random(starts++));
                     reporter.directory(new ForwardedOnlyDirectory(member.name()));
                     cores.put(member.name(), core);
                     reporters.put(member.name(), reporter);
