Let streams go on behind restarts of the gateways that knew them

Cause: what is known of a stream's version was sent to peers once, with the report after its first event, and kept in memory. A gateway that starts was told which versions are listed, but none of the streams, so after each gateway had started again nobody knew one. The last report interval before a kill was lost too, and a peer that was late or whose connection still opened counted as one that doesn't know.

- A gateway sends a peer that connects the streams that it has to know: in a mesh its own, and three gateways by hash all; in a large fleet a member its relay, relays each other and their two standbys those of their failure domain.
- Peers are told of a new stream as its first event is forwarded; the frame is written at once.
- Who is asked answers also that it doesn't know.
A stream is refused as soon as all peers in contact have, else after ten rounds of 100 ms or half of the time to the deadline.
Rounds are counted instead of time, so a gateway that is late reads answers first.
Relays ask in their own name and answer for those behind them.
- A report of a new incarnation lets its receiver connect at once.

New messages go to gateways of protocol 2 alone.

One check of StreamVersionsTest waits 1.1 s instead of 0.4 s, as the bound on peers that don't answer is 1 s now, and checks the cause in addition.

--- a/src/main/java/org/martenwell/directory/GatewayMember.java
+++ b/src/main/java/org/martenwell/directory/GatewayMember.java
@@ -17,6 +17,9 @@
     /** The protocol with messages on the versions of targets. */
     public static final int VERSION_PROTOCOL = 1;
 
+    /** The protocol in which gateways deny that they know a stream, and send all that they know. */
+    public static final int ORIGIN_PROTOCOL = 2;
+
     /**
      * Creates a member of this program's protocol.
      *
@@ -26,6 +29,6 @@
      * @param processors The available processor time.
      */
     public GatewayMember(String name, String failureDomain, String peerAddress, double processors) {
-        this(name, failureDomain, peerAddress, processors, VERSION_PROTOCOL);
+        this(name, failureDomain, peerAddress, processors, ORIGIN_PROTOCOL);
     }
 }
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/CallerInquiry.java
@@ -0,0 +1,144 @@
+package org.martenwell.gateway;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.martenwell.version.ServiceVersion;
+
+/** Search for the version of a stream that a caller resumes. Decides whether it continues. */
+final class CallerInquiry implements PendingInquiry {
+
+    /** The rounds in which the directory has to list its targets. */
+    private static final int LIST_ROUNDS = 3;
+
+    private final OriginInquiry inquiry;
+
+    /** The only service of the route, empty if it has several. */
+    private final Optional<String> service;
+
+    private final long sinceMillis;
+
+    private final KnownOrigins known;
+
+    private final VersionWindow window;
+
+    private final OriginPeers peers;
+
+    private final LongSupplier clock;
+
+    private final Consumer<StreamLookup> listener;
+
+    /**
+     * Creates a search.
+     *
+     * @param inquiry The search among peers.
+     * @param service The only service of the route, empty if it has several.
+     * @param known The origins that are known here.
+     * @param window The versions that were listed of late.
+     * @param peers The peers.
+     * @param clock Provides the current time, in milliseconds.
+     * @param listener Receives the result.
+     */
+    CallerInquiry(
+            OriginInquiry inquiry,
+            Optional<String> service,
+            KnownOrigins known,
+            VersionWindow window,
+            OriginPeers peers,
+            LongSupplier clock,
+            Consumer<StreamLookup> listener) {
+        this.inquiry = inquiry;
+        this.service = service;
+        this.known = known;
+        this.window = window;
+        this.peers = peers;
+        this.clock = clock;
+        this.listener = listener;
+        this.sinceMillis = clock.getAsLong();
+    }
+
+    @Override
+    public OriginInquiry inquiry() {
+        return inquiry;
+    }
+
+    @Override
+    public boolean resolve() {
+        Optional<ResumedStream> found =
+                inquiry.attempt().flatMap(each -> known.find(each, clock.getAsLong()));
+        if (found.isPresent()) {
+            if (found.get().version().isKnown()) {
+                accept(found.get());
+            } else {
+                refuse(StreamRefusal.CONTRADICTORY);
+            }
+            return true;
+        }
+        Optional<ServiceVersion> only = onlyVersion();
+        if (only.isPresent() && window.isCurrentAt(sinceMillis)) {
+            acceptOnly(only.get());
+            return true;
+        }
+        if (only.isPresent() && inquiry.hasLasted(LIST_ROUNDS)) {
+            if (peers.inContact()) {
+                acceptOnly(only.get());
+            } else {
+                refuse(StreamRefusal.PEERS_SILENT);
+            }
+            return true;
+        }
+        if (inquiry.attempt().isEmpty() && only.isEmpty()) {
+            refuse(
+                    versions() == 1
+                            ? StreamRefusal.HISTORY_TOO_SHORT
+                            : StreamRefusal.NO_ATTEMPT_NAMED);
+            return true;
+        }
+        return false;
+    }
+
+    @Override
+    public boolean denied() {
+        if (onlyVersion().isPresent()) {
+            return false;
+        }
+        refuse(versions() == 1 ? StreamRefusal.HISTORY_TOO_SHORT : StreamRefusal.UNKNOWN_TO_PEERS);
+        return true;
+    }
+
+    @Override
+    public void expired() {
+        refuse(StreamRefusal.PEERS_SILENT);
+    }
+
+    /** {@return the only version at which the stream can have begun, empty if it isn't known} */
+    Optional<ServiceVersion> onlyVersion() {
+        return service.flatMap(each -> window.only(each, sinceMillis));
+    }
+
+    private int versions() {
+        return service.map(each -> window.recent(each, clock.getAsLong()).size()).orElse(0);
+    }
+
+    private void acceptOnly(ServiceVersion version) {
+        accept(new ResumedStream(version, OriginSource.ONLY_VERSION));
+    }
+
+    private void accept(ResumedStream stream) {
+        listener.accept(StreamLookup.found(stream, facts()));
+    }
+
+    private void refuse(StreamRefusal refusal) {
+        listener.accept(StreamLookup.refused(refusal, facts()));
+    }
+
+    private LookupFacts facts() {
+        long now = clock.getAsLong();
+        return new LookupFacts(
+                versions(),
+                window.history(now).coveredMillis(),
+                inquiry.askedCount(),
+                inquiry.deniedCount(),
+                now - sinceMillis);
+    }
+}
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -216,9 +216,9 @@
         loadCachedParts();
     }
 
-    /** Schedules the loading of prompt caches when the gateway is first ready. */
+    /** Schedules the loading of prompt caches once the directory is known. */
     private void loadCachedParts() {
-        if (!cachedPartsRequested && ready()) {
+        if (!cachedPartsRequested && informed()) {
             cachedPartsRequested = true;
             reactor.delayBackground(
                     CachedPartsLoader.STARTUP_DELAY_MILLIS, () -> cachedPartsLoader.load(gateways));
@@ -261,9 +261,14 @@
     /**
      * Returns whether the gateway accepts new connections.
      *
-     * @return {@code true} if it has a configuration and targets and is not shutting down.
+     * @return {@code true} if it has a configuration, targets and the streams that its peers know,
+     *     and is not shutting down.
      */
     private boolean ready() {
+        return informed() && peerReporter.originsReceived();
+    }
+
+    private boolean informed() {
         return !stopping && targetsKnown && core.configuration().isPresent();
     }
 
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -9,8 +9,10 @@
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.PeerNetwork;
+import org.martenwell.peer.StreamOriginDenial;
 import org.martenwell.peer.StreamOriginNotice;
 import org.martenwell.peer.StreamOriginRequest;
+import org.martenwell.peer.StreamOriginsSent;
 import org.martenwell.peer.VersionNotice;
 import org.martenwell.version.StreamOrigin;
 import org.martenwell.version.VersionHistory;
@@ -22,6 +24,9 @@
  */
 final class OriginExchange implements OriginPeers {
 
+    /** The time without contact after which a peer is not waited for, in milliseconds. */
+    private static final long LOST_MILLIS = 2_000;
+
     private final String self;
 
     private final GatewayCore core;
@@ -34,12 +39,20 @@
 
     private FleetDirectory directory;
 
+    private final OriginTransfer transfer;
+
     /** The gateways that understand messages on versions. */
     private Set<String> capable = Set.of();
 
-    /** The origins that a relay forwards with its next report. */
+    /** The gateways that deny that they know a stream, and send all origins that they know. */
+    private Set<String> transferring = Set.of();
+
+    /** The origins that a relay forwards to other relays with its next report. */
     private List<StreamOrigin> collected = new ArrayList<>();
 
+    /** The origins that a relay forwards to the gateways that may replace it. */
+    private List<StreamOrigin> unsecured = new ArrayList<>();
+
     /**
      * Creates an exchange without peers.
      *
@@ -60,6 +73,7 @@
         this.network = network;
         this.topology = topology;
         this.livePeers = livePeers;
+        this.transfer = new OriginTransfer(core.reactor(), self, network);
     }
 
     /**
@@ -77,53 +91,127 @@
      * @param members The gateways, including this one.
      */
     void members(Collection<GatewayMember> members) {
+        capable = named(members, GatewayMember.VERSION_PROTOCOL);
+        transferring = named(members, GatewayMember.ORIGIN_PROTOCOL);
+        transfer.fleetKnown();
+    }
+
+    private Set<String> named(Collection<GatewayMember> members, int protocol) {
         Set<String> names = new HashSet<>();
         for (GatewayMember each : members) {
-            if (each.protocol() >= GatewayMember.VERSION_PROTOCOL && !each.name().equals(self)) {
+            if (each.protocol() >= protocol && !each.name().equals(self)) {
                 names.add(each.name());
             }
         }
-        capable = names;
+        return names;
     }
 
     /**
-     * Sends a peer that has just connected what this gateway knows of listed versions.
+     * Sends a peer that has just connected what this gateway knows of listed versions, and the
+     * streams that the peer has to know.
      *
      * @param peer The peer's name.
+     * @param everything {@code true} in a mesh if that includes the streams of other gateways.
      */
-    void connected(String peer) {
+    void connected(String peer, boolean everything) {
         send(peer, new VersionNotice(core.streams().history()));
+        if (transferring.contains(peer)) {
+            List<StreamOrigin> origins = new ArrayList<>(core.streams().notified());
+            if (topology.usesRelays() ? passesOnTo(peer) : everything) {
+                origins.addAll(core.streams().near());
+            }
+            transfer.send(peer, origins, core.streams().retentionMillis());
+        }
     }
 
-    /** Notifies peers of new streams; called before each report, whose frame it shares. */
-    void sendNew() {
+    /** Returns whether a peer of a large fleet has to know the streams of this failure domain. */
+    private boolean passesOnTo(String peer) {
+        return topology.inOtherDomain(peer)
+                || topology.standbys().contains(peer)
+                || peer.equals(topology.relay(core.now()));
+    }
+
+    /** {@return {@code true} once this gateway knows the streams that its peers know} */
+    boolean received() {
+        Set<String> peers = new HashSet<>(topology.requiredPeers(core.now()));
+        peers.retainAll(transferring);
+        return transfer.isReceived(peers);
+    }
+
+    /**
+     * Processes that a peer has sent all origins.
+     *
+     * @param message The message.
+     */
+    void receive(StreamOriginsSent message) {
+        transfer.receive(message);
+    }
+
+    /**
+     * Notifies peers of new streams as soon as their first events are forwarded, so that a gateway
+     * that is killed afterwards takes none with it.
+     */
+    @Override
+    public void sendSoon() {
+        sendUnsent();
+        network.flush();
+    }
+
+    /** Notifies the peers that this gateway reports to, and those that may replace a relay. */
+    private void sendUnsent() {
         List<StreamOrigin> origins = core.streams().takeUnsent();
-        origins.addAll(collected);
-        collected = new ArrayList<>();
-        if (origins.isEmpty()) {
-            return;
-        }
-        StreamOriginNotice notice = new StreamOriginNotice(self, "", origins);
-        long now = core.now();
         if (!topology.usesRelays()) {
-            capable.forEach(each -> send(each, notice));
-        } else if (topology.isRelay(now)) {
-            topology.otherRelays(now).forEach(each -> send(each, notice));
+            notifyEach(capable, "", origins);
+        } else if (topology.isRelay(core.now())) {
+            collected.addAll(origins);
+            unsecured.addAll(origins);
+            for (String each : topology.standbys()) {
+                notifyEach(Set.of(each), each, unsecured);
+            }
+            unsecured = new ArrayList<>();
         } else {
-            send(topology.relay(now), notice);
+            notifyEach(Set.of(topology.relay(core.now())), "", origins);
         }
     }
 
-    @Override
-    public void ask(List<Long> attempts) {
-        StreamOriginRequest request = new StreamOriginRequest(self, attempts);
-        if (topology.usesRelays() && !topology.isRelay(core.now())) {
-            send(topology.relay(core.now()), request);
-        } else {
-            sendToAll(request);
+    private void notifyEach(Set<String> peers, String recipient, List<StreamOrigin> origins) {
+        if (!origins.isEmpty()) {
+            peers.forEach(each -> send(each, new StreamOriginNotice(self, recipient, origins)));
         }
     }
 
+    /** Notifies peers of new streams; called before each report, whose frame it shares. */
+    void sendNew() {
+        sendUnsent();
+        notifyEach(topology.otherRelays(core.now()), "", collected);
+        collected = new ArrayList<>();
+    }
+
+    @Override
+    public Set<String> respondents(InquiryScope scope) {
+        long now = core.now();
+        Set<String> names = new HashSet<>(scope.peers(topology, now));
+        names.removeIf(each -> !capable.contains(each) || isLost(each));
+        return names;
+    }
+
+    /** Returns whether a peer has not been in contact for long, so that it is probably gone. */
+    private boolean isLost(String peer) {
+        return !network.connected(peer)
+                && transfer.runsFor(LOST_MILLIS)
+                && !livePeers.isLive(peer, core.now());
+    }
+
+    @Override
+    public boolean fleetKnown() {
+        return transfer.isFleetKnown();
+    }
+
+    @Override
+    public void ask(String peer, List<Long> attempts) {
+        send(peer, new StreamOriginRequest(self, attempts));
+    }
+
     @Override
     public void send(VersionHistory history) {
         capable.forEach(each -> send(each, new VersionNotice(history)));
@@ -145,19 +233,21 @@
      * @param notice The message.
      */
     void receive(StreamOriginNotice notice) {
-        core.streams().learn(notice.origins());
+        boolean fromDomain = !topology.usesRelays() || !topology.inOtherDomain(notice.sender());
+        core.streams().learn(notice.origins(), fromDomain);
         boolean forOthers = !notice.recipient().isEmpty() && !notice.recipient().equals(self);
         if (forOthers) {
             send(nextHop(notice.recipient()), notice);
-        } else if (notice.recipient().isEmpty()
-                && topology.isRelay(core.now())
-                && !topology.inOtherDomain(notice.sender())) {
+        } else if (notice.recipient().isEmpty() && fromDomain && topology.isRelay(core.now())) {
             collected.addAll(notice.origins());
+            unsecured.addAll(notice.origins());
+            sendSoon();
         }
     }
 
     /**
-     * Responds to a request for the origins of streams. A relay passes on what it doesn't know.
+     * Responds to a request for the origins of streams. A relay asks others for what it doesn't
+     * know.
      *
      * @param request The message.
      */
@@ -165,33 +255,74 @@
         network.reconnect(request.asker());
         List<StreamOrigin> known = core.streams().known(request.attempts());
         if (!known.isEmpty()) {
-            send(nextHop(request.asker()), new StreamOriginNotice(self, request.asker(), known));
+            respond(request.asker(), known);
         }
-        if (known.size() < request.attempts().size() && topology.isRelay(core.now())) {
-            forward(request, known);
+        List<Long> unknown = new ArrayList<>(request.attempts());
+        known.forEach(each -> unknown.remove(each.attempt()));
+        if (topology.isRelay(core.now())) {
+            unknown.forEach(each -> search(request.asker(), each));
+        } else if (!unknown.isEmpty()) {
+            deny(request.asker(), unknown);
         }
     }
 
-    private void forward(StreamOriginRequest request, List<StreamOrigin> known) {
-        List<Long> unknown = new ArrayList<>(request.attempts());
-        known.forEach(each -> unknown.remove(each.attempt()));
-        StreamOriginRequest rest = new StreamOriginRequest(request.asker(), unknown);
-        if (topology.inOtherDomain(request.asker())) {
-            topology.domainPeers().forEach(each -> send(each, rest));
-        } else {
-            sendToAll(rest);
+    /** Searches for a stream in the name of another gateway, unless that is in progress. */
+    private void search(String asker, long attempt) {
+        boolean pending =
+                core.streams().inquiries().pending().stream()
+                        .anyMatch(
+                                each ->
+                                        each instanceof RelayInquiry relayed
+                                                && relayed.asker().equals(asker)
+                                                && relayed.attempt() == attempt);
+        if (!pending) {
+            InquiryScope scope =
+                    topology.inOtherDomain(asker) ? InquiryScope.DOMAIN : InquiryScope.FLEET;
+            core.streams().inquiries().start(RelayInquiry.of(asker, attempt, scope, this));
         }
     }
 
-    /** Sends a message to all gateways that this one is connected to as a relay or in a mesh. */
-    private void sendToAll(StreamOriginRequest request) {
-        for (String each : topology.requiredPeers(core.now())) {
-            if (!each.equals(request.asker())) {
-                send(each, request);
-            }
+    /**
+     * Returns the origins that are known here.
+     *
+     * @param attempts The keys of the attempts that brought the first events.
+     * @return The origins of those that are known.
+     */
+    List<StreamOrigin> known(List<Long> attempts) {
+        return core.streams().known(attempts);
+    }
+
+    /**
+     * Sends a gateway the origins that it asked for.
+     *
+     * @param asker The gateway's name.
+     * @param origins The origins.
+     */
+    void respond(String asker, List<StreamOrigin> origins) {
+        send(nextHop(asker), new StreamOriginNotice(self, asker, origins));
+    }
+
+    /**
+     * Sends a gateway the statement that streams are not known here.
+     *
+     * @param asker The gateway's name.
+     * @param attempts The keys of the attempts that brought the first events.
+     */
+    void deny(String asker, List<Long> attempts) {
+        if (transferring.contains(asker)) {
+            network.send(asker, new StreamOriginDenial(self, attempts));
         }
     }
 
+    /**
+     * Processes that a peer doesn't know streams.
+     *
+     * @param denial The message.
+     */
+    void receive(StreamOriginDenial denial) {
+        core.streams().denied(denial.sender(), denial.attempts());
+    }
+
     /**
      * Processes what a peer knows of the versions that the directory lists.
      *
--- a/src/main/java/org/martenwell/gateway/OriginPeers.java
+++ b/src/main/java/org/martenwell/gateway/OriginPeers.java
@@ -1,18 +1,34 @@
 package org.martenwell.gateway;
 
 import java.util.List;
+import java.util.Set;
 import org.martenwell.version.VersionHistory;
 
 /** The peers and the directory, as sources on the versions at which streams began. */
 interface OriginPeers {
 
     /**
-     * Asks all peers for the versions at which streams began. Responses arrive by {@link
-     * StreamVersions#learn}.
+     * Returns the peers that may know a stream.
      *
+     * @param scope The peers to consider.
+     * @return Their names, with those whose connections still open.
+     */
+    Set<String> respondents(InquiryScope scope);
+
+    /** {@return {@code true} if the gateways of the fleet are known} */
+    boolean fleetKnown();
+
+    /**
+     * Asks a peer for the versions at which streams began. Responses arrive by {@link
+     * StreamVersions#learn} and {@link StreamVersions#denied}.
+     *
+     * @param peer The peer's name.
      * @param attempts The keys of the attempts that brought the first events.
      */
-    void ask(List<Long> attempts);
+    void ask(String peer, List<Long> attempts);
+
+    /** Sends peers the origins that they have not been notified of yet. */
+    void sendSoon();
 
     /**
      * Sends all peers what this gateway knows of the versions that the directory lists.
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -17,8 +17,10 @@
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
 import org.martenwell.peer.ReportBatches;
+import org.martenwell.peer.StreamOriginDenial;
 import org.martenwell.peer.StreamOriginNotice;
 import org.martenwell.peer.StreamOriginRequest;
+import org.martenwell.peer.StreamOriginsSent;
 import org.martenwell.peer.TargetNotice;
 import org.martenwell.peer.VersionNotice;
 import org.martenwell.service.ManagedService;
@@ -81,6 +83,9 @@
 
     private Map<String, String> addresses = Map.of();
 
+    /** The incarnations of the gateways that have reported directly. */
+    private final Map<String, Long> incarnations = new HashMap<>();
+
     private final RelayedReports relayedReports;
 
     private final OriginExchange origins;
@@ -156,6 +161,7 @@
             }
         }
         addresses = changed;
+        incarnations.keySet().retainAll(members.keySet());
         topology.members(members.values());
         origins.members(members.values());
         core.updateFleet(addresses.size() + 1, topology.ageMillis());
@@ -177,6 +183,11 @@
                 catchUp.newestReported());
     }
 
+    /** {@return {@code true} once this gateway knows the streams that its peers know} */
+    boolean originsReceived() {
+        return origins.received();
+    }
+
     /** {@return the peers that reported recently} */
     LivePeers livePeers() {
         return livePeers;
@@ -209,6 +220,10 @@
             origins.receive(request);
         } else if (message instanceof VersionNotice notice) {
             origins.receive(notice);
+        } else if (message instanceof StreamOriginDenial denial) {
+            origins.receive(denial);
+        } else if (message instanceof StreamOriginsSent sent) {
+            origins.receive(sent);
         }
     }
 
@@ -234,16 +249,16 @@
                 .listingNotices()
                 .recent(core.now())
                 .forEach(each -> network.send(peer, each));
-        origins.connected(peer);
+        origins.connected(peer, sendsSnapshotTo(peer));
         network.send(
                 peer,
                 sendsSnapshotTo(peer) ? reportBuilder.full() : reportBuilder.withoutCachedParts());
     }
 
     /**
-     * Returns whether this gateway sends the contents of prompt caches to a peer that has just
-     * connected. In a mesh all gateways know nearly the same contents, so a few of them, chosen by
-     * hash, send them. A relay sends them if the peer has not reported recently.
+     * Returns whether this gateway sends what all gateways know, such as the contents of prompt
+     * caches, to a peer that has just connected. In a mesh a few of them, chosen by hash, send it.
+     * A relay sends it if the peer has not reported recently.
      *
      * @param peer The peer's name.
      * @return {@code true} if it does.
@@ -267,6 +282,7 @@
      * @param report The report.
      */
     private void receiveDirect(GatewayReport report) {
+        connectTo(report);
         if (topology.usesRelays()) {
             topology.usedAsRelay(core.now());
             relayedReports.add(report);
@@ -275,6 +291,18 @@
         receiveReport(report);
     }
 
+    /** Connects at once to a peer that has started again, perhaps at another address. */
+    private void connectTo(GatewayReport report) {
+        Long former = incarnations.put(report.gateway(), report.incarnation());
+        boolean restarted = former == null || former != report.incarnation();
+        if (restarted && !network.connected(report.gateway())) {
+            network.reconnect(report.gateway());
+            if (former != null) {
+                directory.refreshMembers();
+            }
+        }
+    }
+
     /**
      * Processes a notice on a target that arrived directly from its gateway.
      *
--- a/src/main/java/org/martenwell/gateway/ReportTopology.java
+++ b/src/main/java/org/martenwell/gateway/ReportTopology.java
@@ -31,6 +31,9 @@
     /** The share of each gateway in the report interval of a very large fleet, in milliseconds. */
     private static final long INTERVAL_MILLIS_PER_MEMBER = 2;
 
+    /** The number of gateways that know what the relay of their failure domain knows of it. */
+    private static final int STANDBYS = 2;
+
     /** The mean age of a report in a mesh, in report intervals. */
     private static final double MESH_AGE_INTERVALS = 0.5;
 
@@ -156,6 +159,17 @@
         return names;
     }
 
+    /**
+     * {@return the other gateways of this one's failure domain that are the next to act as its
+     * relay}
+     */
+    List<String> standbys() {
+        return relays.get(domain).candidates().stream()
+                .filter(each -> !each.equals(self))
+                .limit(STANDBYS)
+                .toList();
+    }
+
     /**
      * Returns the relays of the other failure domains.
      *
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -179,7 +179,8 @@
                         metadata.generation());
         core.harmful().begin(this);
         if (metadata.lastEventId().isPresent() && route.resumable()) {
-            core.streams().find(metadata.resumedAttempt(), route, this::streamFound);
+            core.streams()
+                    .find(metadata.resumedAttempt(), route, remainingMillis(), this::streamFound);
         } else {
             dispatch(configuration, TargetSelector.of(route.service(core.random())));
         }
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -171,6 +171,32 @@
         PeerMessage read(FieldReader reader) throws IOException {
             return VersionMessageCodec.readVersionNotice(reader);
         }
+    },
+
+    /** Streams whose versions a gateway doesn't know. */
+    STREAM_ORIGIN_DENIAL(13, StreamOriginDenial.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            VersionMessageCodec.write((StreamOriginDenial) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return VersionMessageCodec.readOriginDenial(reader);
+        }
+    },
+
+    /** End of the stream origins that a gateway sends to a peer that has connected. */
+    STREAM_ORIGINS_SENT(14, StreamOriginsSent.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            VersionMessageCodec.write((StreamOriginsSent) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return VersionMessageCodec.readOriginsSent(reader);
+        }
     };
 
     private final int number;
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -183,7 +183,7 @@
         traffic.messageSent(MessageType.of(message), encoded.length);
         if (!flushScheduled) {
             flushScheduled = true;
-            reactor.postLast(this::flush);
+            reactor.postLast(this::flushLast);
         }
     }
 
@@ -256,11 +256,16 @@
      * Runs after all other tasks of an iteration of the event loop, so that one frame carries all
      * messages sent in it.
      */
-    private void flush() {
+    private void flushLast() {
         flushScheduled = false;
         write();
     }
 
+    /** Writes all buffered messages now, unless a frame is already being written. */
+    void flush() {
+        write();
+    }
+
     /** Writes all buffered messages in one frame, unless a frame is already being written. */
     private void write() {
         if (writing || codec == null || pending.size() == 0) {
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -92,6 +92,14 @@
         }
     }
 
+    /**
+     * Writes the messages to all peers now instead of at the end of the event loop's iteration, in
+     * which the process may end.
+     */
+    public void flush() {
+        connections.values().forEach(PeerConnection::flush);
+    }
+
     /**
      * Connects to a peer at once if it is required and not connected; called when a message shows
      * that the peer is running.
--- a/src/main/java/org/martenwell/peer/StreamOriginRequest.java
+++ b/src/main/java/org/martenwell/peer/StreamOriginRequest.java
@@ -4,8 +4,8 @@
 import org.martenwell.message.PeerMessage;
 
 /**
- * Request for the versions at which streams began. A gateway that knows none of them doesn't
- * respond.
+ * Request for the versions at which streams began. The response is a {@link StreamOriginNotice} for
+ * those that are known, and a {@link StreamOriginDenial} for the others.
  *
  * @param asker The gateway that asks.
  * @param attempts The keys of the attempts that brought the first events.
--- a/src/main/java/org/martenwell/peer/VersionMessageCodec.java
+++ b/src/main/java/org/martenwell/peer/VersionMessageCodec.java
@@ -71,6 +71,55 @@
         return new StreamOriginRequest(reader.name(), reader.list(FieldReader::number));
     }
 
+    /**
+     * Encodes a denial.
+     *
+     * @param message The denial.
+     * @param writer Receives the fields.
+     * @throws IOException Never; the buffer is in memory.
+     */
+    static void write(StreamOriginDenial message, FieldWriter writer) throws IOException {
+        writer.name(message.sender());
+        writer.count(message.attempts().size());
+        for (long each : message.attempts()) {
+            writer.number(each);
+        }
+    }
+
+    /**
+     * Decodes a denial.
+     *
+     * @param reader Provides the fields.
+     * @return The denial.
+     * @throws IOException If the payload ends early.
+     */
+    static StreamOriginDenial readOriginDenial(FieldReader reader) throws IOException {
+        return new StreamOriginDenial(reader.name(), reader.list(FieldReader::number));
+    }
+
+    /**
+     * Encodes the statement that all origins have been sent.
+     *
+     * @param message The statement.
+     * @param writer Receives the fields.
+     * @throws IOException Never; the buffer is in memory.
+     */
+    static void write(StreamOriginsSent message, FieldWriter writer) throws IOException {
+        writer.name(message.sender());
+        writer.number(message.complete() ? 1 : 0);
+    }
+
+    /**
+     * Decodes the statement that all origins have been sent.
+     *
+     * @param reader Provides the fields.
+     * @return The statement.
+     * @throws IOException If the payload ends early.
+     */
+    static StreamOriginsSent readOriginsSent(FieldReader reader) throws IOException {
+        return new StreamOriginsSent(reader.name(), reader.number() != 0);
+    }
+
     /**
      * Encodes a notice of listed versions.
      *
--- a/src/main/java/org/martenwell/version/StreamOrigins.java
+++ b/src/main/java/org/martenwell/version/StreamOrigins.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * The versions at which recent streams began, by attempt. Entries are retained for one to two
@@ -83,12 +84,26 @@
      * @return The origins in no particular order.
      */
     public List<StreamOrigin> of(String service, long now) {
+        return matching(version -> version.service().equals(service), now);
+    }
+
+    /**
+     * Returns all streams.
+     *
+     * @param now The current time, in milliseconds.
+     * @return The origins in no particular order.
+     */
+    public List<StreamOrigin> all(long now) {
+        return matching(version -> true, now);
+    }
+
+    private List<StreamOrigin> matching(Predicate<ServiceVersion> filter, long now) {
         rotate(now);
         List<StreamOrigin> found = new ArrayList<>();
         for (LongObjectHashMap<ServiceVersion> generation : List.of(former, current)) {
             generation.forEach(
                     (attempt, version) -> {
-                        if (version.service().equals(service)) {
+                        if (filter.test(version)) {
                             found.add(new StreamOrigin(attempt, version));
                         }
                     });
--- a/src/test/java/org/martenwell/gateway/LargeFleetRestartsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetRestartsTest.java
@@ -134,6 +134,7 @@
                                 .find(
                                         Optional.of(attempt),
                                         GatewayCores.route(400),
+                                        4_000,
                                         result -> {
                                             found.set(result);
                                             answered.countDown();
--- a/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
@@ -160,6 +160,7 @@
                                 .find(
                                         Optional.of(attempt),
                                         GatewayCores.route(400),
+                                        4_000,
                                         result -> {
                                             found.set(result.stream());
                                             answered.countDown();
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.directory.DirectoryTarget;
@@ -22,6 +23,11 @@
     /** Longer than any stream of the route may last, in milliseconds. */
     private static final long LONG_MILLIS = 200_000;
 
+    private static final long DEADLINE_MILLIS = 4_000;
+
+    /** The time after which a request that peers don't answer is refused, in milliseconds. */
+    private static final long MAX_WAIT_MILLIS = 1_100;
+
     private static final ServiceVersion OLD = new ServiceVersion("s", "v1");
 
     private static final DirectoryTarget TARGET = ReporterFleet.ALL_TARGETS.get("t");
@@ -38,6 +44,9 @@
     /** The outcomes of requests that took up a stream. */
     private final List<Optional<ResumedStream>> found = new ArrayList<>();
 
+    /** The causes of the refusals among them. */
+    private final List<StreamRefusal> refusals = new ArrayList<>();
+
     @BeforeEach
     void listTheOnlyVersion() {
         versions.peers(peers);
@@ -84,10 +93,83 @@
     @Test
     void testGatewayThatHasJustStartedDoesNotTakeTheFirstListForThePast() {
         find();
+        advance(MAX_WAIT_MILLIS);
+        assertThat(found).containsExactly(Optional.empty());
+        assertThat(refusals).containsExactly(StreamRefusal.PEERS_SILENT);
+    }
+
+    @Test
+    void testStreamIsRefusedOnceAllPeersInContactDenyIt() {
+        peers.respondents = Set.of("p", "q");
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(found).isEmpty();
+        versions.denied("q", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.HISTORY_TOO_SHORT);
+    }
+
+    @Test
+    void testStreamOfSeveralVersionsIsRefusedOnceAllPeersInContactDenyIt() {
+        versions.list(List.of(TARGET.withVersion("v1"), TARGET.withVersion("v2")), nowMillis);
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
+    @Test
+    void testGatewayThatDoesNotKnowItsFleetYetWaitsForIt() {
+        peers.respondents = Set.of();
+        peers.fleetKnown = false;
+        find();
+        advance(300);
+        assertThat(found).isEmpty();
+        peers.respondents = Set.of("p");
+        peers.fleetKnown = true;
+        advance(200);
+        assertThat(peers.asked).contains(StreamOrigin.key("a"));
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), OLD)), true);
+        assertThat(found).containsExactly(Optional.of(new ResumedStream(OLD, OriginSource.PEER)));
+    }
+
+    @Test
+    void testGatewayWhoseOwnLoopIsLateReadsTheAnswerBeforeItRefuses() {
+        find();
+        nowMillis += 5_000;
+        loop.post(() -> {});
+        loop.run();
+        assertThat(found).isEmpty();
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), OLD)), true);
+        assertThat(found).containsExactly(Optional.of(new ResumedStream(OLD, OriginSource.PEER)));
+    }
+
+    @Test
+    void testNoMoreThanHalfOfTheTimeToTheDeadlineIsWaitedForPeers() {
+        versions.find(
+                Optional.of("a"),
+                GatewayCores.route(400),
+                800,
+                result -> found.add(result.stream()));
         advance(400);
         assertThat(found).containsExactly(Optional.empty());
     }
 
+    @Test
+    void testCallerThatNamesNoAttemptIsRefusedWhileThereAreSeveralVersions() {
+        versions.list(List.of(TARGET.withVersion("v1"), TARGET.withVersion("v2")), nowMillis);
+        versions.find(Optional.empty(), GatewayCores.route(400), DEADLINE_MILLIS, this::record);
+        assertThat(refusals).containsExactly(StreamRefusal.NO_ATTEMPT_NAMED);
+    }
+
+    @Test
+    void testContradictoryAttemptIsRefused() {
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), OLD)), true);
+        versions.learn(
+                List.of(new StreamOrigin(StreamOrigin.key("a"), new ServiceVersion("s", "v2"))),
+                false);
+        find();
+        assertThat(refusals).containsExactly(StreamRefusal.CONTRADICTORY);
+    }
+
     @Test
     void testPeersTellAGatewayThatHasJustStarted() {
         versions.learn(new VersionHistory(LONG_MILLIS, List.of(new VersionSighting(OLD, 0))));
@@ -99,7 +181,7 @@
     void testResponseOfAPeerEndsTheWait() {
         find();
         assertThat(peers.asked).containsExactly(StreamOrigin.key("a"));
-        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), OLD)));
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), OLD)), true);
         assertThat(found).containsExactly(Optional.of(new ResumedStream(OLD, OriginSource.PEER)));
     }
 
@@ -123,8 +205,12 @@
     }
 
     private void find() {
-        versions.find(
-                Optional.of("a"), GatewayCores.route(400), result -> found.add(result.stream()));
+        versions.find(Optional.of("a"), GatewayCores.route(400), DEADLINE_MILLIS, this::record);
+    }
+
+    private void record(StreamLookup result) {
+        found.add(result.stream());
+        result.refusal().ifPresent(refusals::add);
     }
 
     /** Lets time pass and runs the tasks that are due. */
@@ -147,11 +233,28 @@
 
         private boolean inContact = true;
 
+        private Set<String> respondents = Set.of("p");
+
+        private boolean fleetKnown = true;
+
+        @Override
+        public Set<String> respondents(InquiryScope scope) {
+            return respondents;
+        }
+
+        @Override
+        public boolean fleetKnown() {
+            return fleetKnown;
+        }
+
         @Override
-        public void ask(List<Long> attempts) {
+        public void ask(String peer, List<Long> attempts) {
             asked.addAll(attempts);
         }
 
+        @Override
+        public void sendSoon() {}
+
         @Override
         public void send(VersionHistory sent) {
             history = Optional.of(sent);
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -200,9 +200,16 @@
                                         .ofMaxSize(5))
                         .as(VersionHistory::new)
                         .map(VersionNotice::new);
+        Arbitrary<PeerMessage> originDenials =
+                Combinators.combine(names, Arbitraries.longs().list().ofMaxSize(5))
+                        .as(StreamOriginDenial::new);
+        Arbitrary<PeerMessage> originsSent =
+                Combinators.combine(names, Arbitraries.of(true, false)).as(StreamOriginsSent::new);
         return Arbitraries.oneOf(
                         originNotices,
                         originRequests,
+                        originDenials,
+                        originsSent,
                         versionNotices,
                         batches,
                         heartbeats,
