Let streams of the only version go on behind the loss of all gateways

Callers saw 503 for 15 s for each stream that they took up after all gateways had been killed at once, also where the service had one version: 55 of 60 went on, all of them later than 15 s after the start.

Cause: that no other version was listed is known from lists and peers alone, and both are gone with the gateways.

The store holds one small object for each version of a service, of the kind `martenwell-versions`, written once by the gateway that the version's hash selects, by others after 1 s. It is removed by that gateway when the version has not been listed for four times the longest stream. Gateways write only when they have known the listed versions for as long as a stream may last, so records never hide a version of before. A gateway whose peers don't tell it what was listed reads them when a stream is taken up, when a second version appears or after 2 s; if each listed service has a record, the records are taken for what was listed. While a version's record is written, no stream begins at its targets if others are there, for 2 s at the most: else all gateways could be lost before the record is there, and streams of that version go on at the other one. Nothing is written for each request.

--- a/src/main/java/org/martenwell/directory/EntryReader.java
+++ b/src/main/java/org/martenwell/directory/EntryReader.java
@@ -30,6 +30,9 @@
     /** {@return the kind of quarantined-request objects, which gateways write themselves} */
     String quarantinedRequestKind();
 
+    /** {@return the kind of records of versions, which gateways write themselves} */
+    String versionKind();
+
     /**
      * Parses a configuration.
      *
--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -1,8 +1,11 @@
 package org.martenwell.directory;
 
+import io.activej.promise.Promise;
+import java.util.Set;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.service.ManagedService;
+import org.martenwell.version.ServiceVersion;
 
 /**
  * Source of the configuration, the targets and the gateways of a fleet. Changes are reported to a
@@ -50,6 +53,26 @@
      */
     void release(Fingerprint fingerprint);
 
+    /**
+     * Writes the record of a version of targets, so that gateways that start without any peer know
+     * that it was listed. A record that exists is kept.
+     *
+     * @param version The version.
+     * @return A promise that completes when the record exists.
+     */
+    Promise<Void> recordVersion(ServiceVersion version);
+
+    /**
+     * Removes the record of a version.
+     *
+     * @param version The version.
+     * @return A promise that completes when no record exists.
+     */
+    Promise<Void> removeVersion(ServiceVersion version);
+
+    /** {@return the versions of which a record exists} */
+    Promise<Set<ServiceVersion>> recordedVersions();
+
     /** Removes this gateway's entry before it shuts down. */
     void leave();
 }
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -20,6 +20,7 @@
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.version.ServiceVersion;
 
 /**
  * Fleet directory backed by an {@link ObjectStore}. The version of the active configuration never
@@ -70,6 +71,8 @@
 
     private final QuarantinedRequestStore quarantinedRequests;
 
+    private final VersionRecordStore versionRecords;
+
     /** The version of the active configuration. */
     private long version;
 
@@ -145,6 +148,7 @@
                         new KindSource(reactor, store, reader.gatewayKind(), random),
                         PollInterval.GATEWAYS,
                         this::applyGateways);
+        this.versionRecords = new VersionRecordStore(store, reader.versionKind());
         this.quarantinedRequests =
                 new QuarantinedRequestStore(
                         reactor,
@@ -219,6 +223,21 @@
         quarantinedRequests.release(fingerprint);
     }
 
+    @Override
+    public Promise<Void> recordVersion(ServiceVersion version) {
+        return versionRecords.write(version);
+    }
+
+    @Override
+    public Promise<Void> removeVersion(ServiceVersion version) {
+        return versionRecords.remove(version);
+    }
+
+    @Override
+    public Promise<Set<ServiceVersion>> recordedVersions() {
+        return versionRecords.read();
+    }
+
     @Override
     public void leave() {
         leaving = true;
--- a/src/main/java/org/martenwell/gateway/CallerInquiry.java
+++ b/src/main/java/org/martenwell/gateway/CallerInquiry.java
@@ -22,6 +22,8 @@
 
     private final VersionWindow window;
 
+    private final VersionRecords records;
+
     private final OriginPeers peers;
 
     private final LongSupplier clock;
@@ -35,6 +37,7 @@
      * @param service The only service of the route, empty if it has several.
      * @param known The origins that are known here.
      * @param window The versions that were listed of late.
+     * @param records The records of versions in the directory.
      * @param peers The peers.
      * @param clock Provides the current time, in milliseconds.
      * @param listener Receives the result.
@@ -44,6 +47,7 @@
             Optional<String> service,
             KnownOrigins known,
             VersionWindow window,
+            VersionRecords records,
             OriginPeers peers,
             LongSupplier clock,
             Consumer<StreamLookup> listener) {
@@ -51,6 +55,7 @@
         this.service = service;
         this.known = known;
         this.window = window;
+        this.records = records;
         this.peers = peers;
         this.clock = clock;
         this.listener = listener;
@@ -99,7 +104,7 @@
 
     @Override
     public boolean denied() {
-        if (onlyVersion().isPresent()) {
+        if (onlyVersion().isPresent() || records.isReading()) {
             return false;
         }
         refuse(versions() == 1 ? StreamRefusal.HISTORY_TOO_SHORT : StreamRefusal.UNKNOWN_TO_PEERS);
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import io.activej.promise.Promise;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -14,6 +15,8 @@
 import org.martenwell.peer.StreamOriginRequest;
 import org.martenwell.peer.StreamOriginsSent;
 import org.martenwell.peer.VersionNotice;
+import org.martenwell.peer.VersionRecordNotice;
+import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.StreamOrigin;
 import org.martenwell.version.VersionHistory;
 
@@ -41,6 +44,8 @@
 
     private final OriginTransfer transfer;
 
+    private boolean stopped;
+
     /** The gateways that understand messages on versions. */
     private Set<String> capable = Set.of();
 
@@ -116,6 +121,10 @@
     void connected(String peer, boolean everything) {
         send(peer, new VersionNotice(core.streams().history()));
         if (transferring.contains(peer)) {
+            List<ServiceVersion> recorded = core.streams().records().recorded();
+            if (!recorded.isEmpty()) {
+                network.send(peer, new VersionRecordNotice(recorded));
+            }
             List<StreamOrigin> origins = new ArrayList<>(core.streams().notified());
             if (topology.usesRelays() ? passesOnTo(peer) : everything) {
                 origins.addAll(core.streams().near());
@@ -217,6 +226,57 @@
         capable.forEach(each -> send(each, new VersionNotice(history)));
     }
 
+    @Override
+    public boolean owns(ServiceVersion version) {
+        return livePeers.owns(version.service() + version.version(), core.now());
+    }
+
+    @Override
+    public Promise<Void> record(ServiceVersion version) {
+        return directory.recordVersion(version);
+    }
+
+    @Override
+    public Promise<Void> removeRecord(ServiceVersion version) {
+        return directory.removeVersion(version);
+    }
+
+    @Override
+    public Promise<Set<ServiceVersion>> readRecords() {
+        return directory.recordedVersions();
+    }
+
+    @Override
+    public void sendRecorded(List<ServiceVersion> versions) {
+        if (!versions.isEmpty()) {
+            transferring.forEach(each -> network.send(each, new VersionRecordNotice(versions)));
+        }
+    }
+
+    /**
+     * Processes which versions the directory holds a record of. Relays pass it on.
+     *
+     * @param notice The message.
+     */
+    void receive(VersionRecordNotice notice) {
+        List<ServiceVersion> added = new ArrayList<>(notice.versions());
+        added.removeAll(core.streams().records().recorded());
+        core.streams().records().learn(added);
+        if (topology.usesRelays()) {
+            sendRecorded(added);
+        }
+    }
+
+    @Override
+    public boolean stopped() {
+        return stopped;
+    }
+
+    /** Ends periodic checks. */
+    void stop() {
+        stopped = true;
+    }
+
     @Override
     public void refreshTargets() {
         directory.refresh();
--- a/src/main/java/org/martenwell/gateway/OriginPeers.java
+++ b/src/main/java/org/martenwell/gateway/OriginPeers.java
@@ -1,7 +1,9 @@
 package org.martenwell.gateway;
 
+import io.activej.promise.Promise;
 import java.util.List;
 import java.util.Set;
+import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.VersionHistory;
 
 /** The peers and the directory, as sources on the versions at which streams began. */
@@ -37,6 +39,43 @@
      */
     void send(VersionHistory history);
 
+    /**
+     * Returns whether this gateway is the one to write a version's record.
+     *
+     * @param version The version.
+     * @return {@code true} if it is, as far as it knows.
+     */
+    boolean owns(ServiceVersion version);
+
+    /**
+     * Writes a version's record.
+     *
+     * @param version The version.
+     * @return A promise that completes when the directory holds it.
+     */
+    Promise<Void> record(ServiceVersion version);
+
+    /**
+     * Removes a version's record.
+     *
+     * @param version The version.
+     * @return A promise that completes when the directory doesn't hold it.
+     */
+    Promise<Void> removeRecord(ServiceVersion version);
+
+    /** {@return the versions that the directory holds a record of} */
+    Promise<Set<ServiceVersion>> readRecords();
+
+    /**
+     * Notifies peers of versions that the directory holds a record of.
+     *
+     * @param versions The versions.
+     */
+    void sendRecorded(List<ServiceVersion> versions);
+
+    /** {@return {@code true} once this gateway has stopped} */
+    boolean stopped();
+
     /** Reads the targets from the directory again. */
     void refreshTargets();
 
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -23,6 +23,7 @@
 import org.martenwell.peer.StreamOriginsSent;
 import org.martenwell.peer.TargetNotice;
 import org.martenwell.peer.VersionNotice;
+import org.martenwell.peer.VersionRecordNotice;
 import org.martenwell.service.ManagedService;
 import org.martenwell.settings.GatewaySettings;
 
@@ -145,6 +146,7 @@
     @Override
     public Promise<Void> stop() {
         stopped = true;
+        origins.stop();
         return network.stop();
     }
 
@@ -220,6 +222,8 @@
             origins.receive(request);
         } else if (message instanceof VersionNotice notice) {
             origins.receive(notice);
+        } else if (message instanceof VersionRecordNotice notice) {
+            origins.receive(notice);
         } else if (message instanceof StreamOriginDenial denial) {
             origins.receive(denial);
         } else if (message instanceof StreamOriginsSent sent) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -276,6 +276,9 @@
         if (available.isEmpty() && !history.triedTargets().isEmpty() && route.repeatable()) {
             available = core.targets().available(selector, Set.of(), now);
         }
+        if (route.resumable() && selector.version().isEmpty()) {
+            available = core.streams().withoutHeldVersions(available);
+        }
         if (available.isEmpty()) {
             refuseWithoutTarget(now);
         } else if (engines.isEmpty()) {
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.route.Route;
@@ -45,6 +47,8 @@
 
     private final OriginInquiries inquiries;
 
+    private final VersionRecords records;
+
     /** The time of the last request to read the targets again, in milliseconds. */
     private long refreshedMillis = Long.MIN_VALUE / 2;
 
@@ -56,6 +60,7 @@
     StreamVersions(NioReactor reactor) {
         this.reactor = reactor;
         this.inquiries = new OriginInquiries(reactor, peers);
+        this.records = new VersionRecords(reactor, window, peers);
     }
 
     /**
@@ -66,6 +71,7 @@
     void peers(OriginPeers sources) {
         peers = sources;
         inquiries.peers(sources);
+        records.start(sources, inquiries::resolve);
     }
 
     /**
@@ -94,6 +100,7 @@
             peers.send(history());
         }
         notices.updateMixedServices(now());
+        records.check();
         inquiries.resolve();
     }
 
@@ -111,6 +118,7 @@
     boolean learn(VersionHistory history) {
         boolean added = window.learn(history, now());
         notices.updateMixedServices(now());
+        records.check();
         inquiries.resolve();
         return added;
     }
@@ -206,6 +214,30 @@
         return found;
     }
 
+    /**
+     * Returns the targets at which streams may begin.
+     *
+     * @param targets The targets that accept requests.
+     * @return Those without versions whose record is being written, all if there are no others.
+     */
+    List<TargetLoad> withoutHeldVersions(List<TargetLoad> targets) {
+        List<TargetLoad> free =
+                targets.stream()
+                        .filter(
+                                each ->
+                                        !records.isHeld(
+                                                new ServiceVersion(
+                                                        each.target().service(),
+                                                        each.target().version())))
+                        .toList();
+        return free.isEmpty() ? targets : free;
+    }
+
+    /** {@return the records of versions in the directory} */
+    VersionRecords records() {
+        return records;
+    }
+
     /** {@return the searches for versions of streams} */
     OriginInquiries inquiries() {
         return inquiries;
@@ -237,7 +269,9 @@
         OriginInquiry inquiry =
                 new OriginInquiry(attempt.map(StreamOrigin::key), InquiryScope.FLEET, rounds);
         CallerInquiry started =
-                new CallerInquiry(inquiry, service, known, window, peers, this::now, listener);
+                new CallerInquiry(
+                        inquiry, service, known, window, records, peers, this::now, listener);
+        records.read();
         inquiries.start(started);
         if (inquiries.pending().contains(started) && started.onlyVersion().isPresent()) {
             refreshTargets();
@@ -288,6 +322,34 @@
         @Override
         public void sendSoon() {}
 
+        @Override
+        public boolean owns(ServiceVersion version) {
+            return false;
+        }
+
+        @Override
+        public Promise<Void> record(ServiceVersion version) {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Void> removeRecord(ServiceVersion version) {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Set<ServiceVersion>> readRecords() {
+            return Promise.of(Set.of());
+        }
+
+        @Override
+        public void sendRecorded(List<ServiceVersion> versions) {}
+
+        @Override
+        public boolean stopped() {
+            return true;
+        }
+
         @Override
         public void send(VersionHistory history) {}
 
--- /dev/null
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -0,0 +1,229 @@
+package org.martenwell.gateway;
+
+import io.activej.reactor.nio.NioReactor;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.martenwell.version.ServiceVersion;
+import org.martenwell.version.VersionHistory;
+import org.martenwell.version.VersionSighting;
+
+/**
+ * Records of the versions at which streams may have begun, kept in the directory for the case that
+ * all gateways are lost at once. A record is written when a version appears and removed long after
+ * it has gone; a gateway reads them only if no peer tells it what was listed before its start.
+ */
+final class VersionRecords {
+
+    /** The interval of checks for records to write, read and remove, in milliseconds. */
+    private static final long CHECK_MILLIS = 500;
+
+    /** The time for which a gateway waits for its peers before it reads the records. */
+    private static final long READ_AFTER_MILLIS = 2_000;
+
+    /** The time after which a gateway writes a record that another one should have written. */
+    private static final long TAKE_OVER_MILLIS = 1_000;
+
+    /**
+     * The longest time for which no stream begins at a version whose record is being written, in
+     * milliseconds.
+     */
+    private static final long MAX_HOLD_MILLIS = 2_000;
+
+    /** The least interval of reads, in milliseconds. */
+    private static final long READ_INTERVAL_MILLIS = 300;
+
+    private final NioReactor reactor;
+
+    private final VersionWindow window;
+
+    private OriginPeers peers;
+
+    /** The versions that the directory holds a record of. */
+    private final Set<ServiceVersion> recorded = new HashSet<>();
+
+    /** The times at which versions were first seen, in milliseconds. */
+    private final Map<ServiceVersion, Long> seenMillis = new HashMap<>();
+
+    /** The times at which recorded versions had gone for as long as the window, in milliseconds. */
+    private final Map<ServiceVersion, Long> goneMillis = new HashMap<>();
+
+    /** The versions whose record is being written or removed. */
+    private final Set<ServiceVersion> writing = new HashSet<>();
+
+    /** Called when the records tell what was listed. */
+    private Runnable listener = () -> {};
+
+    private long startedMillis = -1;
+
+    private long readMillis = Long.MIN_VALUE / 2;
+
+    private boolean reading;
+
+    /**
+     * Creates an instance that knows no records.
+     *
+     * @param reactor The event loop.
+     * @param window The versions that were listed of late.
+     * @param peers The peers and the directory.
+     */
+    VersionRecords(NioReactor reactor, VersionWindow window, OriginPeers peers) {
+        this.reactor = reactor;
+        this.window = window;
+        this.peers = peers;
+    }
+
+    /**
+     * Sets the peers and starts the checks; called once before the start.
+     *
+     * @param sources The peers and the directory.
+     * @param changed Called when the records tell what was listed.
+     */
+    void start(OriginPeers sources, Runnable changed) {
+        peers = sources;
+        listener = changed;
+        reactor.delayBackground(CHECK_MILLIS, this::checkPeriodically);
+    }
+
+    private void checkPeriodically() {
+        check();
+        if (!peers.stopped()) {
+            reactor.delayBackground(CHECK_MILLIS, this::checkPeriodically);
+        }
+    }
+
+    /** Writes, reads and removes records as the listed versions require. */
+    void check() {
+        long now = now();
+        Set<ServiceVersion> listed = window.all();
+        if (listed.isEmpty()) {
+            return;
+        }
+        startedMillis = startedMillis < 0 ? now : startedMillis;
+        listed.forEach(each -> seenMillis.putIfAbsent(each, now));
+        seenMillis.keySet().retainAll(listed);
+        goneMillis.keySet().removeAll(listed);
+        if (window.isCovered(now)) {
+            listed.forEach(each -> writeIfMissing(each, now));
+            recorded.stream()
+                    .filter(each -> !listed.contains(each))
+                    .toList()
+                    .forEach(each -> removeIfGone(each, now));
+        } else if (now - startedMillis >= READ_AFTER_MILLIS || severalVersions(listed)) {
+            read();
+        }
+    }
+
+    private static boolean severalVersions(Set<ServiceVersion> listed) {
+        return services(listed).size() < listed.size();
+    }
+
+    private static Set<String> services(Collection<ServiceVersion> versions) {
+        return versions.stream().map(ServiceVersion::service).collect(Collectors.toSet());
+    }
+
+    private void writeIfMissing(ServiceVersion version, long now) {
+        boolean due = peers.owns(version) || now - seenMillis.get(version) >= TAKE_OVER_MILLIS;
+        if (due && !recorded.contains(version) && writing.add(version)) {
+            peers.record(version)
+                    .whenResult(
+                            () -> {
+                                recorded.add(version);
+                                peers.sendRecorded(List.of(version));
+                            })
+                    .whenComplete(() -> writing.remove(version));
+        }
+    }
+
+    /** Removes a record once all gateways must have noticed that its version has gone. */
+    private void removeIfGone(ServiceVersion version, long now) {
+        long since = goneMillis.computeIfAbsent(version, each -> now);
+        if (now - since < 2 * window.retentionMillis()) {
+            return;
+        }
+        if (!peers.owns(version)) {
+            recorded.remove(version);
+            goneMillis.remove(version);
+        } else if (writing.add(version)) {
+            peers.removeRecord(version)
+                    .whenResult(
+                            () -> {
+                                recorded.remove(version);
+                                goneMillis.remove(version);
+                            })
+                    .whenComplete(() -> writing.remove(version));
+        }
+    }
+
+    /** Reads the records, unless this gateway knows what was listed. */
+    void read() {
+        if (reading || window.isCovered(now()) || now() - readMillis < READ_INTERVAL_MILLIS) {
+            return;
+        }
+        reading = true;
+        readMillis = now();
+        peers.readRecords()
+                .whenResult(this::apply)
+                .whenComplete(
+                        () -> {
+                            reading = false;
+                            listener.run();
+                        });
+    }
+
+    /** {@return {@code true} while the records are read} */
+    boolean isReading() {
+        return reading;
+    }
+
+    /**
+     * Takes the records for what was listed, if there is one of each service. Fleets that have not
+     * written any yet have no records of versions that have gone.
+     */
+    private void apply(Set<ServiceVersion> found) {
+        recorded.addAll(found);
+        if (services(found).containsAll(services(window.all())) && !window.all().isEmpty()) {
+            window.learn(
+                    new VersionHistory(
+                            2 * window.retentionMillis(),
+                            found.stream().map(each -> new VersionSighting(each, 0)).toList()),
+                    now());
+        }
+    }
+
+    /**
+     * Applies which versions a peer knows to be recorded.
+     *
+     * @param versions The versions.
+     */
+    void learn(List<ServiceVersion> versions) {
+        recorded.addAll(versions);
+    }
+
+    /** {@return the versions that are known to be recorded} */
+    List<ServiceVersion> recorded() {
+        return List.copyOf(recorded);
+    }
+
+    /**
+     * Returns whether no stream should begin at a version yet. Its record is being written, and
+     * others of the service are recorded, so that they would be taken for the only ones if all
+     * gateways were lost.
+     *
+     * @param version The version.
+     * @return {@code true} if streams should begin at others, if there are any.
+     */
+    boolean isHeld(ServiceVersion version) {
+        return !recorded.contains(version)
+                && now() - seenMillis.getOrDefault(version, now()) < MAX_HOLD_MILLIS
+                && services(recorded).contains(version.service());
+    }
+
+    private long now() {
+        return reactor.currentTimeMillis();
+    }
+}
--- a/src/main/java/org/martenwell/gateway/VersionWindow.java
+++ b/src/main/java/org/martenwell/gateway/VersionWindow.java
@@ -111,6 +111,17 @@
         return listed.since(service, now - 2 * retentionMillis);
     }
 
+    /**
+     * Returns whether all versions are known at which streams may have begun that callers resume
+     * now.
+     *
+     * @param now The current time, in milliseconds.
+     * @return {@code true} if they are.
+     */
+    boolean isCovered(long now) {
+        return listed.history(now).coveredMillis() >= retentionMillis;
+    }
+
     /**
      * Returns whether the last list is recent enough to decide on a request.
      *
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -197,6 +197,19 @@
         PeerMessage read(FieldReader reader) throws IOException {
             return VersionMessageCodec.readOriginsSent(reader);
         }
+    },
+
+    /** Versions that the directory holds a record of. */
+    VERSION_RECORD_NOTICE(15, VersionRecordNotice.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            VersionMessageCodec.write((VersionRecordNotice) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return VersionMessageCodec.readRecordNotice(reader);
+        }
     };
 
     private final int number;
--- a/src/main/java/org/martenwell/peer/VersionMessageCodec.java
+++ b/src/main/java/org/martenwell/peer/VersionMessageCodec.java
@@ -151,6 +151,31 @@
                                 each -> new VersionSighting(readVersion(each), each.number()))));
     }
 
+    /**
+     * Encodes a notice of recorded versions.
+     *
+     * @param message The notice.
+     * @param writer Receives the fields.
+     * @throws IOException Never; the buffer is in memory.
+     */
+    static void write(VersionRecordNotice message, FieldWriter writer) throws IOException {
+        writer.count(message.versions().size());
+        for (ServiceVersion each : message.versions()) {
+            write(each, writer);
+        }
+    }
+
+    /**
+     * Decodes a notice of recorded versions.
+     *
+     * @param reader Provides the fields.
+     * @return The notice.
+     * @throws IOException If the payload ends early.
+     */
+    static VersionRecordNotice readRecordNotice(FieldReader reader) throws IOException {
+        return new VersionRecordNotice(reader.list(VersionMessageCodec::readVersion));
+    }
+
     private static void write(ServiceVersion version, FieldWriter writer) throws IOException {
         writer.name(version.service());
         writer.name(version.version());
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -24,6 +24,7 @@
 import org.martenwell.service.LoopbackPorts;
 import org.martenwell.service.ReleasedPorts;
 import org.martenwell.settings.GatewaySettings;
+import org.martenwell.version.ServiceVersion;
 
 /**
  * The reporters of a fleet of gateways on loopback, all on one event loop, without a store. Tests
@@ -245,6 +246,21 @@
         @Override
         public void release(Fingerprint fingerprint) {}
 
+        @Override
+        public Promise<Void> recordVersion(ServiceVersion version) {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Void> removeVersion(ServiceVersion version) {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Set<ServiceVersion>> recordedVersions() {
+            return Promise.of(Set.of());
+        }
+
         @Override
         public void leave() {}
     }
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -170,6 +172,45 @@
         assertThat(refusals).containsExactly(StreamRefusal.CONTRADICTORY);
     }
 
+    @Test
+    void testRecordsTellAGatewayWhoseFleetWasLost() {
+        peers.recorded = Set.of(OLD);
+        find();
+        assertThat(found).containsExactly(onlyVersion());
+    }
+
+    @Test
+    void testRecordOfAVersionThatHasGoneKeepsStreamsFromTheOneThatIsLeft() {
+        peers.recorded = Set.of(OLD, new ServiceVersion("s", "v2"));
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
+    /** A fleet that has written no records yet has none of versions that have gone. */
+    @Test
+    void testMissingRecordsDoNotTellThatOneVersionAloneWasListed() {
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.HISTORY_TOO_SHORT);
+        assertThat(peers.written).isEmpty();
+    }
+
+    @Test
+    void testNoStreamBeginsAtAVersionWhoseRecordIsBeingWritten() {
+        ServiceVersion second = new ServiceVersion("s", "v2");
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        assertThat(peers.written).containsExactly(OLD);
+        peers.writable = false;
+        versions.list(List.of(TARGET.withVersion("v1"), TARGET.withVersion("v2")), nowMillis);
+        assertThat(peers.written).containsExactly(OLD, second);
+        assertThat(versions.records().isHeld(OLD)).isFalse();
+        assertThat(versions.records().isHeld(second)).isTrue();
+        versions.records().learn(List.of(second));
+        assertThat(versions.records().isHeld(second)).isFalse();
+    }
+
     @Test
     void testPeersTellAGatewayThatHasJustStarted() {
         versions.learn(new VersionHistory(LONG_MILLIS, List.of(new VersionSighting(OLD, 0))));
@@ -233,6 +274,12 @@
 
         private boolean inContact = true;
 
+        private final List<ServiceVersion> written = new ArrayList<>();
+
+        private Set<ServiceVersion> recorded = Set.of();
+
+        private boolean writable = true;
+
         private Set<String> respondents = Set.of("p");
 
         private boolean fleetKnown = true;
@@ -255,6 +302,36 @@
         @Override
         public void sendSoon() {}
 
+        @Override
+        public boolean owns(ServiceVersion version) {
+            return true;
+        }
+
+        @Override
+        public Promise<Void> record(ServiceVersion version) {
+            written.add(version);
+            return writable ? Promise.complete() : new SettablePromise<>();
+        }
+
+        @Override
+        public Promise<Void> removeRecord(ServiceVersion version) {
+            written.remove(version);
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<Set<ServiceVersion>> readRecords() {
+            return Promise.of(recorded);
+        }
+
+        @Override
+        public void sendRecorded(List<ServiceVersion> sent) {}
+
+        @Override
+        public boolean stopped() {
+            return false;
+        }
+
         @Override
         public void send(VersionHistory sent) {
             history = Optional.of(sent);
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -205,7 +205,10 @@
                         .as(StreamOriginDenial::new);
         Arbitrary<PeerMessage> originsSent =
                 Combinators.combine(names, Arbitraries.of(true, false)).as(StreamOriginsSent::new);
+        Arbitrary<PeerMessage> recordNotices =
+                versions.list().ofMaxSize(5).map(VersionRecordNotice::new);
         return Arbitraries.oneOf(
+                        recordNotices,
                         originNotices,
                         originRequests,
                         originDenials,
