--- a/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
+++ b/src/test/java/org/martenwell/gateway/LargeFleetStreamsTest.java
@@ -160,8 +160,9 @@
                                 .find(
                                         Optional.of(attempt),
                                         GatewayCores.route(400),
-                                        stream -> {
-                                            found.set(stream);
+                                        4_000,
+                                        result -> {
+                                            found.set(result.stream());
                                             answered.countDown();
                                         }));
         try {
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -200,9 +200,19 @@
                                         .ofMaxSize(5))
                         .as(VersionHistory::new)
                         .map(VersionNotice::new);
+        Arbitrary<PeerMessage> originDenials =
+                Combinators.combine(names, Arbitraries.longs().list().ofMaxSize(5))
+                        .as(StreamOriginDenial::new);
+        Arbitrary<PeerMessage> originsSent =
+                Combinators.combine(names, Arbitraries.of(true, false)).as(StreamOriginsSent::new);
+        Arbitrary<PeerMessage> recordNotices =
+                versions.list().ofMaxSize(5).map(VersionRecordNotice::new);
         return Arbitraries.oneOf(
+                        recordNotices,
                         originNotices,
                         originRequests,
+                        originDenials,
+                        originsSent,
                         versionNotices,
                         batches,
                         heartbeats,
