Bound the cost of searches for unknown streams

A relay looked through all searches in progress for each attempt that it was asked for, and a gateway copied them for each stream that a caller takes up: with many unknown attempts the work grows with their square. Searches in the name of others are found by asker and attempt now.

`SlopeMeasurement` measures the denial too (not run yet).

--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -46,6 +46,11 @@
 
     private boolean stopped;
 
+    /** The searches in the name of other gateways. */
+    private final Set<Search> searches = new HashSet<>();
+
+    private record Search(String asker, long attempt) {}
+
     /** The gateways that understand messages on versions. */
     private Set<String> capable = Set.of();
 
@@ -328,20 +333,23 @@
 
     /** Searches for a stream in the name of another gateway, unless that is in progress. */
     private void search(String asker, long attempt) {
-        boolean pending =
-                core.streams().inquiries().pending().stream()
-                        .anyMatch(
-                                each ->
-                                        each instanceof RelayInquiry relayed
-                                                && relayed.asker().equals(asker)
-                                                && relayed.attempt() == attempt);
-        if (!pending) {
+        if (searches.add(new Search(asker, attempt))) {
             InquiryScope scope =
                     topology.inOtherDomain(asker) ? InquiryScope.DOMAIN : InquiryScope.FLEET;
             core.streams().inquiries().start(RelayInquiry.of(asker, attempt, scope, this));
         }
     }
 
+    /**
+     * Records that a search in the name of another gateway is over.
+     *
+     * @param asker The gateway's name.
+     * @param attempt The key of the attempt that brought the first event.
+     */
+    void searchEnded(String asker, long attempt) {
+        searches.remove(new Search(asker, attempt));
+    }
+
     /**
      * Returns the origins that are known here.
      *
--- a/src/main/java/org/martenwell/gateway/OriginInquiries.java
+++ b/src/main/java/org/martenwell/gateway/OriginInquiries.java
@@ -90,12 +90,13 @@
     }
 
     /**
-     * Returns the searches in progress.
+     * Returns whether a search is in progress.
      *
-     * @return The searches.
+     * @param inquiry The search.
+     * @return {@code true} if it is.
      */
-    Set<PendingInquiry> pending() {
-        return Set.copyOf(pending);
+    boolean isPending(PendingInquiry inquiry) {
+        return pending.contains(inquiry);
     }
 
     private boolean isDenied(PendingInquiry each) {
--- a/src/main/java/org/martenwell/gateway/RelayInquiry.java
+++ b/src/main/java/org/martenwell/gateway/RelayInquiry.java
@@ -38,6 +38,7 @@
     public boolean resolve() {
         List<StreamOrigin> found = exchange.known(List.of(attempt));
         if (!found.isEmpty()) {
+            exchange.searchEnded(asker, attempt);
             exchange.respond(asker, found);
         }
         return !found.isEmpty();
@@ -45,11 +46,14 @@
 
     @Override
     public boolean denied() {
+        exchange.searchEnded(asker, attempt);
         exchange.deny(asker, List.of(attempt));
         return true;
     }
 
     /** {@inheritDoc} The gateway that asks knows by itself that it got no answer. */
     @Override
-    public void expired() {}
+    public void expired() {
+        exchange.searchEnded(asker, attempt);
+    }
 }
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -273,7 +273,7 @@
                         inquiry, service, known, window, records, peers, this::now, listener);
         records.read();
         inquiries.start(started);
-        if (inquiries.pending().contains(started) && started.onlyVersion().isPresent()) {
+        if (inquiries.isPending(started) && started.onlyVersion().isPresent()) {
             refreshTargets();
         }
     }
--- a/src/test/java/org/martenwell/measure/SlopeMeasurement.java
+++ b/src/test/java/org/martenwell/measure/SlopeMeasurement.java
@@ -27,6 +27,7 @@
 import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.MessageReader;
 import org.martenwell.peer.MessageWriter;
+import org.martenwell.peer.StreamOriginDenial;
 import org.martenwell.peer.StreamOriginNotice;
 import org.martenwell.schedule.Demand;
 import org.martenwell.schedule.GrantListener;
@@ -124,6 +125,11 @@
                 "stream origin notice",
                 count + " streams",
                 new StreamOriginNotice("gateway-1", "", origins));
+        measureMessage(
+                "stream origin denial",
+                count + " streams",
+                new StreamOriginDenial(
+                        "gateway-1", origins.stream().map(StreamOrigin::attempt).toList()));
     }
 
     private void measureMessage(String messageName, int organisations, PeerMessage message) {
