Keep what was listed beyond the longest attempt of a stream

A caller could get the rest of a stream from another version: its last attempt at a version that was leaving lasted up to the time-out of the route, its origin was lost with its gateways or forgotten, and the caller came back when the other version alone had been listed for that time-out. The retention, for which origins are kept and one version must have been listed alone, was the longest time-out; it left no time for the caller to come back. It is 5 s longer now.

testStreamThatLastedUpToTheTimeOutDoesNotGoOnAtTheVersionThatIsLeft went on at v2 before (ONLY_VERSION) and waits for peers now; StreamVersionsTest passes (21).

--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -26,6 +26,12 @@
     /** The least time for which origins are retained, in milliseconds. */
     private static final long MIN_RETENTION_MILLIS = 15_000;
 
+    /**
+     * The time after the end of an attempt in which its caller may resume the stream, in
+     * milliseconds.
+     */
+    private static final long RESUME_MARGIN_MILLIS = 5_000;
+
     /** The most rounds for which a request waits for the responses of peers. */
     private static final int MAX_ROUNDS = 10;
 
@@ -82,9 +88,10 @@
     void configure(GatewayConfiguration configuration) {
         long retentionMillis =
                 configuration.routes().stream()
-                        .filter(Route::resumable)
-                        .mapToLong(Route::timeoutMillis)
-                        .reduce(MIN_RETENTION_MILLIS, Math::max);
+                                .filter(Route::resumable)
+                                .mapToLong(Route::timeoutMillis)
+                                .reduce(MIN_RETENTION_MILLIS, Math::max)
+                        + RESUME_MARGIN_MILLIS;
         known.retain(retentionMillis);
         window.retain(retentionMillis);
     }
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -7,11 +7,14 @@
 import io.activej.promise.SettablePromise;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.exchange.ConnectionLimits;
+import org.martenwell.route.GatewayConfiguration;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.StreamOrigin;
 import org.martenwell.version.VersionHistory;
@@ -172,6 +175,27 @@
         assertThat(refusals).containsExactly(StreamRefusal.CONTRADICTORY);
     }
 
+    /** Its last attempt lasts up to the time-out of the route, and its caller comes back later. */
+    @Test
+    void testStreamThatLastedUpToTheTimeOutDoesNotGoOnAtTheVersionThatIsLeft() {
+        versions.configure(
+                new GatewayConfiguration(
+                        1,
+                        List.of(GatewayCores.route(400)),
+                        Map.of(),
+                        ConnectionLimits.DEFAULTS,
+                        0,
+                        false,
+                        Map.of()));
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        advance(GatewayCores.route(400).timeoutMillis() + 1_000);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        find();
+        assertThat(found).isEmpty();
+    }
+
     @Test
     void testRecordsTellAGatewayWhoseFleetWasLost() {
         peers.recorded = Set.of(OLD);
