--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -138,7 +138,8 @@
         return thread.call(
                 () -> {
                     ReportTopology topology =
-                            new ReportTopology(gateway, members.get(gateway).failureDomain());
+                            new ReportTopology(
+                                    gateway, members.get(gateway).failureDomain(), () -> 0);
                     topology.members(members.values());
                     Gauge<?> gauge =
                             cores.get(gateway).log().metrics().getGauges().get("peers_connected");
