End searches for streams whose result can't be delivered

By reading, a search whose listener throws stayed first among the searches in progress and the round wasn't scheduled again, so that each later search ended only by its request's deadline. A search is removed before its listener runs, and the next round is scheduled first.

No test shows the former behaviour.

--- a/src/main/java/org/martenwell/gateway/OriginInquiries.java
+++ b/src/main/java/org/martenwell/gateway/OriginInquiries.java
@@ -113,12 +113,13 @@
 
     private void endRound() {
         roundScheduled = false;
+        if (pending.isEmpty()) {
+            return;
+        }
+        scheduleRound();
         pending.forEach(each -> each.inquiry().nextRound());
         removeIf(this::endsNow);
-        if (!pending.isEmpty()) {
-            askEach(pending);
-            scheduleRound();
-        }
+        askEach(pending);
     }
 
     private boolean endsNow(PendingInquiry each) {
@@ -132,11 +133,14 @@
         return false;
     }
 
-    /** Removes the searches that are over. Their listeners may start others. */
+    /**
+     * Removes the searches that are over. Their listeners may start others. One whose listener
+     * fails is removed too, so that it doesn't keep the others from ending.
+     */
     private void removeIf(Predicate<PendingInquiry> over) {
         for (PendingInquiry each : List.copyOf(pending)) {
-            if (pending.contains(each) && over.test(each)) {
-                pending.remove(each);
+            if (pending.remove(each) && !over.test(each)) {
+                pending.add(each);
             }
         }
     }
