Read and write version records less often while that doesn't help

By reading, a gateway of a new fleet, which has no records, listed them every 0.5 s for some 20 s, and each gateway wrote a missing record every 0.5 s while the store refused it; calls to the store are scarce and priced. Reads without a stream that needs them double their delay from 1 s on, and a write that failed is tried again after 4 s. Streams that are taken up still read at once.

StreamsBehindRestartsTest 7, with all gateways lost at one version and at two, and StreamVersionTest 13 pass. The calls saved are not measured.

--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -37,6 +37,12 @@
     /** The least interval of reads, in milliseconds. */
     private static final long READ_INTERVAL_MILLIS = 300;
 
+    /** The delay of the second read that no stream needs, in milliseconds; it doubles. */
+    private static final long INITIAL_READ_DELAY_MILLIS = 1_000;
+
+    /** The delay of a write after one that failed, in milliseconds. */
+    private static final long WRITE_RETRY_MILLIS = 4_000;
+
     private final NioReactor reactor;
 
     private final VersionWindow window;
@@ -49,6 +55,9 @@
     /** The times at which versions were first seen, in milliseconds. */
     private final Map<ServiceVersion, Long> seenMillis = new HashMap<>();
 
+    /** The times at which the last write of a record failed, in milliseconds. */
+    private final Map<ServiceVersion, Long> failedMillis = new HashMap<>();
+
     /** The times at which recorded versions had gone for as long as the window, in milliseconds. */
     private final Map<ServiceVersion, Long> goneMillis = new HashMap<>();
 
@@ -62,6 +71,9 @@
 
     private long readMillis = Long.MIN_VALUE / 2;
 
+    /** The delay of the next read without a stream that needs it, in milliseconds. */
+    private long readDelayMillis = INITIAL_READ_DELAY_MILLIS;
+
     private boolean reading;
 
     /**
@@ -90,9 +102,9 @@
     }
 
     private void checkPeriodically() {
-        check();
         if (!peers.stopped()) {
             reactor.delayBackground(CHECK_MILLIS, this::checkPeriodically);
+            check();
         }
     }
 
@@ -106,6 +118,7 @@
         startedMillis = startedMillis < 0 ? now : startedMillis;
         listed.forEach(each -> seenMillis.putIfAbsent(each, now));
         seenMillis.keySet().retainAll(listed);
+        failedMillis.keySet().retainAll(listed);
         goneMillis.keySet().removeAll(listed);
         if (window.isCovered(now)) {
             listed.forEach(each -> writeIfMissing(each, now));
@@ -114,6 +127,14 @@
                     .toList()
                     .forEach(each -> removeIfGone(each, now));
         } else if (now - startedMillis >= READ_AFTER_MILLIS || severalVersions(listed)) {
+            readLater(now);
+        }
+    }
+
+    /** Reads the records, less often the longer they don't tell what was listed. */
+    private void readLater(long now) {
+        if (now - readMillis >= readDelayMillis) {
+            readDelayMillis *= 2;
             read();
         }
     }
@@ -128,13 +149,17 @@
 
     private void writeIfMissing(ServiceVersion version, long now) {
         boolean due = peers.owns(version) || now - seenMillis.get(version) >= TAKE_OVER_MILLIS;
-        if (due && !recorded.contains(version) && writing.add(version)) {
+        boolean failed =
+                now - failedMillis.getOrDefault(version, now - WRITE_RETRY_MILLIS)
+                        < WRITE_RETRY_MILLIS;
+        if (due && !failed && !recorded.contains(version) && writing.add(version)) {
             peers.record(version)
                     .whenResult(
                             () -> {
                                 recorded.add(version);
                                 peers.sendRecorded(List.of(version));
                             })
+                    .whenException(exception -> failedMillis.put(version, now()))
                     .whenComplete(() -> writing.remove(version));
         }
     }
