Learn the versions of a new fleet from the store's history

Callers whose streams began in the first 15 to 20 s of a fleet got 503 stream_unknown (history_too_short) when all gateways were lost in that time, though one version alone was ever listed and new streams began.

Cause: a record of a version is written only once the versions are known for a retention, so that none that has gone is missing beside it. A fleet that starts for the first time waits for that too, and gateways that start without peers within that time know nothing.

A gateway that neither peers nor records tell what was listed before its start now reads the history of the targets' entries from the store's first change on. If the store still has it as a whole (no 410; each listed entry stems from a change in it; each one that has gone was made in it), it names all versions that were ever listed, so none can be missing and records are written at once. All versions in it count as listed of late, since their times aren't known: a second one that has gone keeps streams from the one that is left. Without the history the rule of the retention holds as before. The new log event versions-recovered tells which of the two was read. The cost is one list and one or two watches for a gateway that no peer tells, where the store's history is whole.

--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -1,6 +1,7 @@
 package org.martenwell.directory;
 
 import io.activej.promise.Promise;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
@@ -73,6 +74,13 @@
     /** {@return the versions of which a record exists} */
     Promise<Set<ServiceVersion>> recordedVersions();
 
+    /**
+     * Reads the versions of all targets that the directory has ever listed.
+     *
+     * @return A promise of the versions, empty if the directory doesn't know them any more.
+     */
+    Promise<Optional<Set<ServiceVersion>>> versionsEverListed();
+
     /** Removes this gateway's entry before it shuts down. */
     void leave();
 }
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -73,6 +73,8 @@
 
     private final VersionRecordStore versionRecords;
 
+    private final TargetVersionHistory versionHistory;
+
     /** The version of the active configuration. */
     private long version;
 
@@ -149,6 +151,7 @@
                         PollInterval.GATEWAYS,
                         this::applyGateways);
         this.versionRecords = new VersionRecordStore(store, reader.versionKind());
+        this.versionHistory = new TargetVersionHistory(store, reader);
         this.quarantinedRequests =
                 new QuarantinedRequestStore(
                         reactor,
@@ -238,6 +241,11 @@
         return versionRecords.read();
     }
 
+    @Override
+    public Promise<Optional<Set<ServiceVersion>>> versionsEverListed() {
+        return versionHistory.read();
+    }
+
     @Override
     public void leave() {
         leaving = true;
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
@@ -251,6 +252,11 @@
         return directory.recordedVersions();
     }
 
+    @Override
+    public Promise<Optional<Set<ServiceVersion>>> readHistory() {
+        return directory.versionsEverListed();
+    }
+
     @Override
     public void sendRecorded(List<ServiceVersion> versions) {
         if (!versions.isEmpty()) {
--- a/src/main/java/org/martenwell/gateway/OriginPeers.java
+++ b/src/main/java/org/martenwell/gateway/OriginPeers.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.VersionHistory;
@@ -66,6 +67,12 @@
     /** {@return the versions that the directory holds a record of} */
     Promise<Set<ServiceVersion>> readRecords();
 
+    /**
+     * {@return the versions of all targets that the directory has ever listed, empty if it doesn't
+     * know them any more}
+     */
+    Promise<Optional<Set<ServiceVersion>>> readHistory();
+
     /**
      * Notifies peers of versions that the directory holds a record of.
      *
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -349,6 +349,11 @@
             return Promise.of(Set.of());
         }
 
+        @Override
+        public Promise<Optional<Set<ServiceVersion>>> readHistory() {
+            return Promise.of(Optional.empty());
+        }
+
         @Override
         public void sendRecorded(List<ServiceVersion> versions) {}
 
--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -1,13 +1,18 @@
 package org.martenwell.gateway;
 
+import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.martenwell.observe.LogEvent;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.VersionHistory;
 import org.martenwell.version.VersionSighting;
@@ -16,9 +21,12 @@
  * Records of the versions at which streams may have begun, kept in the directory for the case that
  * all gateways are lost at once. A record is written when a version appears and removed long after
  * it has gone; a gateway reads them only if no peer tells it what was listed before its start.
+ * Where there are none, the history of a new directory tells it.
  */
 final class VersionRecords {
 
+    private static final Logger LOGGER = LogManager.getLogger(VersionRecords.class);
+
     /** The interval of checks for records to write, read and remove, in milliseconds. */
     private static final long CHECK_MILLIS = 500;
 
@@ -40,6 +48,12 @@
     /** The delay of the second read that no stream needs, in milliseconds; it doubles. */
     private static final long INITIAL_READ_DELAY_MILLIS = 1_000;
 
+    /**
+     * The time before the first change of the directory for which nothing was listed, in
+     * milliseconds.
+     */
+    private static final long EVER_MILLIS = 24 * 3_600_000L;
+
     /** The delay of a write after one that failed, in milliseconds. */
     private static final long WRITE_RETRY_MILLIS = 4_000;
 
@@ -76,6 +90,9 @@
 
     private boolean reading;
 
+    /** Set once the directory doesn't know any more what it listed first. */
+    private boolean historyLost;
+
     /**
      * Creates an instance that knows no records.
      *
@@ -193,6 +210,7 @@
         readMillis = now();
         peers.readRecords()
                 .whenResult(this::apply)
+                .then(found -> readHistory())
                 .whenComplete(
                         () -> {
                             reading = false;
@@ -212,14 +230,40 @@
     private void apply(Set<ServiceVersion> found) {
         recorded.addAll(found);
         if (services(found).containsAll(services(window.all())) && !window.all().isEmpty()) {
-            window.learn(
-                    new VersionHistory(
-                            2 * window.retentionMillis(),
-                            found.stream().map(each -> new VersionSighting(each, 0)).toList()),
-                    now());
+            learn("records", 2 * window.retentionMillis(), found);
         }
     }
 
+    /** Reads what was ever listed if the records don't tell what was listed of late. */
+    private Promise<Void> readHistory() {
+        if (historyLost || window.isCovered(now())) {
+            return Promise.complete();
+        }
+        return peers.readHistory().whenResult(this::applyHistory).toVoid();
+    }
+
+    private void applyHistory(Optional<Set<ServiceVersion>> found) {
+        historyLost = found.isEmpty();
+        found.filter(each -> !each.isEmpty())
+                .ifPresent(each -> learn("history", EVER_MILLIS, each));
+    }
+
+    /**
+     * Takes versions for those that were listed before this gateway's start. It isn't known when
+     * they were, so they may be as recent as the start.
+     */
+    private void learn(String source, long coveredMillis, Set<ServiceVersion> versions) {
+        List<VersionSighting> sightings =
+                versions.stream().map(each -> new VersionSighting(each, 0)).toList();
+        window.learn(new VersionHistory(coveredMillis, sightings), now());
+        LOGGER.info(
+                LogEvent.of("versions-recovered")
+                        .with("source", source)
+                        .with("versions", versions.size())
+                        .with("listed", window.all().size())
+                        .message());
+    }
+
     /**
      * Applies which versions a peer knows to be recorded.
      *
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -269,6 +270,11 @@
             return Promise.of(Set.of());
         }
 
+        @Override
+        public Promise<Optional<Set<ServiceVersion>>> versionsEverListed() {
+            return Promise.of(Optional.empty());
+        }
+
         @Override
         public void leave() {}
     }
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -220,6 +220,26 @@
         assertThat(peers.written).isEmpty();
     }
 
+    @Test
+    void testVersionsOfANewFleetAreRecordedAtOnce() {
+        peers.listedEver = Optional.of(Set.of(OLD));
+        find();
+        assertThat(found).containsExactly(onlyVersion());
+        versions.records().check();
+        assertThat(peers.written).containsExactly(OLD);
+    }
+
+    @Test
+    void testVersionThatHasGoneFromANewFleetKeepsStreamsFromTheOneThatIsLeft() {
+        ServiceVersion gone = new ServiceVersion("s", "v0");
+        peers.listedEver = Optional.of(Set.of(OLD, gone));
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+        versions.records().check();
+        assertThat(peers.written).containsExactlyInAnyOrder(OLD, gone);
+    }
+
     @Test
     void testNoStreamBeginsAtAVersionWhoseRecordIsBeingWritten() {
         ServiceVersion second = new ServiceVersion("s", "v2");
@@ -302,6 +322,8 @@
 
         private Set<ServiceVersion> recorded = Set.of();
 
+        private Optional<Set<ServiceVersion>> listedEver = Optional.empty();
+
         private boolean writable = true;
 
         private Set<String> respondents = Set.of("p");
@@ -348,6 +370,11 @@
             return Promise.of(recorded);
         }
 
+        @Override
+        public Promise<Optional<Set<ServiceVersion>>> readHistory() {
+            return Promise.of(listedEver);
+        }
+
         @Override
         public void sendRecorded(List<ServiceVersion> sent) {}
 
