Keep the retention of streams while those of a longer time-out run

Callers could get the rest of a stream from another version of the targets (ORDER) after a configuration had shortened the time-outs of routes.

Cause: the retention followed the configuration at once. Streams that began before it may still run or be resumed for the longer time, but their origins and the versions that had gone were forgotten after the shorter one, so the only version that was left was taken for theirs.

The longer retention now applies for twice its time after it was replaced: once for the streams, and once as other gateways may replace it later. A gateway that starts meanwhile knows the shorter time-out alone; peers send it the versions as younger, and their knowledge as shorter, by the difference, so its own retention leads to the same decisions without a new message. The gauge stream_retention_millis shows what applies.

Not covered: a gateway that starts without any peer in that time; the records of versions last for four retentions of the gateway that removes them.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -144,6 +144,7 @@
                 new HarmfulRequests(reactor, settings.name(), log, Clock.systemUTC(), random);
         this.streams = new StreamVersions(reactor);
         log.metrics().registerGauge("stream_origins", streams::size);
+        log.metrics().registerGauge("stream_retention_millis", streams::retentionMillis);
         log.metrics().registerGauge("target_versions", streams::versions);
         this.targets =
                 new TargetTable(
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -125,7 +125,7 @@
      * @param everything {@code true} in a mesh if that includes the streams of other gateways.
      */
     void connected(String peer, boolean everything) {
-        send(peer, new VersionNotice(core.streams().history()));
+        send(peer, new VersionNotice(core.streams().historyForNewPeer()));
         if (transferring.contains(peer)) {
             List<ServiceVersion> recorded = core.streams().records().recorded();
             if (!recorded.isEmpty()) {
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -43,6 +43,8 @@
 
     private final NioReactor reactor;
 
+    private final StreamRetention retention = new StreamRetention(MIN_RETENTION_MILLIS);
+
     private final KnownOrigins known = new KnownOrigins(MIN_RETENTION_MILLIS);
 
     private final VersionWindow window = new VersionWindow(MIN_RETENTION_MILLIS);
@@ -92,8 +94,13 @@
                                 .mapToLong(Route::timeoutMillis)
                                 .reduce(MIN_RETENTION_MILLIS, Math::max)
                         + RESUME_MARGIN_MILLIS;
-        known.retain(retentionMillis);
-        window.retain(retentionMillis);
+        retention.configure(retentionMillis, now());
+        applyRetention();
+    }
+
+    private void applyRetention() {
+        known.retain(retention.millis(now()));
+        window.retain(retention.millis(now()));
     }
 
     /**
@@ -103,6 +110,7 @@
      * @param asOfMillis The time as of which they are current, in milliseconds.
      */
     void list(Collection<DirectoryTarget> targets, long asOfMillis) {
+        applyRetention();
         if (window.list(targets, asOfMillis, now())) {
             peers.send(history());
         }
@@ -116,6 +124,16 @@
         return window.history(now());
     }
 
+    /**
+     * Returns what is known of the versions that the directory lists, for a peer that may have
+     * started behind a configuration with shorter time-outs.
+     *
+     * @return The versions, as recent to the peer's retention as they are to that of this gateway.
+     */
+    VersionHistory historyForNewPeer() {
+        return history().shortenedBy(retention.excessMillis(now()));
+    }
+
     /**
      * Applies what a peer knows of the versions that the directory lists.
      *
@@ -278,6 +296,7 @@
         CallerInquiry started =
                 new CallerInquiry(
                         inquiry, service, known, window, records, peers, this::now, listener);
+        applyRetention();
         records.read();
         inquiries.start(started);
         if (inquiries.isPending(started) && started.onlyVersion().isPresent()) {
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -15,6 +15,7 @@
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.exchange.ConnectionLimits;
 import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.Route;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.StreamOrigin;
 import org.martenwell.version.VersionHistory;
@@ -178,15 +179,7 @@
     /** Its last attempt lasts up to the time-out of the route, and its caller comes back later. */
     @Test
     void testStreamThatLastedUpToTheTimeOutDoesNotGoOnAtTheVersionThatIsLeft() {
-        versions.configure(
-                new GatewayConfiguration(
-                        1,
-                        List.of(GatewayCores.route(400)),
-                        Map.of(),
-                        ConnectionLimits.DEFAULTS,
-                        0,
-                        false,
-                        Map.of()));
+        versions.configure(configuration(GatewayCores.route(400)));
         advance(LONG_MILLIS);
         versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
         versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
@@ -196,6 +189,59 @@
         assertThat(found).isEmpty();
     }
 
+    /** The stream began while its route allowed more time than the configuration does now. */
+    @Test
+    void testStreamOfALongerTimeOutDoesNotGoOnAtTheVersionThatIsLeft() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        versions.configure(configuration());
+        advance(GatewayCores.route(400).timeoutMillis() - 1_000);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        find();
+        assertThat(found).isEmpty();
+    }
+
+    @Test
+    void testOriginOfALongerTimeOutIsKnownBehindAConfigurationWithAShorterOne() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        versions.list(List.of(TARGET.withVersion("v1"), TARGET.withVersion("v2")), nowMillis);
+        versions.began("a", TARGET.withVersion("v1"), GatewayCores.route(400));
+        versions.configure(configuration());
+        advance(GatewayCores.route(400).timeoutMillis() - 1_000);
+        find();
+        assertThat(found).containsExactly(Optional.of(new ResumedStream(OLD, OriginSource.OWN)));
+    }
+
+    /** A gateway that starts knows the shorter time-out alone. */
+    @Test
+    void testPeerThatStartsBehindAShorterTimeOutLearnsWhichVersionsStreamsMayHave() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        versions.configure(configuration());
+        advance(GatewayCores.route(400).timeoutMillis() - 1_000);
+        StreamVersions started = new StreamVersions(loop);
+        started.configure(configuration());
+        started.learn(versions.historyForNewPeer());
+        started.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        started.find(Optional.of("a"), GatewayCores.route(400), DEADLINE_MILLIS, this::record);
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
+    @Test
+    void testRetentionShrinksOnceStreamsOfALongerTimeOutHaveEnded() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        long longMillis = versions.retentionMillis();
+        versions.configure(configuration());
+        assertThat(versions.retentionMillis()).isEqualTo(longMillis);
+        advance(2 * longMillis);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        assertThat(versions.retentionMillis()).isLessThan(longMillis);
+    }
+
     @Test
     void testRecordsTellAGatewayWhoseFleetWasLost() {
         peers.recorded = Set.of(OLD);
@@ -285,6 +331,11 @@
                 .containsExactly(new StreamOrigin(StreamOrigin.key("a"), OLD));
     }
 
+    private static GatewayConfiguration configuration(Route... routes) {
+        return new GatewayConfiguration(
+                1, List.of(routes), Map.of(), ConnectionLimits.DEFAULTS, 0, false, Map.of());
+    }
+
     private static Optional<ResumedStream> onlyVersion() {
         return Optional.of(new ResumedStream(OLD, OriginSource.ONLY_VERSION));
     }
