Read peers' notices before a late loop takes the only version

Callers could get the rest of a stream from another version of the targets (ORDER) at a gateway whose event loop was late.

Cause: the only listed version was accepted by a list of up to 1 s. A peer that lists a second version notifies others at once and begins streams at it; at a late loop that notice and a request that takes such a stream up may have arrived together, and the request is read first.

If the loop was late since the list, the search goes on until all peers in contact have denied the stream, whose notices precede their answers on the connection, or until the targets are listed again. Only then, or as with an old list after 0.3 s, the only version is taken. A punctual loop decides at once as before, so nothing is sent for it.

Before (the same tests with the lateness ignored, which is the former rule): testOnlyVersionIsNotTakenByALateLoopBeforePeersHaveAnswered failed ("Expecting empty but was: [Optional[ResumedStream[version=ServiceVersion[ service=s, version=v1], source=ONLY_VERSION]]]"), and testOnlyVersionIsTakenByALateLoopOnceTheTargetsAreListedAgain ("expected: 1 but was: 0" lists); 2 of 30 cases. What the added delay costs at loops that are late all the time is not measured.

--- a/src/main/java/org/martenwell/gateway/CallerInquiry.java
+++ b/src/main/java/org/martenwell/gateway/CallerInquiry.java
@@ -18,6 +18,9 @@
 
     private final long sinceMillis;
 
+    /** Set if peers may have sent notices of versions that are not read yet. */
+    private final boolean late;
+
     private final KnownOrigins known;
 
     private final VersionWindow window;
@@ -60,6 +63,7 @@
         this.clock = clock;
         this.listener = listener;
         this.sinceMillis = clock.getAsLong();
+        this.late = peers.lateSince(window.listedAsOfMillis());
     }
 
     @Override
@@ -80,7 +84,7 @@
             return true;
         }
         Optional<ServiceVersion> only = onlyVersion();
-        if (only.isPresent() && window.isCurrentAt(sinceMillis)) {
+        if (only.isPresent() && isListCurrent()) {
             acceptOnly(only.get());
             return true;
         }
@@ -104,7 +108,13 @@
 
     @Override
     public boolean denied() {
-        if (onlyVersion().isPresent() || records.isReading()) {
+        Optional<ServiceVersion> only = onlyVersion();
+        if (only.isPresent() && window.isCurrentAt(sinceMillis)) {
+            // A peer's notice of another version precedes its answer.
+            acceptOnly(only.get());
+            return true;
+        }
+        if (only.isPresent() || records.isReading()) {
             return false;
         }
         refuse(versions() == 1 ? StreamRefusal.HISTORY_TOO_SHORT : StreamRefusal.UNKNOWN_TO_PEERS);
@@ -121,6 +131,11 @@
         return service.flatMap(each -> window.only(each, sinceMillis));
     }
 
+    private boolean isListCurrent() {
+        return window.listedAsOfMillis() >= sinceMillis
+                || (!late && window.isCurrentAt(sinceMillis));
+    }
+
     private int versions() {
         return service.map(each -> window.recent(each, clock.getAsLong()).size()).orElse(0);
     }
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -293,6 +293,11 @@
         directory.refresh();
     }
 
+    @Override
+    public boolean lateSince(long millis) {
+        return core.clock().lastLateMillis() >= millis;
+    }
+
     @Override
     public boolean inContact() {
         return topology.isAlone() || livePeers.anyLive(core.now());
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -387,6 +387,11 @@
         @Override
         public void refreshTargets() {}
 
+        @Override
+        public boolean lateSince(long millis) {
+            return false;
+        }
+
         @Override
         public boolean inContact() {
             return true;
--- a/src/main/java/org/martenwell/gateway/VersionWindow.java
+++ b/src/main/java/org/martenwell/gateway/VersionWindow.java
@@ -122,6 +122,11 @@
         return listed.history(now).coveredMillis() >= retentionMillis;
     }
 
+    /** {@return the time as of which the last list is current, in milliseconds} */
+    long listedAsOfMillis() {
+        return listedAsOfMillis;
+    }
+
     /**
      * Returns whether the last list is recent enough to decide on a request.
      *
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -96,6 +96,41 @@
         assertThat(found).containsExactly(onlyVersion());
     }
 
+    /** The notice of a second version has arrived and is not read yet. */
+    @Test
+    void testOnlyVersionIsNotTakenByALateLoopBeforePeersHaveAnswered() {
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis - STEP_MILLIS);
+        peers.late = true;
+        find();
+        assertThat(found).isEmpty();
+        ServiceVersion second = new ServiceVersion("s", "v2");
+        versions.learn(new VersionHistory(0, List.of(new VersionSighting(second, 0))));
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
+    @Test
+    void testOnlyVersionIsTakenByALateLoopOncePeersHaveAnswered() {
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis - STEP_MILLIS);
+        peers.late = true;
+        find();
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        assertThat(found).containsExactly(onlyVersion());
+    }
+
+    @Test
+    void testOnlyVersionIsTakenByALateLoopOnceTheTargetsAreListedAgain() {
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis - STEP_MILLIS);
+        peers.late = true;
+        find();
+        assertThat(peers.refreshes).isEqualTo(1);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        assertThat(found).containsExactly(onlyVersion());
+    }
+
     @Test
     void testGatewayThatHasJustStartedDoesNotTakeTheFirstListForThePast() {
         find();
@@ -369,6 +404,8 @@
 
         private boolean inContact = true;
 
+        private boolean late;
+
         private final List<ServiceVersion> written = new ArrayList<>();
 
         private Set<ServiceVersion> recorded = Set.of();
@@ -444,6 +481,11 @@
             refreshes++;
         }
 
+        @Override
+        public boolean lateSince(long millis) {
+            return late;
+        }
+
         @Override
         public boolean inContact() {
             return inContact;
