--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
@@ -124,7 +125,7 @@
      * @param everything {@code true} in a mesh if that includes the streams of other gateways.
      */
     void connected(String peer, boolean everything) {
-        send(peer, new VersionNotice(core.streams().history()));
+        send(peer, new VersionNotice(core.streams().historyForNewPeer()));
         if (transferring.contains(peer)) {
             List<ServiceVersion> recorded = core.streams().records().recorded();
             if (!recorded.isEmpty()) {
@@ -251,6 +252,11 @@
         return directory.recordedVersions();
     }
 
+    @Override
+    public Promise<Optional<Set<ServiceVersion>>> readHistory() {
+        return directory.versionsEverListed();
+    }
+
     @Override
     public void sendRecorded(List<ServiceVersion> versions) {
         if (!versions.isEmpty()) {
@@ -287,6 +293,11 @@
         directory.refresh();
     }
 
+    @Override
+    public boolean lateSince(long millis) {
+        return core.clock().lastLateMillis() >= millis;
+    }
+
     @Override
     public boolean inContact() {
         return topology.isAlone() || livePeers.anyLive(core.now());
--- a/src/main/java/org/martenwell/gateway/OriginPeers.java
+++ b/src/main/java/org/martenwell/gateway/OriginPeers.java
@@ -2,6 +2,7 @@
 
 import io.activej.promise.Promise;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.VersionHistory;
@@ -66,6 +67,12 @@
     /** {@return the versions that the directory holds a record of} */
     Promise<Set<ServiceVersion>> readRecords();
 
+    /**
+     * {@return the versions of all targets that the directory has ever listed, empty if it doesn't
+     * know them any more}
+     */
+    Promise<Optional<Set<ServiceVersion>>> readHistory();
+
     /**
      * Notifies peers of versions that the directory holds a record of.
      *
@@ -79,6 +86,14 @@
     /** Reads the targets from the directory again. */
     void refreshTargets();
 
+    /**
+     * Returns whether messages of peers may not be read yet that arrived after a time.
+     *
+     * @param millis The time, in milliseconds.
+     * @return {@code true} if the event loop was late since then.
+     */
+    boolean lateSince(long millis);
+
     /** {@return {@code true} if a peer reported recently, or if there are no peers} */
     boolean inContact();
 }
