Count a caller's rest from behind the pass that ended its last answer

The gateway stood still for 3.1 s within a pass of its loop. The pass went on, sent the answer and noted the pass's time, 3.1 s old, as the beginning of the connection's rest. The next check of timeouts took that for 3.1 s of silence, read, found nothing and closed the connection; the caller had the answer for some milliseconds. Reading before the close doesn't help, since the request is still to be sent. A shutdown's closing of idle connections did the same.

The rest is counted from the first check of timeouts behind that pass, so it never begins before the answer is sent, and still ends however late the loop is, 0.2 s later at the most.

Failed before: LateLoopCallerTest 2 of 29, testRequestBehindAResponseOfALatePassIsAnswered (pass of 3 s, idle time-out of 1 s) and testRequestBehindAResponseOfALatePassIsAnsweredInAShutdown, both at the answer to the second request. After: LateLoopCallerTest 29, CallerServerTest 21, ConnectionCloseReasonTest 8, IdleConnectionMemoryTest 1 pass (load 28 to 35).

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -53,6 +53,8 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 1_000;
 
+    private static final long NOT_RESTING = Long.MAX_VALUE;
+
     /** The most reads of what has arrived before a decision to close. */
     private static final int MAX_LAST_READS = 64;
 
@@ -86,6 +88,13 @@
     /** The last time at which the socket accepted bytes, on the same clock. */
     private long writtenMillis;
 
+    /**
+     * The first check of timeouts in a pass of the event loop behind the one in which the
+     * connection became idle, or {@link #NOT_RESTING}. A pass that takes long ends the last request
+     * much later than its own time says, and a caller's rest only begins then.
+     */
+    private long restingSinceMillis = NOT_RESTING;
+
     /**
      * The limits on the current state. Limits that change apply to the next state, since a caller
      * may rely on those that were in force when this one began.
@@ -157,13 +166,13 @@
     }
 
     /**
-     * Checks for a minimum idle time.
+     * Checks for a minimum idle time, from the first check of timeouts on.
      *
      * @param millis The time on the event loop's clock, in milliseconds.
      * @return {@code true} if the connection has been idle since this time or longer.
      */
     boolean idleSince(long millis) {
-        return state == ConnectionState.IDLE && stateSinceMillis <= millis;
+        return state == ConnectionState.IDLE && restingSinceMillis <= millis;
     }
 
     /**
@@ -175,8 +184,10 @@
      */
     void closeIfTimedOut(long nowMillis) {
         if (state == ConnectionState.IDLE) {
-            long allowed = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
-            if (nowMillis - stateSinceMillis > allowed) {
+            if (restingSinceMillis == NOT_RESTING && nowMillis > stateSinceMillis) {
+                restingSinceMillis = nowMillis;
+            }
+            if (idleSince(nowMillis - limits.idleTimeoutMillis() - IDLE_MARGIN_MILLIS - 1)) {
                 closeIfSilent(CloseReason.IDLE_TIMEOUT);
             }
         } else if (requestTimedOut()) {
@@ -664,6 +675,7 @@
     private void enter(ConnectionState next) {
         state = next;
         stateSinceMillis = reactor.currentTimeMillis();
+        restingSinceMillis = NOT_RESTING;
         responsiveSinceMillis = server.clock().millis();
         writtenMillis = responsiveSinceMillis;
         limits = server.limits();
--- a/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
+++ b/src/test/java/org/martenwell/exchange/LateLoopCallerTest.java
@@ -24,6 +24,9 @@
 
     private static final long LATE_MILLIS = 1_400;
 
+    /** The length of a pass beyond the idle timeout of {@link #SHORT_IDLE} and its margin. */
+    private static final long LATE_PASS_MILLIS = 3_000;
+
     /** The time in which sent bytes arrive, in milliseconds. */
     private static final long ARRIVAL_MILLIS = 100;
 
@@ -86,6 +89,28 @@
         }
     }
 
+    /** A caller measures its rest from the end of a response that a late pass of the loop sent. */
+    @Test
+    void testRequestBehindAResponseOfALatePassIsAnswered() throws Exception {
+        server.setLimits(SHORT_IDLE);
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /late HTTP/1.1|Host: x||").readUntil("GET /late");
+            sleep(400);
+            assertAnswered(client.send(SECOND));
+        }
+    }
+
+    /** Idle connections of a shutdown are closed by their rest, not by the delay of the loop. */
+    @Test
+    void testRequestBehindAResponseOfALatePassIsAnsweredInAShutdown() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /late HTTP/1.1|Host: x||").readUntil("GET /late");
+            thread.loop().execute(server::closeIdle);
+            sleep(ARRIVAL_MILLIS);
+            assertAnswered(client.send(SECOND));
+        }
+    }
+
     @Test
     void testBodyWithinTheRequestTimeoutIsAnswered() throws Exception {
         server.setLimits(SHORT_REQUEST);
@@ -446,6 +471,14 @@
         }
     }
 
+    private static void sleepUninterrupted(long millis) {
+        try {
+            sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void sleep(long millis) throws InterruptedException {
         Thread.sleep(millis);
     }
@@ -479,6 +512,9 @@
         if (request.path().equals("/wait")) {
             return;
         }
+        if (request.path().equals("/late")) {
+            sleepUninterrupted(LATE_PASS_MILLIS);
+        }
         byte[] content =
                 request.path().equals("/large")
                         ? new byte[LARGE_BYTES]
