Let gateways that shut down find those that start meanwhile

All four gateways got SIGTERM 0.9 s apart. Each leaves the directory as its shutdown begins, so gateway-0, back first (listening 10.65, in the directory alone from 10.86), found nobody to connect to and nobody that it could ask. gateway-1 ran until 11.10 and gateway-3 until 12.31, but had read the directory at 10.59 and 10.71 and would have read it again 3 s later, so neither connected to it. Everything they knew was lost.

A gateway that shuts down now reads the directory's gateways every 0.5 s, or 0.1 s times their number if that is longer (10 lists a second of a whole fleet, as in PollInterval), connects to one that is new and sends it its streams as to any peer that connects. Larger fleets, in which that is longer than a shutdown, are as before: a gap only if nobody else is left.

--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -41,6 +41,12 @@
     /** The interval at which a shutdown checks for requests in progress, in milliseconds. */
     private static final long DRAIN_CHECK_MILLIS = 50;
 
+    /** The shortest interval at which a gateway that shuts down reads its peers. */
+    private static final long MEMBERS_MILLIS = 500;
+
+    /** The same for each gateway, so that a fleet that shuts down makes few lists a second. */
+    private static final long MEMBERS_MILLIS_PER_GATEWAY = 100;
+
     private static final String METRICS_TYPE = "text/plain; version=0.0.4";
 
     private static final int OK = 200;
@@ -91,6 +97,9 @@
 
     private boolean stopping;
 
+    /** The time at which a gateway that shuts down last read its peers, in milliseconds. */
+    private long membersReadMillis;
+
     /**
      * Creates a gateway.
      *
@@ -195,6 +204,7 @@
         directory.leave();
         SettablePromise<Void> done = new SettablePromise<>();
         long startMillis = reactor.currentTimeMillis();
+        membersReadMillis = startMillis;
         reactor.delay(DRAIN_CHECK_MILLIS, () -> checkDrained(startMillis, done));
         return done;
     }
@@ -214,6 +224,7 @@
             core.close();
             callers.closeIdle();
         }
+        readMembersIfDue();
         boolean idle = core.activeRequests() == 0 && !callers.transferring();
         if (timedOut || (balancerNoticed && idle)) {
             done.set(null);
@@ -222,6 +233,19 @@
         }
     }
 
+    /**
+     * Reads which gateways there are more often than usual. One that starts while all others shut
+     * down finds none of them in the directory, and knows no streams unless they connect to it.
+     */
+    private void readMembersIfDue() {
+        long intervalMillis =
+                Math.max(MEMBERS_MILLIS, MEMBERS_MILLIS_PER_GATEWAY * gateways.size());
+        if (reactor.currentTimeMillis() - membersReadMillis >= intervalMillis) {
+            membersReadMillis = reactor.currentTimeMillis();
+            directory.refreshMembers();
+        }
+    }
+
     @Override
     public void configurationChanged(
             GatewayConfiguration configuration, String document, Optional<String> peer) {
