--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -21,9 +21,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import org.martenwell.observe.LogEvent;
+import java.util.Optional;
+import org.martenwell.observe.Defects;
 
 /**
  * A connection from a caller. It serves one request at a time but keeps reading while a request is
@@ -31,8 +30,6 @@
  */
 final class CallerConnection {
 
-    private static final Logger LOGGER = LogManager.getLogger(CallerConnection.class);
-
     private static final String KEEP_ALIVE = "keep-alive";
 
     /**
@@ -464,7 +461,7 @@
     private void stepFailed(Throwable failure) {
         CallerExchange failed = exchange;
         try {
-            LOGGER.error(LogEvent.of("defect").with("in", "CallerConnection").message(), failure);
+            Defects.record(failure, "CallerConnection", Optional.empty());
             if (state == ConnectionState.RECEIVING) {
                 rejectRequest(CloseReason.DEFECT, HttpResponseStatus.SERVICE_UNAVAILABLE);
             } else if (state == ConnectionState.SERVING && !responseBegun) {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -17,6 +17,7 @@
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerServer;
+import org.martenwell.observe.Defects;
 import org.martenwell.observe.ProcessUsage;
 import org.martenwell.observe.PrometheusText;
 import org.martenwell.quarantine.Fingerprint;
@@ -113,6 +114,7 @@
         DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
                 .ifPresent(callers::setMaxConnections);
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
+        log.metrics().registerGauge("defects", Defects::count);
         callers.onClose(log::connectionClosed);
         this.readiness =
                 new CallerServer(
--- a/src/main/java/org/martenwell/service/EventLoops.java
+++ b/src/main/java/org/martenwell/service/EventLoops.java
@@ -1,17 +1,14 @@
 package org.martenwell.service;
 
 import io.activej.eventloop.Eventloop;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.martenwell.error.MartenwellException;
-import org.martenwell.observe.LogEvent;
+import org.martenwell.observe.Defects;
 
 /** Creates event loops that log uncaught exceptions. */
 public final class EventLoops {
 
-    private static final Logger LOGGER = LogManager.getLogger(EventLoops.class);
-
     private EventLoops() {}
 
     /**
@@ -55,11 +52,11 @@
 
     /**
      * Logs uncaught exceptions, except for {@link MartenwellException}, which the receiver of the
-     * promise handles.
+     * promise handles. An event loop whose handler throws ends.
      */
     private static void log(Throwable thrown, Object context) {
         if (!(thrown instanceof MartenwellException)) {
-            LOGGER.error(LogEvent.of("defect").with("in", context).message(), thrown);
+            Defects.record(thrown, context, Optional.empty());
         }
     }
 }
