Tell the request of an error at its target's connection

A caller waited until its deadline: whatever was thrown while the bytes of a target's socket were processed (a defect, or no heap) went to the event loop's handler of fatal errors, which logged it, and the loop closed the channel (Eventloop.onRead, onWrite, onConnect). The connection's user was not notified, so its request stayed in progress and its load counted.

service.StepGuard runs the steps of a connection and reports what they throw to its owner. It is registered with the socket as well, so that the handler of fatal errors can report what is thrown in ActiveJ itself, before or behind the user's step, and fails pending reads and writes. The owner closes the connection and fails its request with the new failure DEFECT, which counts as sent. Its target isn't blamed: no mark on its health and no suspicion of a crash; a repeatable request goes to another target, another one gets 502.

--- a/src/main/java/org/martenwell/exchange/ResponseFailure.java
+++ b/src/main/java/org/martenwell/exchange/ResponseFailure.java
@@ -19,7 +19,10 @@
     BROKEN_OFF(true),
 
     /** The bytes received are not an HTTP response. */
-    MALFORMED(true);
+    MALFORMED(true),
+
+    /** This process failed to process the connection, as for lack of heap. */
+    DEFECT(true);
 
     private final boolean sent;
 
--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -4,7 +4,8 @@
 
 /**
  * Receives the response to one request, on the event loop. {@link #completed} or {@link #failed} is
- * the last call; neither is called once the connection is cancelled.
+ * the last call; neither is called once the connection is cancelled. A method that throws is
+ * followed by {@link #failed} with {@link ResponseFailure#DEFECT}, also {@link #completed}.
  */
 public interface ResponseListener {
 
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.martenwell.service.StepGuard;
 
 /**
  * A connection to a target that carries one request at a time. It closes on bytes that belong to no
@@ -32,6 +33,8 @@
 
     private final Runnable closeListener;
 
+    private final StepGuard guard;
+
     private final ResponseDecoder decoder = new ResponseDecoder();
 
     private final EmbeddedChannel codec = CodecChannels.forTarget(decoder);
@@ -39,6 +42,9 @@
     /** The listener of the current request, or {@code null} if there is none. */
     private ResponseListener listener;
 
+    /** The listener of the response that has just ended, while it is called, or {@code null}. */
+    private ResponseListener completing;
+
     /** The method of the current or last request. */
     private HttpMethod method = HttpMethod.GET;
 
@@ -81,7 +87,8 @@
         this.socket = socket;
         this.headListener = headListener;
         this.closeListener = closeListener;
-        read();
+        this.guard = StepGuard.ofSocket(socket, "TargetConnection", this::stepFailed);
+        guard.run(this::read);
     }
 
     /** {@return {@code true} if a request can be sent now} */
@@ -110,6 +117,10 @@
      */
     public void send(OutboundRequest request, ResponseListener responseListener) {
         listener = responseListener;
+        guard.run(() -> write(request));
+    }
+
+    private void write(OutboundRequest request) {
         head = null;
         discarding = false;
         method = request.method();
@@ -133,7 +144,7 @@
                         (ignored, failure) -> {
                             unwrittenBytes -= length;
                             if (failure != null) {
-                                disconnected(false);
+                                guard.run(() -> disconnected(false));
                             }
                         });
     }
@@ -150,7 +161,7 @@
     public void resume() {
         if (paused) {
             paused = false;
-            read();
+            guard.run(this::read);
         }
     }
 
@@ -179,16 +190,20 @@
                 .subscribe(
                         (bytes, failure) -> {
                             reading = false;
-                            if (failure != null) {
-                                disconnected(false);
-                            } else if (bytes == null) {
-                                disconnected(true);
-                            } else {
-                                processBytes(bytes);
-                            }
+                            guard.run(() -> processRead(bytes, failure));
                         });
     }
 
+    private void processRead(ByteBuf bytes, Exception failure) {
+        if (failure != null) {
+            disconnected(false);
+        } else if (bytes == null) {
+            disconnected(true);
+        } else {
+            processBytes(bytes);
+        }
+    }
+
     private void processBytes(ByteBuf bytes) {
         if (listener == null || closed) {
             bytes.recycle();
@@ -270,7 +285,9 @@
                 ResponseListener done = listener;
                 listener = null;
                 reusable = reusable && unwrittenBytes == 0;
+                completing = done;
                 done.completed(framing);
+                completing = null;
             }
         }
     }
@@ -304,17 +321,46 @@
         ResponseListener failed = listener;
         listener = null;
         reusable = false;
-        close();
-        failed.failed(failure);
+        try {
+            close();
+        } finally {
+            failed.failed(failure);
+        }
+    }
+
+    /** Closes the connection and fails the requests whose responses were being processed. */
+    private void stepFailed(Throwable thrown) {
+        ResponseListener waiting = listener;
+        ResponseListener interrupted = completing;
+        listener = null;
+        completing = null;
+        try {
+            close();
+        } finally {
+            try {
+                notifyFailed(waiting);
+            } finally {
+                notifyFailed(interrupted);
+            }
+        }
+    }
+
+    private static void notifyFailed(ResponseListener failed) {
+        if (failed != null) {
+            failed.failed(ResponseFailure.DEFECT);
+        }
     }
 
     private void close() {
         if (!closed) {
             closed = true;
             reusable = false;
-            socket.close();
-            codec.finishAndReleaseAll();
-            closeListener.run();
+            try {
+                socket.close();
+                codec.finishAndReleaseAll();
+            } finally {
+                closeListener.run();
+            }
         }
     }
 }
--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -7,7 +7,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Consumer;
+import org.martenwell.service.StepGuard;
 import org.martenwell.service.TcpConnector;
 
 /** The connection pool of one target. Idle connections are reused, the last used one first. */
@@ -88,10 +90,20 @@
             OutboundRequest request,
             ResponseListener listener,
             Consumer<TargetConnection> opened) {
-        opened.accept(connection);
-        if (connection.usable()) {
-            connection.send(request, listener);
-        }
+        StepGuard.of(
+                        "TargetConnections",
+                        Optional::empty,
+                        thrown -> {
+                            connection.cancel();
+                            listener.failed(ResponseFailure.DEFECT);
+                        })
+                .run(
+                        () -> {
+                            opened.accept(connection);
+                            if (connection.usable()) {
+                                connection.send(request, listener);
+                            }
+                        });
     }
 
     /**
@@ -110,10 +122,26 @@
                                 listener.failed(ResponseFailure.of(ConnectResult.of(failure)));
                                 return;
                             }
-                            sendOnConnection(wrap(socket), request, listener, opened);
+                            sendOnSocket(socket, request, listener, opened);
                         });
     }
 
+    /** Sends a request over a connected socket, which is closed if it can't be wrapped. */
+    private void sendOnSocket(
+            TcpSocket socket,
+            OutboundRequest request,
+            ResponseListener listener,
+            Consumer<TargetConnection> opened) {
+        StepGuard.ofSocket(
+                        socket,
+                        "TargetConnections",
+                        thrown -> {
+                            socket.close();
+                            listener.failed(ResponseFailure.DEFECT);
+                        })
+                .run(() -> sendOnConnection(wrap(socket), request, listener, opened));
+    }
+
     /**
      * Checks that the target accepts connections, by opening one, which the next request uses.
      *
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -628,9 +628,13 @@
                         from.target().load().target().incarnation(),
                         failure.name(),
                         identity.fingerprint());
-        from.target().load().health().failed(core.now());
         history.markPossiblyRun();
         boolean resumable = !exchange.headSent() || route.resumable();
+        if (failure == ResponseFailure.DEFECT) {
+            retryDefective(resumable);
+            return;
+        }
+        from.target().load().health().failed(core.now());
         if (route.repeatable() && resumable) {
             core.harmful().attemptFailed(from.target(), identity, this::retryFailed);
         } else {
@@ -639,6 +643,15 @@
         }
     }
 
+    /** Retries a request whose attempt failed through no fault of its target. */
+    private void retryDefective(boolean resumable) {
+        if (route.repeatable() && resumable) {
+            retryFailed();
+        } else {
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
+        }
+    }
+
     /**
      * Handles a target that became unavailable while the connection opened. Nothing was sent, so
      * the request goes to another target.
--- a/src/main/java/org/martenwell/service/EventLoops.java
+++ b/src/main/java/org/martenwell/service/EventLoops.java
@@ -1,6 +1,7 @@
 package org.martenwell.service;
 
 import io.activej.eventloop.Eventloop;
+import io.activej.net.socket.tcp.TcpSocket;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.martenwell.error.MartenwellException;
@@ -52,10 +53,13 @@
 
     /**
      * Logs uncaught exceptions, except for {@link MartenwellException}, which the receiver of the
-     * promise handles. An event loop whose handler throws ends.
+     * promise handles, and reports those of a socket to its user. An event loop whose handler
+     * throws ends.
      */
     private static void log(Throwable thrown, Object context) {
-        if (!(thrown instanceof MartenwellException)) {
+        if (context instanceof TcpSocket socket) {
+            StepGuard.socketFailed(socket, thrown);
+        } else if (!(thrown instanceof MartenwellException)) {
             Defects.record(thrown, context, Optional.empty());
         }
     }
