Answer a caller whose socket fails within its read

A caller got neither an answer nor a refusal, and its connection was closed at once, if the read itself threw, as ActiveJ does when it finds no heap for the buffer: TcpSocket.doRead runs before the connection's guarded step, so the event loop closed the channel and CallerConnection wasn't notified. It stayed counted, idle, until its time-out.

FailingReadTest (an OutOfMemoryError in the socket's read, one whole request behind it): failed before, the caller read an empty string where "HTTP/1.1 503" was expected; passes now, 0.1 s, and the close has the reason `defect`.

CallerConnection uses StepGuard, which the handler of fatal errors knows, in place of its own guard; writes that complete are guarded too. A connection without a request passed on gets 503, since what was read may be a request and is lost. Answers to defects don't use the codec: one that failed within a message would refuse the next, and the connection was cut instead. The exchange is notified also if the answer throws.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -21,8 +21,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.Optional;
-import org.martenwell.observe.Defects;
+import org.martenwell.service.StepGuard;
 
 /**
  * A connection from a caller. It serves one request at a time but keeps reading while a request is
@@ -57,12 +56,20 @@
     private static final byte[] CONTINUE_RESPONSE =
             "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    /** The response to a request that was lost before it was processed. */
+    private static final byte[] REFUSAL = emptyResponse("503 Service Unavailable");
+
+    /** The response to a request whose processing failed. */
+    private static final byte[] FAILURE = emptyResponse("500 Internal Server Error");
+
     private final NioReactor reactor;
 
     private final ITcpSocket socket;
 
     private final CallerServer server;
 
+    private final StepGuard guard;
+
     private final EmbeddedChannel codec;
 
     private final RequestDecoder decoder;
@@ -125,6 +132,7 @@
         this.reactor = reactor;
         this.socket = socket;
         this.server = server;
+        this.guard = StepGuard.ofSocket(socket, "CallerConnection", this::stepFailed);
         this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
         this.decoder = new RequestDecoder(codec);
         enter(ConnectionState.IDLE);
@@ -133,6 +141,11 @@
         }
     }
 
+    private static byte[] emptyResponse(String status) {
+        String head = "HTTP/1.1 " + status + "\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+        return head.getBytes(StandardCharsets.US_ASCII);
+    }
+
     /** Starts reading. */
     void start() {
         server.becameIdle(this);
@@ -346,9 +359,9 @@
                             reading = false;
                             reads++;
                             if (failure != null || bytes == null) {
-                                guard(this::disconnected);
+                                guard.run(this::disconnected);
                             } else {
-                                guard(() -> processBytes(bytes));
+                                guard.run(() -> processBytes(bytes));
                             }
                         });
     }
@@ -445,37 +458,33 @@
         }
     }
 
-    /**
-     * Runs a step of the connection, which calls the handler of requests. The event loop would
-     * close the socket of a step that fails without a notice to the connection.
-     */
-    private void guard(Runnable step) {
-        try {
-            step.run();
-        } catch (Throwable failure) {
-            stepFailed(failure);
-        }
-    }
-
     /** Ends the request being received or served with an answer, if none has begun. */
     private void stepFailed(Throwable failure) {
         CallerExchange failed = exchange;
         try {
-            Defects.record(failure, "CallerConnection", Optional.empty());
-            if (state == ConnectionState.RECEIVING) {
-                rejectRequest(CloseReason.DEFECT, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
+                // What was read may be a request, which is lost.
+                rejectUncoded(REFUSAL);
             } else if (state == ConnectionState.SERVING && !responseBegun) {
-                rejectRequest(CloseReason.DEFECT, HttpResponseStatus.INTERNAL_SERVER_ERROR);
+                rejectUncoded(FAILURE);
             } else {
                 abort(CloseReason.DEFECT);
             }
-            if (failed != null) {
-                failed.callerDisconnected();
-            }
         } finally {
+            abandon(failed);
+        }
+    }
+
+    /** Closes the connection unless it closes gracefully, and notifies an exchange of that. */
+    private void abandon(CallerExchange failed) {
+        try {
             if (state != ConnectionState.CLOSING) {
                 abort(CloseReason.DEFECT);
             }
+        } finally {
+            if (failed != null) {
+                failed.callerDisconnected();
+            }
         }
     }
 
@@ -524,6 +533,18 @@
         finishRequest(false);
     }
 
+    /**
+     * Responds and closes the connection without the codec, which may have failed.
+     *
+     * @param response The bytes of the response.
+     */
+    private void rejectUncoded(byte[] response) {
+        closeReason = CloseReason.DEFECT;
+        responseBegun = true;
+        writeBytes(ByteBuf.wrapForReading(response.clone()));
+        finishRequest(false);
+    }
+
     /**
      * Prepares for the next request after a response, or starts a graceful close.
      *
@@ -542,7 +563,7 @@
         }
         if (pipelinedBytes > 0 || decoder.hasParts()) {
             receive();
-            reactor.postLast(() -> guard(this::processDecodedParts));
+            reactor.postLast(guard.guarded(this::processDecodedParts));
         }
         pipelinedBytes = 0;
         read();
@@ -571,9 +592,9 @@
                         (ignored, failure) -> {
                             unwrittenBytes -= length;
                             if (failure != null) {
-                                disconnected();
+                                guard.run(this::disconnected);
                             } else if (unwrittenBytes == 0) {
-                                allWritten();
+                                guard.run(this::allWritten);
                             }
                         });
     }
