Log crashes of targets with their source

A gateway took a crash for known from a refused probe, a refused connection, a 421 or the directory, and said so in no line of its log: that a whole response was taken for truncated (ReturnedTargetResponseTest) could be seen from the outside only, and not by which of these ways.

Each now writes target-crashed with learntFrom and counts targets_crashed_by_SOURCE. The constructor of the detector's test follows the listener's new method; its checks are unchanged.

--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -372,6 +372,23 @@
         }
     }
 
+    /**
+     * Records that a target crashed.
+     *
+     * @param incarnation The target's incarnation.
+     * @param source The source that shows it.
+     */
+    void targetCrashed(String incarnation, CrashSource source) {
+        String from = source.name().toLowerCase(Locale.ROOT);
+        metrics.counter("targets_crashed_by_" + from).inc();
+        if (mayWrite()) {
+            write(
+                    LogEvent.of("target-crashed")
+                            .with("target", incarnation)
+                            .with("learntFrom", from));
+        }
+    }
+
     /**
      * Records that a target crashed while running a request.
      *
--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -75,6 +75,20 @@
     /** The directory that stores quarantined requests, empty until it is set. */
     private Optional<FleetDirectory> directory = Optional.empty();
 
+    /** Receives crashes of targets. */
+    private final class CrashReporter implements TargetCrashDetector.CrashListener {
+
+        @Override
+        public void crashed(SuspectRequest suspect, String incarnation) {
+            recordSuspect(suspect, incarnation);
+        }
+
+        @Override
+        public void targetCrashed(String incarnation, CrashSource source) {
+            log.targetCrashed(incarnation, source);
+        }
+    }
+
     /**
      * Creates an empty quarantine.
      *
@@ -91,7 +105,7 @@
         this.log = log;
         this.clock = clock;
         this.random = random;
-        this.crashDetector = new TargetCrashDetector(reactor, this::crashed);
+        this.crashDetector = new TargetCrashDetector(reactor, new CrashReporter());
         log.metrics().registerGauge("requests_held_back", quarantine::quarantinedCount);
         log.metrics().registerGauge("targets_ended_under_requests", quarantine::crashCount);
     }
@@ -219,12 +233,13 @@
     }
 
     /**
-     * Records that a target crashed, as shown by a refused connection or by the directory.
+     * Records that a target crashed.
      *
      * @param target The target.
+     * @param source The source that shows it.
      */
-    void targetCrashed(KnownTarget target) {
-        crashDetector.targetCrashed(target);
+    void targetCrashed(KnownTarget target, CrashSource source) {
+        crashDetector.targetCrashed(target, source);
     }
 
     /**
@@ -331,7 +346,7 @@
         return quarantine.snapshot();
     }
 
-    private void crashed(SuspectRequest suspect, String incarnation) {
+    private void recordSuspect(SuspectRequest suspect, String incarnation) {
         Fingerprint fingerprint = suspect.fingerprint();
         recordCrash(fingerprint, suspect.summary(), incarnation);
         log.suspected(suspect, incarnation, quarantine.crashedIncarnations(fingerprint).size());
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -589,7 +589,7 @@
         core.log().attemptFailed(requestId(), targetId(from), misdirected ? "other" : "full");
         engines.ifPresent(EngineRouting::rollBackSent);
         if (misdirected) {
-            core.harmful().targetCrashed(from.target());
+            core.harmful().targetCrashed(from.target(), CrashSource.ANSWER);
         }
         from.target()
                 .load()
@@ -617,7 +617,7 @@
             core.log().attemptFailed(requestId(), targetId(from), failure.name());
             from.target().load().health().connectFailed(core.now());
             if (failure == ResponseFailure.REFUSED) {
-                core.harmful().targetCrashed(from.target());
+                core.harmful().targetCrashed(from.target(), CrashSource.CONNECTION);
             }
             retryUnreachable();
             return;
--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -54,6 +54,14 @@
          * @param incarnation The target's incarnation.
          */
         void crashed(SuspectRequest suspect, String incarnation);
+
+        /**
+         * Reports that a target crashed.
+         *
+         * @param incarnation The target's incarnation.
+         * @param source The source that shows it.
+         */
+        void targetCrashed(String incarnation, CrashSource source);
     }
 
     /** Callback that waits for a probe. */
@@ -192,11 +200,13 @@
     }
 
     /**
-     * Records that a target crashed, as shown by a refused connection or by the directory.
+     * Records that a target crashed.
      *
      * @param target The target.
+     * @param source The source that shows it.
      */
-    void targetCrashed(KnownTarget target) {
+    void targetCrashed(KnownTarget target, CrashSource source) {
+        listener.targetCrashed(incarnationOf(target), source);
         Incarnation incarnation = incarnations.get(incarnationOf(target));
         if (incarnation != null) {
             reportCrash(target, incarnation);
@@ -219,6 +229,7 @@
         // incarnation. The directory may still report the crash later.
         if (result == ConnectResult.REFUSED) {
             target.load().health().connectFailed(reactor.currentTimeMillis());
+            listener.targetCrashed(incarnationOf(target), CrashSource.PROBE);
             reportCrash(target, incarnation);
         }
         List<ProbeListener> done = new ArrayList<>(incarnation.waiting);
--- a/src/main/java/org/martenwell/gateway/TargetEventHandler.java
+++ b/src/main/java/org/martenwell/gateway/TargetEventHandler.java
@@ -54,7 +54,7 @@
 
     @Override
     public void crashed(KnownTarget target) {
-        harmful.targetCrashed(target);
+        harmful.targetCrashed(target, CrashSource.DIRECTORY);
     }
 
     @Override
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -40,12 +40,26 @@
     private final AtomicInteger completedProbes = new AtomicInteger();
 
     private final TargetCrashDetector detector =
-            new TargetCrashDetector(
-                    thread.loop(), (suspect, incarnation) -> crashed.add(incarnation));
+            new TargetCrashDetector(thread.loop(), new Recorder());
 
     private final TargetTable table =
             new TargetTable(
-                    thread.loop(), "self", new TargetCrashListener(detector::targetCrashed));
+                    thread.loop(),
+                    "self",
+                    new TargetCrashListener(
+                            target -> detector.targetCrashed(target, CrashSource.DIRECTORY)));
+
+    /** Records the incarnations of suspected requests. */
+    private final class Recorder implements TargetCrashDetector.CrashListener {
+
+        @Override
+        public void crashed(SuspectRequest suspect, String incarnation) {
+            crashed.add(incarnation);
+        }
+
+        @Override
+        public void targetCrashed(String incarnation, CrashSource source) {}
+    }
 
     @AfterEach
     void stop() {
