Attribute a target's crash to the requests that were in progress

Callers got 502, 503 or a reset stream for whole responses without framing (no length, no chunks, HTTP/1.0) of a target that had crashed and was back at its port under the same directory entry; a route whose requests may be repeated ran them again.

Cause: TargetCrashDetector kept, by incarnation, that it had crashed, until 6 s had passed without an attempt that ended by its connection. Traffic renewed that, so each later response was taken for truncated without a probe, and each later attempt that failed was suspected of the crash. A crash that the directory showed seconds later counted too, for responses that the returned target had in progress by then.

Design: a target counts the crashes that are known (CrashCounts), a request takes the counts when it is handed to its connection (TargetRun). What was added since happened to the request; else a probe of its own decides. So a response that was in progress is still known to be truncated though its target is back when the end is read, also where the crash was seen by a refused connection alone. What only the directory shows suspects the attempts that failed before and keeps parts from being cleared, as before, but truncates no response. Attempts are held by the listed target, so that an incarnation that is listed again, perhaps at another address, shares no probe with the former.

--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -168,41 +168,45 @@
      * Records that an attempt failed after the request was sent. The shutdown of a target that is
      * draining or was removed from the directory is planned and not attributed to the request.
      *
-     * @param target The target.
+     * @param run The run of the target in which the request was written.
      * @param identity The request's identity.
      * @param afterProbe The callback that runs once a probe has shown whether the target crashed,
      *     or after a timeout.
      */
-    void attemptFailed(KnownTarget target, RequestIdentity identity, Runnable afterProbe) {
-        if (target.load().availability().isDraining() || target.connections().closed()) {
+    void attemptFailed(TargetRun run, RequestIdentity identity, Runnable afterProbe) {
+        if (isShutDown(run.target())) {
             afterProbe.run();
         } else {
-            crashDetector.attemptFailed(target, identity.suspect(), afterProbe);
+            crashDetector.attemptFailed(run, identity.suspect(), afterProbe);
         }
     }
 
+    private static boolean isShutDown(KnownTarget target) {
+        return target.load().availability().isDraining() || target.connections().closed();
+    }
+
     /**
      * Finds out whether a target crashed at the end of a response that ended with its connection.
      * The shutdown of a target that is draining or was removed is planned, so that its responses
      * are as complete as those of other targets.
      *
-     * @param target The target.
+     * @param run The run of the target in which the request was written.
      * @param identity The request's identity.
      * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
      *     that isn't known in time.
      */
-    void endedByClose(KnownTarget target, RequestIdentity identity, Consumer<Boolean> afterProbe) {
-        if (target.load().availability().isDraining() || target.connections().closed()) {
+    void endedByClose(TargetRun run, RequestIdentity identity, Consumer<Boolean> afterProbe) {
+        if (isShutDown(run.target())) {
             afterProbe.accept(false);
         } else {
             List<SharedPart> parts = identity.sharedParts();
             crashDetector.endedByClose(
-                    target,
+                    run,
                     identity::suspect,
                     crashed -> {
                         if (!crashed && !parts.isEmpty()) {
                             reactor.delayBackground(
-                                    SURVIVAL_MILLIS, () -> servedIfAlive(target, parts));
+                                    SURVIVAL_MILLIS, () -> servedIfAlive(run, parts));
                         }
                         afterProbe.accept(crashed);
                     });
@@ -210,8 +214,8 @@
     }
 
     /** Clears parts of a prompt unless the target that served it has crashed meanwhile. */
-    private void servedIfAlive(KnownTarget target, List<SharedPart> parts) {
-        if (!crashDetector.hasCrashed(target)) {
+    private void servedIfAlive(TargetRun run, List<SharedPart> parts) {
+        if (!run.mayHaveCrashed()) {
             partsServed(parts);
         }
     }
--- a/src/main/java/org/martenwell/gateway/KnownTarget.java
+++ b/src/main/java/org/martenwell/gateway/KnownTarget.java
@@ -8,5 +8,6 @@
  *
  * @param load The load, health and availability of the target.
  * @param connections The pool of connections to the target.
+ * @param crashes The crashes that are known.
  */
-record KnownTarget(TargetLoad load, TargetConnections connections) {}
+record KnownTarget(TargetLoad load, TargetConnections connections, CrashCounts crashes) {}
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -515,7 +515,7 @@
             long endedMillis = core.now();
             core.harmful()
                     .endedByClose(
-                            from.target(),
+                            from.run(),
                             identity,
                             crashed -> targetProbed(from, crashed, endedMillis));
         }
@@ -632,9 +632,9 @@
         history.markPossiblyRun();
         boolean resumable = !exchange.headSent() || route.resumable();
         if (route.repeatable() && resumable) {
-            core.harmful().attemptFailed(from.target(), identity, this::retryFailed);
+            core.harmful().attemptFailed(from.run(), identity, this::retryFailed);
         } else {
-            core.harmful().attemptFailed(from.target(), identity, () -> {});
+            core.harmful().attemptFailed(from.run(), identity, () -> {});
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         }
     }
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -39,6 +39,9 @@
     /** The connection or {@code null} while it opens. */
     private TargetConnection connection;
 
+    /** The run of the target in which the request was written, or {@code null} before. */
+    private TargetRun run;
+
     /** The idle timeout of the connection, in milliseconds, or 0 if the target stated none. */
     private long idleMillis;
 
@@ -89,6 +92,15 @@
         return target;
     }
 
+    /**
+     * Returns the run of the target in which the request was written.
+     *
+     * @return The run, the current one before the request is written.
+     */
+    TargetRun run() {
+        return run == null ? TargetRun.current(target) : run;
+    }
+
     /**
      * Returns the load that the request puts on the target.
      *
@@ -208,6 +220,7 @@
 
     private void opened(TargetConnection opened) {
         connection = opened;
+        run = TargetRun.current(target);
         if (over) {
             opened.cancel();
         } else if (!dispatch.acceptsRequests(target)) {
--- a/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
+++ b/src/main/java/org/martenwell/gateway/TargetCrashDetector.java
@@ -41,8 +41,8 @@
 
     private final CrashListener listener;
 
-    /** Recent attempts by the target's incarnation, the least recently changed first. */
-    private final Map<String, Incarnation> incarnations = new LinkedHashMap<>();
+    /** Recent attempts by the target, the least recently changed first. */
+    private final Map<KnownTarget, RecentAttempts> recent = new LinkedHashMap<>();
 
     /** Listener for crashes of targets. */
     interface CrashListener {
@@ -84,10 +84,11 @@
      */
     private record Attempt(SuspectRequest suspect, long untilMillis) {}
 
-    /** Recent attempts at one incarnation of a target. */
-    private static final class Incarnation {
+    /** Recent attempts at one target since its last known crash. */
+    private static final class RecentAttempts {
 
-        private final List<Attempt> attempts = new ArrayList<>();
+        /** The attempts that failed or were cancelled. */
+        private final List<Attempt> failed = new ArrayList<>();
 
         /** The callbacks that wait for the probe in progress. */
         private final List<ProbeListener> waiting = new ArrayList<>();
@@ -97,8 +98,6 @@
 
         private boolean probing;
 
-        private boolean crashed;
-
         private long changedMillis;
     }
 
@@ -116,76 +115,78 @@
     /**
      * Records that an attempt failed, and probes whether its target crashed.
      *
-     * @param target The target.
+     * @param run The run of the target in which the request was written.
      * @param suspect The request.
      * @param afterProbe The callback that runs once the probe is complete or has timed out.
      */
-    void attemptFailed(KnownTarget target, SuspectRequest suspect, Runnable afterProbe) {
-        Incarnation incarnation = touch(target);
-        if (incarnation.crashed) {
+    void attemptFailed(TargetRun run, SuspectRequest suspect, Runnable afterProbe) {
+        KnownTarget target = run.target();
+        if (run.crashed()) {
             listener.crashed(suspect, incarnationOf(target));
             afterProbe.run();
             return;
         }
-        incarnation.attempts.add(
+        RecentAttempts attempts = touch(target);
+        attempts.failed.add(
                 new Attempt(suspect, reactor.currentTimeMillis() + FAILED_ATTEMPT_MILLIS));
-        awaitProbe(target, incarnation, result -> afterProbe.run());
+        awaitProbe(target, attempts, result -> afterProbe.run());
     }
 
     /**
      * Finds out whether a target crashed at the end of a response that its connection ended. A
      * target that accepts a connection afterwards survived the response.
      *
-     * @param target The target.
+     * @param run The run of the target in which the request was written.
      * @param suspect Supplies the request, for which its body may have to be hashed.
      * @param afterProbe Receives {@code true} if the target crashed, {@code false} if it didn't or
      *     the probe has timed out.
      */
     void endedByClose(
-            KnownTarget target, Supplier<SuspectRequest> suspect, Consumer<Boolean> afterProbe) {
-        Incarnation incarnation = touch(target);
-        if (incarnation.crashed) {
+            TargetRun run, Supplier<SuspectRequest> suspect, Consumer<Boolean> afterProbe) {
+        KnownTarget target = run.target();
+        if (run.crashed()) {
             listener.crashed(suspect.get(), incarnationOf(target));
             afterProbe.accept(true);
             return;
         }
+        RecentAttempts attempts = touch(target);
         awaitProbe(
                 target,
-                incarnation,
+                attempts,
                 result -> {
-                    if (incarnation.crashed) {
+                    if (run.crashed()) {
                         listener.crashed(suspect.get(), incarnationOf(target));
                     } else if (result.filter(each -> each == ConnectResult.ACCEPTED).isEmpty()) {
                         long until = reactor.currentTimeMillis() + FAILED_ATTEMPT_MILLIS;
-                        incarnation.attempts.add(new Attempt(suspect.get(), until));
+                        attempts.failed.add(new Attempt(suspect.get(), until));
                     }
-                    afterProbe.accept(incarnation.crashed);
+                    afterProbe.accept(run.crashed());
                 });
     }
 
     /** Calls a listener once a probe that begins now is complete or has timed out. */
-    private void awaitProbe(KnownTarget target, Incarnation incarnation, ProbeListener waiting) {
+    private void awaitProbe(KnownTarget target, RecentAttempts attempts, ProbeListener waiting) {
         ResponseTimeout.start(
                 reactor,
                 reactor::currentTimeMillis,
                 PROBE_TIMEOUT_MILLIS,
                 () -> {
-                    if (incarnation.waiting.remove(waiting)
-                            || incarnation.waitingForNext.remove(waiting)) {
+                    if (attempts.waiting.remove(waiting)
+                            || attempts.waitingForNext.remove(waiting)) {
                         waiting.probed(Optional.empty());
                     }
                 });
-        if (incarnation.probing) {
-            incarnation.waitingForNext.add(waiting);
+        if (attempts.probing) {
+            attempts.waitingForNext.add(waiting);
         } else {
-            incarnation.waiting.add(waiting);
-            probe(target, incarnation);
+            attempts.waiting.add(waiting);
+            probe(target, attempts);
         }
     }
 
-    private void probe(KnownTarget target, Incarnation incarnation) {
-        incarnation.probing = true;
-        target.connections().probe(result -> probed(target, incarnation, result));
+    private void probe(KnownTarget target, RecentAttempts attempts) {
+        attempts.probing = true;
+        target.connections().probe(result -> probed(target, attempts, result));
     }
 
     /**
@@ -196,7 +197,7 @@
      */
     void attemptCancelled(KnownTarget target, SuspectRequest suspect) {
         long until = reactor.currentTimeMillis() + CANCELLED_ATTEMPT_MILLIS;
-        touch(target).attempts.add(new Attempt(suspect, until));
+        touch(target).failed.add(new Attempt(suspect, until));
     }
 
     /**
@@ -206,72 +207,62 @@
      * @param source The source that shows it.
      */
     void targetCrashed(KnownTarget target, CrashSource source) {
+        target.crashes().record(source);
         listener.targetCrashed(incarnationOf(target), source);
-        Incarnation incarnation = incarnations.get(incarnationOf(target));
-        if (incarnation != null) {
-            reportCrash(target, incarnation);
-        }
-    }
-
-    /**
-     * Returns whether a target is known to have crashed lately.
-     *
-     * @param target The target.
-     * @return {@code true} if its incarnation crashed after an attempt at it.
-     */
-    boolean hasCrashed(KnownTarget target) {
-        Incarnation incarnation = incarnations.get(incarnationOf(target));
-        return incarnation != null && incarnation.crashed;
+        attributeCrash(target);
     }
 
-    private void probed(KnownTarget target, Incarnation incarnation, ConnectResult result) {
+    private void probed(KnownTarget target, RecentAttempts attempts, ConnectResult result) {
         // An accepted probe doesn't prove that the target is running: it may have reached the next
         // incarnation. The directory may still report the crash later.
         if (result == ConnectResult.REFUSED) {
             target.load().health().connectFailed(reactor.currentTimeMillis());
-            listener.targetCrashed(incarnationOf(target), CrashSource.PROBE);
-            reportCrash(target, incarnation);
+            targetCrashed(target, CrashSource.PROBE);
         }
-        List<ProbeListener> done = new ArrayList<>(incarnation.waiting);
-        incarnation.waiting.clear();
-        (incarnation.crashed ? done : incarnation.waiting).addAll(incarnation.waitingForNext);
-        incarnation.waitingForNext.clear();
-        incarnation.probing = !incarnation.waiting.isEmpty();
-        if (incarnation.probing) {
-            probe(target, incarnation);
+        List<ProbeListener> done = new ArrayList<>(attempts.waiting);
+        attempts.waiting.clear();
+        (result == ConnectResult.REFUSED ? done : attempts.waiting).addAll(attempts.waitingForNext);
+        attempts.waitingForNext.clear();
+        attempts.probing = !attempts.waiting.isEmpty();
+        if (attempts.probing) {
+            probe(target, attempts);
         }
         done.forEach(each -> each.probed(Optional.of(result)));
     }
 
-    private void reportCrash(KnownTarget target, Incarnation incarnation) {
-        incarnation.crashed = true;
+    /** Reports the recent attempts at a target that crashed. */
+    private void attributeCrash(KnownTarget target) {
+        RecentAttempts attempts = recent.get(target);
+        if (attempts == null) {
+            return;
+        }
         long now = reactor.currentTimeMillis();
-        for (Attempt each : List.copyOf(incarnation.attempts)) {
+        for (Attempt each : List.copyOf(attempts.failed)) {
             if (now <= each.untilMillis()) {
                 listener.crashed(each.suspect(), incarnationOf(target));
             }
         }
-        incarnation.attempts.clear();
+        attempts.failed.clear();
     }
 
-    /** Returns the attempts at a target's incarnation and moves it to the end of the map. */
-    private Incarnation touch(KnownTarget target) {
+    /** Returns the attempts at a target and moves it to the end of the map. */
+    private RecentAttempts touch(KnownTarget target) {
         long now = reactor.currentTimeMillis();
         expire(now - FAILED_ATTEMPT_MILLIS);
-        Incarnation known = incarnations.remove(incarnationOf(target));
-        Incarnation touched = known == null ? new Incarnation() : known;
+        RecentAttempts known = recent.remove(target);
+        RecentAttempts touched = known == null ? new RecentAttempts() : known;
         touched.changedMillis = now;
-        incarnations.put(incarnationOf(target), touched);
+        recent.put(target, touched);
         return touched;
     }
 
     /**
-     * Removes incarnations that have not changed recently.
+     * Removes targets whose attempts have not changed recently.
      *
      * @param beforeMillis The time before which they last changed, in milliseconds.
      */
     private void expire(long beforeMillis) {
-        Iterator<Incarnation> all = incarnations.values().iterator();
+        Iterator<RecentAttempts> all = recent.values().iterator();
         while (all.hasNext() && all.next().changedMillis < beforeMillis) {
             all.remove();
         }
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -501,7 +501,8 @@
                         entry.address(),
                         CONNECT_MILLIS,
                         KeepAlive.NONE,
-                        head -> listener.responseReceived(load, head)));
+                        head -> listener.responseReceived(load, head)),
+                new CrashCounts());
     }
 
     /**
--- a/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashDetectorTest.java
@@ -169,13 +169,84 @@
         assertThat(crashed()).containsExactly("a@1", "true");
     }
 
+    /** A response that is read late was truncated by the crash that ended its target. */
+    @Test
+    void testUnframedResponseSentBeforeACrashIsTruncatedThoughTheTargetIsBack() {
+        updateTable(target("a", 1, false));
+        TargetRun run = TargetRun.current(known("a"));
+        failAttempt("a");
+        await(() -> completedProbes.get() == 1);
+        listen();
+        run(() -> probeBehindAResponse(run));
+        assertThat(crashed()).containsExactly("a@1", "a@1", "true");
+    }
+
+    @Test
+    void testAttemptSentBeforeARefusedConnectionIsAttributedThoughTheTargetIsBack() {
+        listen();
+        updateTable(target("a", 1, false));
+        TargetRun run = TargetRun.current(known("a"));
+        run(() -> detector.targetCrashed(known("a"), CrashSource.CONNECTION));
+        failAttempt(run);
+        assertThat(crashed()).containsExactly("a@1");
+    }
+
+    @Test
+    void testUnframedResponseSentBehindACrashIsNotTakenForTruncated() {
+        updateTable(target("a", 1, false));
+        failAttempt("a");
+        await(() -> completedProbes.get() == 1);
+        listen();
+        endWithConnection("a");
+        await(() -> completedProbes.get() == 2);
+        assertThat(crashed()).containsExactly("a@1", "false");
+    }
+
+    @Test
+    void testAttemptSentBehindACrashIsNotAttributedToIt() {
+        updateTable(target("a", 1, false));
+        failAttempt("a");
+        await(() -> completedProbes.get() == 1);
+        listen();
+        failAttempt("a");
+        await(() -> completedProbes.get() == 2);
+        assertThat(crashed()).containsExactly("a@1");
+    }
+
+    @Test
+    void testSecondCrashIsAttributedToTheAttemptsSentBehindTheFirst() {
+        updateTable(target("a", 1, false));
+        failAttempt("a");
+        await(() -> completedProbes.get() == 1);
+        failAttempt("a");
+        await(() -> completedProbes.get() == 2);
+        assertThat(crashed()).containsExactly("a@1", "a@1");
+    }
+
+    /** The crash may have preceded the request, whose response a target that is back sent. */
+    @Test
+    void testCrashThatTheDirectoryShowsDoesNotTruncateResponsesInProgress() {
+        listen();
+        updateTable(target("a", 1, false));
+        TargetRun run = TargetRun.current(known("a"));
+        updateTable(target("a", 1, false), target("b", 2, false));
+        assertThat(run.mayHaveCrashed()).isTrue();
+        run(() -> probeBehindAResponse(run));
+        await(() -> completedProbes.get() == 1);
+        assertThat(crashed()).containsExactly("false");
+    }
+
     private void endWithConnection(String id) {
         run(() -> probeBehindAResponse(id));
     }
 
     private void probeBehindAResponse(String id) {
+        probeBehindAResponse(TargetRun.current(known(id)));
+    }
+
+    private void probeBehindAResponse(TargetRun run) {
         detector.endedByClose(
-                known(id),
+                run,
                 () -> SUSPECT,
                 result -> {
                     crashed.add(Boolean.toString(result));
@@ -190,7 +261,11 @@
     }
 
     private void failAttempt(String id) {
-        run(() -> detector.attemptFailed(known(id), SUSPECT, completedProbes::incrementAndGet));
+        failAttempt(TargetRun.current(known(id)));
+    }
+
+    private void failAttempt(TargetRun run) {
+        run(() -> detector.attemptFailed(run, SUSPECT, completedProbes::incrementAndGet));
     }
 
     private KnownTarget known(String id) {
