--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -515,7 +515,7 @@
             long endedMillis = core.now();
             core.harmful()
                     .endedByClose(
-                            from.target(),
+                            from.run(),
                             identity,
                             crashed -> targetProbed(from, crashed, endedMillis));
         }
@@ -589,7 +589,7 @@
         core.log().attemptFailed(requestId(), targetId(from), misdirected ? "other" : "full");
         engines.ifPresent(EngineRouting::rollBackSent);
         if (misdirected) {
-            core.harmful().targetCrashed(from.target());
+            core.harmful().targetCrashed(from.target(), CrashSource.ANSWER);
         }
         from.target()
                 .load()
@@ -617,7 +617,7 @@
             core.log().attemptFailed(requestId(), targetId(from), failure.name());
             from.target().load().health().connectFailed(core.now());
             if (failure == ResponseFailure.REFUSED) {
-                core.harmful().targetCrashed(from.target());
+                core.harmful().targetCrashed(from.target(), CrashSource.CONNECTION);
             }
             retryUnreachable();
             return;
@@ -636,9 +636,9 @@
         }
         from.target().load().health().failed(core.now());
         if (route.repeatable() && resumable) {
-            core.harmful().attemptFailed(from.target(), identity, this::retryFailed);
+            core.harmful().attemptFailed(from.run(), identity, this::retryFailed);
         } else {
-            core.harmful().attemptFailed(from.target(), identity, () -> {});
+            core.harmful().attemptFailed(from.run(), identity, () -> {});
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
         }
     }
