Connect to a peer again after an error at its connection

Its callers were then served by knowledge that stood still. The event loop closed the channel, but the chain of promises that reads it had been left by the error, so it never ended.

Both ends register a StepGuard with their sockets. A connection ends once, whether by its chain or its guard, and an attempt to connect that throws is made again. The metric peer_connections_accepted shows what the receiving side counts. By reading, no test: the attempt that throws, and a write that does.

--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -130,6 +130,7 @@
         core.streams().peers(origins);
         MetricRegistry metrics = core.log().metrics();
         metrics.registerGauge("peers_connected", network::establishedConnections);
+        metrics.registerGauge("peer_connections_accepted", network::acceptedConnections);
         metrics.registerGauge("peer_bytes_sent", network.traffic()::bytesSent);
         metrics.registerGauge("peer_bytes_received", network.traffic()::bytesReceived);
         metrics.registerGauge("peer_bytes_pending", network::pendingBytes);
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -12,6 +12,7 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import java.util.Optional;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -19,6 +20,7 @@
 import org.martenwell.observe.LogEvent;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.ResponseTimeout;
+import org.martenwell.service.StepGuard;
 import org.martenwell.service.TcpConnector;
 
 /**
@@ -79,9 +81,15 @@
     /** Encoded messages that have not been framed yet. */
     private final OutputBuffer pending = new OutputBuffer();
 
+    /** The connection that was opened last, or {@code null} once it has ended. */
+    private TcpSocket connected;
+
     /** The open connection, or {@code null} if there is none. */
     private TcpSocket socket;
 
+    /** Reports what fails at the open connection; valid while {@link #codec} is set. */
+    private StepGuard guard;
+
     /** Encodes messages; valid while {@link #codec} is set. */
     private MessageWriter messageWriter;
 
@@ -212,6 +220,16 @@
             opened.close();
             return;
         }
+        connected = opened;
+        guard = StepGuard.ofSocket(opened, "PeerConnection", thrown -> onDefect(opened, thrown));
+        guard.run(() -> read(opened));
+    }
+
+    private void onDefect(TcpSocket failed, Throwable thrown) {
+        onDisconnected(failed, new IllegalStateException("The connection failed.", thrown));
+    }
+
+    private void read(TcpSocket opened) {
         readTimeout =
                 ResponseTimeout.start(
                         reactor,
@@ -262,6 +280,10 @@
      * @param failure The cause, or {@code null} if the peer closed the connection.
      */
     private void onDisconnected(TcpSocket broken, Exception failure) {
+        if (connected != broken) {
+            return;
+        }
+        connected = null;
         if (established() && !closed) {
             LOGGER.info(
                     LogEvent.of("peer-disconnected")
@@ -270,13 +292,23 @@
                             .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
                             .message());
         }
-        readTimeout.cancel();
-        broken.close();
         socket = null;
         codec = null;
         writing = false;
-        pending.takeAll();
-        retryLater();
+        if (readTimeout != null) {
+            readTimeout.cancel();
+        }
+        try {
+            broken.close();
+            pending.takeAll();
+        } finally {
+            retryLater();
+        }
+    }
+
+    /** Opens a connection, or schedules that once more if not even the attempt can be made. */
+    private void openAgain() {
+        StepGuard.of("PeerConnection", Optional::empty, thrown -> retryLater()).run(this::open);
     }
 
     private void retryLater() {
@@ -288,7 +320,7 @@
                             jittered,
                             () -> {
                                 retry = null;
-                                open();
+                                openAgain();
                             });
         }
     }
@@ -299,12 +331,14 @@
      */
     private void flushLast() {
         flushScheduled = false;
-        write();
+        flush();
     }
 
     /** Writes all buffered messages now, unless a frame is already being written. */
     void flush() {
-        write();
+        if (codec != null) {
+            guard.run(this::write);
+        }
     }
 
     /** Writes all buffered messages in one frame, unless a frame is already being written. */
@@ -325,7 +359,7 @@
                         () -> {
                             if (current == socket) {
                                 writing = false;
-                                write();
+                                flush();
                             }
                         })
                 .whenException(exception -> current.close());
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -128,6 +128,11 @@
         return connections.values().stream().filter(PeerConnection::established).count();
     }
 
+    /** {@return the number of open connections that peers have opened} */
+    public int acceptedConnections() {
+        return server.connections();
+    }
+
     /** {@return the bytes of messages that wait to be framed, summed over all peers} */
     public long pendingBytes() {
         return connections.values().stream().mapToLong(PeerConnection::pendingBytes).sum();
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -21,6 +21,7 @@
 import org.martenwell.service.ManagedService;
 import org.martenwell.service.PeriodicTask;
 import org.martenwell.service.ServerStarter;
+import org.martenwell.service.StepGuard;
 
 /**
  * Accepts connections from peers and receives messages over them. A connection with an invalid
@@ -87,6 +88,11 @@
         return keepAlives.stop().then(server::close).toVoid();
     }
 
+    /** {@return the number of open connections} */
+    int connections() {
+        return sockets.size();
+    }
+
     /**
      * Sends a keep-alive over each connection. A failed write needs no handling, since reading from
      * the broken connection fails as well.
@@ -104,15 +110,17 @@
         byte[] nonce = new byte[FrameCodec.NONCE_BYTES];
         NONCE_SOURCE.nextBytes(nonce);
         sockets.add(socket);
+        StepGuard.ofSocket(socket, "PeerServer", thrown -> close(socket));
         FrameCodec codec = new FrameCodec(key, nonce);
         socket.write(ByteBuf.wrapForReading(nonce))
                 .then(() -> read(socket, codec))
                 .whenException(exception -> recordFailure(exception))
-                .whenComplete(
-                        () -> {
-                            sockets.remove(socket);
-                            socket.close();
-                        });
+                .whenComplete(() -> close(socket));
+    }
+
+    private void close(ITcpSocket socket) {
+        sockets.remove(socket);
+        socket.close();
     }
 
     /**
