--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -168,8 +168,11 @@
         @Override
         public void failed(ResponseFailure failure) {
             timeout.cancel();
-            connections.closeIdle();
-            fail("The internal HTTP call failed: " + failure);
+            try {
+                connections.closeIdle();
+            } finally {
+                fail("The internal HTTP call failed: " + failure);
+            }
         }
 
         /**
