Take an old list only while no gateway may be cut off

Callers could get the rest of a stream from another version of the targets (ORDER) at gateways that were cut off together from the store and the rest of the fleet.

Gateways on one side of a partition vouched for each other, though those on the other side might list a second version and begin streams at it.

Each other gateway of the fleet must have reported now, or have ended: its machine refuses connections, which is not what a partition looks like. Else the stream is refused as before without contact (peers_silent). The price: with the store silent and the box of a gateway lost, streams of the only version are refused until its entry goes; in a large fleet also for one that has ended in another failure domain, to which there is no connection (design/streams.md, What remains).

--- a/src/main/java/org/martenwell/gateway/LivePeers.java
+++ b/src/main/java/org/martenwell/gateway/LivePeers.java
@@ -55,16 +55,6 @@
                 && withoutDelays(now) - lastReportMillis.get(peer) <= LIVE_MILLIS;
     }
 
-    /**
-     * Returns whether any peer reported recently.
-     *
-     * @param now The current time, in milliseconds.
-     * @return {@code true} if one did.
-     */
-    boolean anyLive(long now) {
-        return lastReportMillis.keySet().stream().anyMatch(each -> isLive(each, now));
-    }
-
     /**
      * Returns whether this gateway is the owner of a target or a peer: the live gateway with the
      * highest rendezvous score. While gateways disagree on which of them are live, there may be two
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -52,6 +52,9 @@
 
     private record Search(String asker, long attempt) {}
 
+    /** The other gateways of the fleet. */
+    private Set<String> others = Set.of();
+
     /** The gateways that understand messages on versions. */
     private Set<String> capable = Set.of();
 
@@ -102,6 +105,7 @@
      * @param members The gateways, including this one.
      */
     void members(Collection<GatewayMember> members) {
+        others = named(members, 0);
         capable = named(members, GatewayMember.VERSION_PROTOCOL);
         transferring = named(members, GatewayMember.ORIGIN_PROTOCOL);
         transfer.fleetKnown();
@@ -300,7 +304,8 @@
 
     @Override
     public boolean inContact() {
-        return topology.isAlone() || livePeers.anyLive(core.now());
+        return others.stream()
+                .allMatch(each -> livePeers.isLive(each, core.now()) || network.refused(each));
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/OriginPeers.java
+++ b/src/main/java/org/martenwell/gateway/OriginPeers.java
@@ -94,6 +94,9 @@
      */
     boolean lateSince(long millis);
 
-    /** {@return {@code true} if a peer reported recently, or if there are no peers} */
+    /**
+     * {@return {@code true} if all other gateways have reported recently or have ended, so that
+     * none can know of versions that this one doesn't}
+     */
     boolean inContact();
 }
--- a/src/main/java/org/martenwell/gateway/ReportTopology.java
+++ b/src/main/java/org/martenwell/gateway/ReportTopology.java
@@ -124,11 +124,6 @@
         return size > MAX_MESH_SIZE;
     }
 
-    /** {@return {@code true} if the fleet has no other gateway} */
-    boolean isAlone() {
-        return size <= 1;
-    }
-
     /** {@return the report interval, in milliseconds} */
     long intervalMillis() {
         return usesRelays()
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -12,6 +12,7 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import java.net.ConnectException;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -103,6 +104,9 @@
     /** The next attempt to open, or {@code null} if none is scheduled. */
     private ScheduledRunnable retry;
 
+    /** Set if the peer's machine refused the last attempt to connect. */
+    private boolean refused;
+
     /** Set once closed by {@link #close}, so that it doesn't reconnect. */
     private boolean closed;
 
@@ -147,6 +151,11 @@
         return codec != null;
     }
 
+    /** {@return {@code true} if the peer's machine can be reached but no process listens there} */
+    boolean refused() {
+        return refused;
+    }
+
     /** {@return the bytes of messages that wait to be framed} */
     int pendingBytes() {
         return pending.size();
@@ -160,7 +169,12 @@
                         CONNECT_TIMEOUT_MILLIS,
                         SocketSettings.create())
                 .whenResult(this::onConnected)
-                .whenException(exception -> retryLater());
+                .whenException(this::onConnectFailed);
+    }
+
+    private void onConnectFailed(Exception failure) {
+        refused = failure instanceof ConnectException;
+        retryLater();
     }
 
     /** Connects at once instead of after the delay, if the connection waits for one. */
@@ -208,6 +222,7 @@
      * @param opened The open connection.
      */
     private void onConnected(TcpSocket opened) {
+        refused = false;
         if (closed) {
             opened.close();
             return;
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -123,6 +123,16 @@
         return connections.containsKey(peer) && connections.get(peer).established();
     }
 
+    /**
+     * Returns whether a peer has ended, as its machine refuses connections to it.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if the last attempt to connect was refused.
+     */
+    public boolean refused(String peer) {
+        return connections.containsKey(peer) && connections.get(peer).refused();
+    }
+
     /** {@return the number of peers to which messages can be sent} */
     public long establishedConnections() {
         return connections.values().stream().filter(PeerConnection::established).count();
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -113,6 +113,14 @@
         run(() -> reporters.remove(gateway).stop());
     }
 
+    /** Stops a gateway and lets the others know it at an address that answers nothing. */
+    void cutOff(String gateway, String silentAddress) {
+        stop(gateway);
+        GatewayMember member = members.get(gateway);
+        members.put(gateway, new GatewayMember(gateway, member.failureDomain(), silentAddress, 1));
+        connect();
+    }
+
     /** Stops gateways and starts new ones of their names at their addresses without any state. */
     void restart(Set<String> gateways) {
         gateways.forEach(each -> thread.call(reporters.get(each)::stop));
