Let gateways that start keep versions for the longer retention

Callers could get the rest of a stream from another version (ORDER) at a gateway that had started behind a configuration with shorter time-outs, if the version went shortly before or after that start.

Cause: peers send such a gateway the versions as younger by the difference of the retentions, but never younger than now, so a version that had gone 1 s before was forgotten after the short retention; and one that went later was forgotten as if no longer time-out had applied.

Ages may be negative now, which says for how much longer a version has to be remembered, and a list never shortens that.

Failed before: StreamVersionsTest 2 of 32, testPeerThatStartsBehindAShorterTimeOutKeepsVersionsForTheLongerOne and testPeerThatStartsBehindAShorterTimeOutKeepsVersionsThatGoLater (the stream went on where UNKNOWN_TO_PEERS is expected). After: 32 of 32, ListedVersionsTest 4, MessageCodecTest 6.

--- a/src/main/java/org/martenwell/version/ListedVersions.java
+++ b/src/main/java/org/martenwell/version/ListedVersions.java
@@ -37,12 +37,13 @@
      */
     public boolean update(Set<ServiceVersion> versions, long now, long retentionMillis) {
         coveredSinceMillis = Math.min(coveredSinceMillis, now);
-        listed.forEach(each -> lastListedMillis.put(each, now));
+        listed.forEach(each -> lastListedMillis.merge(each, now, Math::max));
         lastListedMillis.values().removeIf(each -> now - each > retentionMillis);
         listed = Set.copyOf(versions);
         boolean added = false;
         for (ServiceVersion each : versions) {
-            added |= lastListedMillis.put(each, now) == null;
+            added |= !lastListedMillis.containsKey(each);
+            lastListedMillis.merge(each, now, Math::max);
         }
         return added;
     }
--- a/src/main/java/org/martenwell/version/VersionHistory.java
+++ b/src/main/java/org/martenwell/version/VersionHistory.java
@@ -21,11 +21,7 @@
         return new VersionHistory(
                 coveredMillis < millis ? -1 : coveredMillis - millis,
                 sightings.stream()
-                        .map(
-                                each ->
-                                        new VersionSighting(
-                                                each.version(),
-                                                Math.max(0, each.ageMillis() - millis)))
+                        .map(each -> new VersionSighting(each.version(), each.ageMillis() - millis))
                         .toList());
     }
 }
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -266,6 +266,42 @@
         assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
     }
 
+    /** A version that went shortly before the gateway started has an age below the difference. */
+    @Test
+    void testPeerThatStartsBehindAShorterTimeOutKeepsVersionsForTheLongerOne() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        versions.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        versions.configure(configuration());
+        StreamVersions started = new StreamVersions(loop);
+        started.configure(configuration());
+        started.learn(versions.historyForNewPeer());
+        started.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        advance(GatewayCores.route(400).timeoutMillis() - 1_000);
+        started.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        started.find(Optional.of("a"), GatewayCores.route(400), DEADLINE_MILLIS, this::record);
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
+    /** A version that went behind the start was listed while the longer time-out applied. */
+    @Test
+    void testPeerThatStartsBehindAShorterTimeOutKeepsVersionsThatGoLater() {
+        versions.configure(configuration(GatewayCores.route(400)));
+        advance(LONG_MILLIS);
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        versions.configure(configuration());
+        StreamVersions started = new StreamVersions(loop);
+        started.configure(configuration());
+        started.learn(versions.historyForNewPeer());
+        started.list(List.of(TARGET.withVersion("v1")), nowMillis);
+        started.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        advance(GatewayCores.route(400).timeoutMillis() - 1_000);
+        started.list(List.of(TARGET.withVersion("v2")), nowMillis);
+        started.find(Optional.of("a"), GatewayCores.route(400), DEADLINE_MILLIS, this::record);
+        assertThat(refusals).containsExactly(StreamRefusal.UNKNOWN_TO_PEERS);
+    }
+
     @Test
     void testRetentionShrinksOnceStreamsOfALongerTimeOutHaveEnded() {
         versions.configure(configuration(GatewayCores.route(400)));
