Take responses of crashed targets for truncated behind their removal

Callers could get a truncated response without framing as one that isn't known to be broken, though the gateway knew that its target had crashed: a response whose end is read late, as for a slow caller, when the entry of the target has been removed. The removal closes the target's pool, and a closed pool counted as a planned shutdown before the known crash was looked at.

A known crash of a target that wasn't draining is looked at first now. One that drains may stop listening before its last responses end, so a refused connection doesn't truncate these.

--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -187,8 +187,8 @@
 
     /**
      * Finds out whether a target crashed at the end of a response that ended with its connection.
-     * The shutdown of a target that is draining or was removed is planned, so that its responses
-     * are as complete as those of other targets.
+     * The shutdown of a target that is draining, or was removed without a known crash, is planned,
+     * so that its responses are as complete as those of other targets.
      *
      * @param run The run of the target in which the request was written.
      * @param identity The request's identity.
@@ -196,7 +196,7 @@
      *     that isn't known in time.
      */
     void endedByClose(TargetRun run, RequestIdentity identity, Consumer<Boolean> afterProbe) {
-        if (isShutDown(run.target())) {
+        if (isShutDown(run.target()) && !crashedBeforeRemoval(run)) {
             afterProbe.accept(false);
         } else {
             List<SharedPart> parts = identity.sharedParts();
@@ -213,6 +213,11 @@
         }
     }
 
+    /** A target that drains may stop listening before its last responses end. */
+    private static boolean crashedBeforeRemoval(TargetRun run) {
+        return run.crashed() && !run.target().load().availability().isDraining();
+    }
+
     /** Clears parts of a prompt unless the target that served it has crashed meanwhile. */
     private void servedIfAlive(TargetRun run, List<SharedPart> parts) {
         if (!run.mayHaveCrashed()) {
