Keep the interval at which a gateway that shuts down reads its peers

The interval is 0.1 s for each gateway of the fleet, so that a fleet that shuts down makes 10 lists a second. It was computed anew from the gateways that were left, which are fewer with each that leaves, so 50 gateways that shut down together would have come to a list each 0.5 s, 100 a second. It is taken at the begin of the shutdown now. Found by reading in the review; no test shows it, GatewayOnPlatformTest and StreamsBehindRestartsTest cover the reading.

--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -101,6 +101,9 @@
     /** The time at which a gateway that shuts down last read its peers, in milliseconds. */
     private long membersReadMillis;
 
+    /** The interval at which it reads them, in milliseconds. */
+    private long membersIntervalMillis;
+
     /**
      * Creates a gateway.
      *
@@ -207,6 +210,8 @@
         SettablePromise<Void> done = new SettablePromise<>();
         long startMillis = reactor.currentTimeMillis();
         membersReadMillis = startMillis;
+        membersIntervalMillis =
+                Math.max(MEMBERS_MILLIS, MEMBERS_MILLIS_PER_GATEWAY * gateways.size());
         reactor.delay(DRAIN_CHECK_MILLIS, () -> checkDrained(startMillis, done));
         return done;
     }
@@ -240,9 +245,7 @@
      * down finds none of them in the directory, and knows no streams unless they connect to it.
      */
     private void readMembersIfDue() {
-        long intervalMillis =
-                Math.max(MEMBERS_MILLIS, MEMBERS_MILLIS_PER_GATEWAY * gateways.size());
-        if (reactor.currentTimeMillis() - membersReadMillis >= intervalMillis) {
+        if (reactor.currentTimeMillis() - membersReadMillis >= membersIntervalMillis) {
             membersReadMillis = reactor.currentTimeMillis();
             directory.refreshMembers();
         }
