Refuse an old list where the gateways of the fleet aren't known

Callers could get the rest of a stream from another version of the targets (ORDER) at a gateway that the store had listed no gateways to.

Cause: without the list of gateways a gateway has no peers, which counted as a fleet of one: it took the only version of an old list without anybody in contact.

Contact now requires that the fleet is known.

Before: testOldListIsNotTakenByAGatewayThatDoesNotKnowItsFleet failed ("Expecting an empty Optional but was containing value: ServiceVersion[ service=s, version=v1]").

--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -304,8 +304,12 @@
 
     @Override
     public boolean inContact() {
-        return others.stream()
-                .allMatch(each -> livePeers.isLive(each, core.now()) || network.refused(each));
+        return fleetKnown()
+                && others.stream()
+                        .allMatch(
+                                each ->
+                                        livePeers.isLive(each, core.now())
+                                                || network.refused(each));
     }
 
     /**
--- a/src/test/java/org/martenwell/gateway/CutOffGatewaysTest.java
+++ b/src/test/java/org/martenwell/gateway/CutOffGatewaysTest.java
@@ -51,6 +51,11 @@
         }
     }
 
+    @Test
+    void testOldListIsNotTakenByAGatewayThatDoesNotKnowItsFleet() {
+        assertThat(find()).isEmpty();
+    }
+
     @Test
     void testOldListIsTakenWhileAllGatewaysReport() {
         fleet.connect();
