Become ready without the list of gateways

The balancer sent no caller to a gateway, ever, if the store served all but the list of gateways (or that list was refused or lost for it each time).

Cause: readiness waits for the streams that peers know, and that wait began with the list of gateways, without a bound before.

A gateway that has its configuration and its targets waits 2 s for the list. Without it, it serves new requests, and it continues only streams whose version it knows by itself. The new log event origins-received tells what was waited for.

Before (the same test without the bound): UnlistedGatewaysTest failed, "The condition did not hold within 30 s." After: ready in 2 s.

--- a/src/main/java/org/martenwell/gateway/OriginTransfer.java
+++ b/src/main/java/org/martenwell/gateway/OriginTransfer.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.martenwell.message.PeerMessage;
+import org.martenwell.observe.LogEvent;
 import org.martenwell.peer.PeerNetwork;
 import org.martenwell.peer.StreamOriginNotice;
 import org.martenwell.peer.StreamOriginsSent;
@@ -18,6 +21,8 @@
  */
 final class OriginTransfer {
 
+    private static final Logger LOGGER = LogManager.getLogger(OriginTransfer.class);
+
     /** The most origins of a message. */
     private static final int BATCH_SIZE = 2_000;
 
@@ -27,6 +32,12 @@
     /** The time for which a gateway waits for the origins that peers hold, in milliseconds. */
     private static final long MAX_WAIT_MILLIS = 500;
 
+    /**
+     * The time for which a gateway that is ready otherwise waits for the list of gateways, in
+     * milliseconds. Without it, it knows no streams of others and refuses to continue them.
+     */
+    private static final long MAX_FLEET_WAIT_MILLIS = 2_000;
+
     private final NioReactor reactor;
 
     private final String self;
@@ -44,6 +55,9 @@
 
     private final long startedMillis;
 
+    /** The time since which the origins are waited for, in milliseconds, negative before. */
+    private long waitingSinceMillis = -1;
+
     /** Set once a peer that knows all streams has sent the origins. */
     private boolean complete;
 
@@ -128,15 +142,32 @@
     }
 
     /**
-     * Returns whether this gateway knows what its peers know, or has waited long enough for that.
+     * Returns whether this gateway knows what its peers know, or has waited long enough for that;
+     * called once it is ready otherwise.
      *
      * @param peers The peers that send their origins.
      * @return {@code true} once it does.
      */
     boolean isReceived(Set<String> peers) {
-        if (!received && isFleetKnown()) {
-            received = complete || senders.containsAll(peers) || runsFor(MAX_WAIT_MILLIS);
+        long now = reactor.currentTimeMillis();
+        waitingSinceMillis = waitingSinceMillis < 0 ? now : waitingSinceMillis;
+        if (!received && isWaitOver(peers, now - waitingSinceMillis)) {
+            received = true;
+            LOGGER.info(
+                    LogEvent.of("origins-received")
+                            .with("complete", complete)
+                            .with("fleetKnown", isFleetKnown())
+                            .with("peers", peers.size())
+                            .with("senders", senders.size())
+                            .with("waitedMillis", now - waitingSinceMillis)
+                            .message());
         }
         return received;
     }
+
+    private boolean isWaitOver(Set<String> peers, long waitedMillis) {
+        return isFleetKnown()
+                ? complete || senders.containsAll(peers) || runsFor(MAX_WAIT_MILLIS)
+                : waitedMillis >= MAX_FLEET_WAIT_MILLIS;
+    }
 }
