Show the times that a gateway learns from targets as metrics

What a gateway took for the service time of plain services and for the prefill rate of engines was in no metric or log line, so that a late loop adds its own delay to them (an open finding, by reading) couldn't be shown. service_time_millis and prefill_nanos_per_token are gauges of the largest estimate of all services.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -155,6 +155,8 @@
         this.shares = new FairShares(shareWindowMillis);
         log.metrics().registerGauge("tokens_charged", this::chargedTokens);
         log.metrics().registerGauge("configuration_version", this::configurationVersion);
+        log.metrics().registerGauge("service_time_millis", this::maxServiceMillis);
+        log.metrics().registerGauge("prefill_nanos_per_token", targets::maxPrefillNanosPerToken);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain(), random);
@@ -369,6 +371,13 @@
         plainRoutings.values().forEach(each -> each.updateFleet(count - 1, ageMillis));
     }
 
+    private long maxServiceMillis() {
+        return plainRoutings.values().stream()
+                .mapToLong(PlainRouting::serviceMillis)
+                .max()
+                .orElse(0);
+    }
+
     /** {@return the number of gateways in the fleet, including this one} */
     int members() {
         return members;
--- a/src/main/java/org/martenwell/gateway/PlainRouting.java
+++ b/src/main/java/org/martenwell/gateway/PlainRouting.java
@@ -87,6 +87,11 @@
         unreportedRequests.sent(1, now);
     }
 
+    /** {@return the estimated time for which a target runs a request, in milliseconds} */
+    long serviceMillis() {
+        return Math.round(serviceTime.millis());
+    }
+
     /**
      * Records the end of a successful response.
      *
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -67,6 +67,8 @@
      */
     private static final long DIRECTORY_LAG_MILLIS = 1_500;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     /**
      * The incarnations of draining targets for which a refresh of the directory was already
      * requested.
@@ -481,6 +483,14 @@
         return rates.computeIfAbsent(service, name -> new PrefillRate());
     }
 
+    /** {@return the longest estimated prefill of all services, in nanoseconds per token} */
+    long maxPrefillNanosPerToken() {
+        return rates.values().stream()
+                .mapToLong(each -> Math.round(each.millis(NANOS_PER_MILLI)))
+                .max()
+                .orElse(0);
+    }
+
     /** Closes all idle connections. */
     void close() {
         targets.values().forEach(each -> each.connections().close());
