Learn from targets on the clock that leaves out the loop's delays

A gateway whose event loop was late took its own delay for the time of its targets: of the service time by which it refuses requests to plain services and of the prefill rate by which it chooses engines and refuses. Callers of a gateway that was late once were refused for the wait at targets that were quick.

Cause: EngineRouting.recordResponseStart and RequestDispatch .recordPlainResponse took the difference of two times of the loop's clock, by which a response that has arrived is as old as the loop is late.

An attempt measures its time on the responsive clock, as it does its silence.

--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -277,10 +277,12 @@
      * and is a sample of the prefill rate.
      *
      * @param running The request as it runs at its engine.
+     * @param elapsedMillis The time since it was sent, without delays of the event loop, in
+     *     milliseconds.
      */
-    void recordResponseStart(RunningRequest running) {
+    void recordResponseStart(RunningRequest running, long elapsedMillis) {
         assumedEntries = Optional.empty();
-        core.targets().rate(service).observe(running, core.now() - running.sentMillis());
+        core.targets().rate(service).observe(running, elapsedMillis);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -469,7 +469,8 @@
     void bodyStarted(SendAttempt from) {
         core.log().firstChunk(elapsedMillis());
         if (relay.streaming()) {
-            engines.ifPresent(routing -> routing.recordResponseStart(from.running()));
+            engines.ifPresent(
+                    routing -> routing.recordResponseStart(from.running(), from.elapsedMillis()));
             dispositionCount.ended(organisation.orElse(""), Disposition.SERVED);
         }
     }
@@ -510,26 +511,26 @@
         if (relay.endedWithinEvent()) {
             attemptFailed(from, ResponseFailure.BROKEN_OFF);
         } else if (framing.showsTruncation()) {
-            responseCompleted(from, framing, core.now());
+            responseCompleted(from, framing, from.elapsedMillis());
         } else {
-            long endedMillis = core.now();
+            long responseMillis = from.elapsedMillis();
             core.harmful()
                     .endedByClose(
                             from.run(),
                             identity,
-                            crashed -> targetProbed(from, crashed, endedMillis));
+                            crashed -> targetProbed(from, crashed, responseMillis));
         }
     }
 
     /** Handles the result of the probe behind a response that ended with its connection. */
-    private void targetProbed(SendAttempt from, boolean crashed, long endedMillis) {
+    private void targetProbed(SendAttempt from, boolean crashed, long responseMillis) {
         if (over) {
             return;
         }
         if (crashed) {
             attemptFailed(from, ResponseFailure.BROKEN_OFF);
         } else if (relay.mayEnd()) {
-            responseCompleted(from, ResponseFraming.CLOSE_DELIMITED, endedMillis);
+            responseCompleted(from, ResponseFraming.CLOSE_DELIMITED, responseMillis);
         } else {
             history.markPossiblyRun();
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
@@ -541,16 +542,17 @@
      *
      * @param from The attempt.
      * @param framing The way in which the end of the response was determined.
-     * @param endedMillis The time of its end, in milliseconds.
+     * @param responseMillis The time that it took, without delays of the event loop, in
+     *     milliseconds.
      */
-    private void responseCompleted(SendAttempt from, ResponseFraming framing, long endedMillis) {
+    private void responseCompleted(SendAttempt from, ResponseFraming framing, long responseMillis) {
         int status = relay.status();
         boolean failure = status >= FIRST_SERVER_ERROR_STATUS;
         if (failure) {
             from.target().load().health().failed(core.now());
         } else {
             from.target().load().health().succeeded(core.now());
-            recordPlainResponse(from, endedMillis);
+            recordPlainResponse(from, responseMillis);
         }
         if (failure && route.repeatable() && mayRetry()) {
             history.markPossiblyRun();
@@ -573,13 +575,11 @@
     }
 
     /** Records the response time of a plain service. */
-    private void recordPlainResponse(SendAttempt from, long endedMillis) {
+    private void recordPlainResponse(SendAttempt from, long responseMillis) {
         if (engines.isEmpty()) {
             core.plainRouting(selector.service())
                     .recordResponse(
-                            endedMillis - from.running().sentMillis(),
-                            loadWhenSent,
-                            from.target().load().target().slots());
+                            responseMillis, loadWhenSent, from.target().load().target().slots());
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -45,6 +45,9 @@
     /** The idle timeout of the connection, in milliseconds, or 0 if the target stated none. */
     private long idleMillis;
 
+    /** The time at which the attempt began on the responsive clock. */
+    private final long begunMillis;
+
     /** The time at which the last chunk of the body arrived on the responsive clock. */
     private long lastReceivedMillis;
 
@@ -70,7 +73,8 @@
         this.dispatch = dispatch;
         this.target = target;
         this.running = running;
-        this.lastReceivedMillis = dispatch.responsiveMillis();
+        this.begunMillis = dispatch.responsiveMillis();
+        this.lastReceivedMillis = begunMillis;
     }
 
     /**
@@ -110,6 +114,15 @@
         return running;
     }
 
+    /**
+     * Returns the time since the attempt began, without delays of the event loop.
+     *
+     * @return The time in milliseconds.
+     */
+    long elapsedMillis() {
+        return dispatch.responsiveMillis() - begunMillis;
+    }
+
     /**
      * Returns the time since the last chunk of the body arrived, without delays of the event loop.
      *
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -92,7 +92,7 @@
         routing.rollBackSent();
         assertThat(loads.get(0).promptCache().cachedTokens(chain)).isZero();
         routing.recordSent(choice(loads.get(0)));
-        routing.recordResponseStart(new RunningRequest(5_009, 10, core.now(), 0));
+        routing.recordResponseStart(new RunningRequest(5_009, 10, core.now(), 0), 0);
         routing.rollBackSent();
         assertThat(loads.get(0).promptCache().cachedTokens(chain)).isEqualTo(5_000);
     }
@@ -121,7 +121,7 @@
     void testRequestThatFailedAfterResponseStartStaysCharged() {
         routing.recordDemand();
         routing.recordSent(choice(loads.get(0)));
-        routing.recordResponseStart(new RunningRequest(5_009, 10, core.now(), 0));
+        routing.recordResponseStart(new RunningRequest(5_009, 10, core.now(), 0), 0);
         routing.rollBackSent();
         routing.recordSent(choice(loads.get(1)));
         assertThat(chargedTokens()).isEqualTo(COST);
