Give a caller a status line where its answer can't be written

A caller got no answer at all, or its connection was closed without a status line, if the answer of the gateway threw while it was written outside of the connection's own steps, as in a timer: CallerExchange takes an answer for sent before it is passed on, so later answers were ignored (a whole one), or the later failure of the stream was told by a cut (a head).

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -242,6 +242,10 @@
      * @param keepAlive {@code true} if the caller allows a persistent connection.
      */
     void respond(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
+        guard.run(() -> sendWhole(status, headers, content, keepAlive));
+    }
+
+    private void sendWhole(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
         boolean persistent = keepAlive && !server.draining();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         setConnectionHeader(headers, persistent);
@@ -266,6 +270,11 @@
      * @param keepAlive {@code true} if the caller allows a persistent connection.
      */
     void begin(int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
+        guard.run(() -> sendHead(status, headers, framing, keepAlive));
+    }
+
+    private void sendHead(
+            int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         if (framing == ResponseFraming.CHUNKED) {
@@ -285,7 +294,7 @@
      * @param piece The non-empty piece.
      */
     void write(byte[] piece) {
-        send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+        guard.run(() -> send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece))));
     }
 
     /**
@@ -294,8 +303,16 @@
      * @param keepAlive {@code true} if the connection can carry another response.
      */
     void end(boolean keepAlive) {
-        send(LastHttpContent.EMPTY_LAST_CONTENT);
-        finishRequest(keepAlive && !server.draining());
+        guard.run(
+                () -> {
+                    send(LastHttpContent.EMPTY_LAST_CONTENT);
+                    finishRequest(keepAlive && !server.draining());
+                });
+    }
+
+    /** Ends the request being served with an answer, if none has begun. */
+    void responseFailed() {
+        guard.run(this::endWithFailure);
     }
 
     /**
@@ -462,19 +479,23 @@
     private void stepFailed(Throwable failure) {
         CallerExchange failed = exchange;
         try {
-            if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
-                // What was read may be a request, which is lost.
-                rejectUncoded(REFUSAL);
-            } else if (state == ConnectionState.SERVING && !responseBegun) {
-                rejectUncoded(FAILURE);
-            } else {
-                abort(CloseReason.DEFECT);
-            }
+            endWithFailure();
         } finally {
             abandon(failed);
         }
     }
 
+    private void endWithFailure() {
+        if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
+            // What was read may be a request, which is lost.
+            rejectUncoded(REFUSAL);
+        } else if (state == ConnectionState.SERVING && !responseBegun) {
+            rejectUncoded(FAILURE);
+        } else {
+            abort(CloseReason.DEFECT);
+        }
+    }
+
     /** Closes the connection unless it closes gracefully, and notifies an exchange of that. */
     private void abandon(CallerExchange failed) {
         try {
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -174,6 +174,17 @@
         }
     }
 
+    /**
+     * Ends an exchange for which no response can be made: with status 500 if the response head
+     * isn't sent, else like {@link #abort}.
+     */
+    public void failed() {
+        if (!finished) {
+            finished = true;
+            connection.responseFailed();
+        }
+    }
+
     /** Called by the connection when the caller disconnects before the response is complete. */
     void callerDisconnected() {
         if (!finished) {
