Answer a request of which a timer or callback throws

A caller whose request failed by an error in one of its timers or callbacks (no heap, a defect) got no answer until its deadline, or never if that was the timer; the request stayed counted, and the queue of waiting requests wasn't retried any more until the next one joined it.

RequestDispatch has one StepGuard through which its start, its timers, those of StallDetector and ResponseRelay, its turns in the queue, the answers of probes and stream lookups and the callbacks of its attempts run. A step that throws cancels the attempt and ends the request: 503 if no attempt was made, else 500, a cut behind a head; its resources are released also if no answer can be made. EngineQueue schedules its next round whatever a round throws.

--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -87,6 +87,14 @@
 
     private void retryAll() {
         retryScheduled = false;
+        try {
+            retryInOrder();
+        } finally {
+            scheduleRetry();
+        }
+    }
+
+    private void retryInOrder() {
         List<RequestDispatch> order = new ArrayList<>(waiting);
         order.sort(Comparator.comparingDouble(each -> each.shareUse().promised()));
         for (RequestDispatch each : order) {
@@ -94,6 +102,5 @@
                 each.tryAgain();
             }
         }
-        scheduleRetry();
     }
 }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -21,6 +21,7 @@
 import org.martenwell.route.OrganisationConfiguration;
 import org.martenwell.route.Route;
 import org.martenwell.service.ResponseTimeout;
+import org.martenwell.service.StepGuard;
 import org.martenwell.share.Disposition;
 import org.martenwell.share.ShareUse;
 import org.martenwell.version.ServiceVersion;
@@ -104,6 +105,9 @@
 
     private final DispositionCount dispositionCount;
 
+    /** Runs all timers and callbacks of the request, so that it ends if one of them throws. */
+    private final StepGuard guard;
+
     private boolean over;
 
     /**
@@ -117,13 +121,18 @@
         this.exchange = exchange;
         this.metadata = core.dialect().read(exchange.request().headers());
         this.arrivedMillis = exchange.request().arrivedMillis();
-        this.relay = new ResponseRelay(core, exchange);
+        this.guard = StepGuard.of("RequestDispatch", metadata::requestId, this::stepFailed);
+        this.relay = new ResponseRelay(core, exchange, guard);
         this.localResponder = new LocalResponder(core, exchange, metadata);
         this.dispositionCount = new DispositionCount(core, metadata);
     }
 
     /** Starts the dispatch, or refuses the request at once. */
     void start() {
+        guard.run(this::begin);
+    }
+
+    private void begin() {
         core.beginRequest();
         Optional<GatewayConfiguration> configuration = core.configuration();
         if (core.closing()) {
@@ -165,11 +174,13 @@
         long timeout =
                 Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(Long.MAX_VALUE));
         deadlineMillis = arrivedMillis + timeout;
-        exchange.onDisconnect(this::callerDisconnected);
+        exchange.onDisconnect(guard.guarded(this::callerDisconnected));
         deadlineTimer =
                 core.reactor()
-                        .delayBackground(Math.max(1, remainingMillis()), this::deadlinePassed);
-        stallDetector = new StallDetector(core, route, this::targetSilent);
+                        .delayBackground(
+                                Math.max(1, remainingMillis()),
+                                guard.guarded(this::deadlinePassed));
+        stallDetector = new StallDetector(core, guard, route, this::targetSilent);
         identity =
                 new RequestIdentity(
                         core.fingerprints(),
@@ -180,7 +191,11 @@
         core.harmful().begin(this);
         if (metadata.lastEventId().isPresent() && route.resumable()) {
             core.streams()
-                    .find(metadata.resumedAttempt(), route, remainingMillis(), this::streamFound);
+                    .find(
+                            metadata.resumedAttempt(),
+                            route,
+                            remainingMillis(),
+                            guard.<StreamLookup>guarded(this::streamFound));
         } else {
             dispatch(configuration, TargetSelector.of(route.service(core.random())));
         }
@@ -245,7 +260,7 @@
 
     /** Tries again to send a request that waits in the queue. */
     void tryAgain() {
-        trySend();
+        guard.run(this::trySend);
     }
 
     /**
@@ -517,7 +532,8 @@
                     .endedByClose(
                             from.target(),
                             identity,
-                            crashed -> targetProbed(from, crashed, endedMillis));
+                            guard.<Boolean>guarded(
+                                    crashed -> targetProbed(from, crashed, endedMillis)));
         }
     }
 
@@ -636,7 +652,7 @@
         }
         from.target().load().health().failed(core.now());
         if (route.repeatable() && resumable) {
-            core.harmful().attemptFailed(from.target(), identity, this::retryFailed);
+            core.harmful().attemptFailed(from.target(), identity, guard.guarded(this::retryFailed));
         } else {
             core.harmful().attemptFailed(from.target(), identity, () -> {});
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
@@ -688,6 +704,10 @@
      * @param fingerprint The quarantined fingerprint.
      */
     void stopIfQuarantined(Fingerprint fingerprint) {
+        guard.run(() -> endIfQuarantined(fingerprint));
+    }
+
+    private void endIfQuarantined(Fingerprint fingerprint) {
         if (identity.matches(fingerprint) && core.harmful().refusal(identity).isPresent()) {
             cancelAttempt();
             fail(ErrorKind.ENDS_TARGETS, RetryDelay.NONE);
@@ -719,7 +739,7 @@
         if (attempt == null) {
             timedOut();
         } else {
-            ResponseTimeout.afterNextRead(core.reactor(), this::timedOut);
+            ResponseTimeout.afterNextRead(core.reactor(), guard.guarded(this::timedOut));
         }
     }
 
@@ -827,6 +847,44 @@
         }
     }
 
+    /** Ends the request, of which a step has thrown an exception or error. */
+    private void stepFailed(Throwable thrown) {
+        SendAttempt failed = attempt;
+        attempt = null;
+        try {
+            if (failed != null) {
+                failed.cancel();
+                engines.ifPresent(EngineRouting::rollBackSent);
+            }
+        } finally {
+            endDefective();
+        }
+    }
+
+    /** Responds to the request and releases its resources, also if no response can be made. */
+    private void endDefective() {
+        if (over) {
+            return;
+        }
+        try {
+            if (history.attempts() > 0 || history.mayHaveRun()) {
+                fail(ErrorKind.INTERNAL, RetryDelay.NONE);
+            } else {
+                fail(ErrorKind.ROUTER_FULL, RetryDelay.ELSEWHERE);
+            }
+        } finally {
+            if (!over) {
+                finish();
+                exchange.failed();
+            }
+        }
+    }
+
+    /** {@return the guard that runs the callbacks of the request's attempts} */
+    StepGuard guard() {
+        return guard;
+    }
+
     /**
      * Checks whether a target still accepts requests.
      *
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -9,6 +9,7 @@
 import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.route.Route;
 import org.martenwell.route.RouteType;
+import org.martenwell.service.StepGuard;
 import org.martenwell.stream.CompleteEventFilter;
 
 /**
@@ -36,6 +37,8 @@
 
     private final CallerExchange exchange;
 
+    private final StepGuard guard;
+
     /** The attempt whose response is forwarded, or {@code null} before the first attempt. */
     private SendAttempt source;
 
@@ -61,10 +64,12 @@
      *
      * @param core The state that all requests share.
      * @param exchange The request and its response.
+     * @param guard Runs the timers.
      */
-    ResponseRelay(GatewayCore core, CallerExchange exchange) {
+    ResponseRelay(GatewayCore core, CallerExchange exchange, StepGuard guard) {
         this.core = core;
         this.exchange = exchange;
+        this.guard = guard;
     }
 
     /**
@@ -211,7 +216,8 @@
     }
 
     private void scheduleBacklogCheck(SendAttempt paused) {
-        core.reactor().delayBackground(BACKLOG_CHECK_MILLIS, () -> checkBacklog(paused));
+        core.reactor()
+                .delayBackground(BACKLOG_CHECK_MILLIS, guard.guarded(() -> checkBacklog(paused)));
     }
 
     /** Resumes a paused attempt once at most half of the permitted backlog is unwritten. */
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -156,7 +156,7 @@
             idleMillis = Math.max(1, statedMillis - IDLE_MARGIN_MILLIS);
         }
         if (!over) {
-            dispatch.responseStarted(this, head);
+            dispatch.guard().run(() -> dispatch.responseStarted(this, head));
         }
     }
 
@@ -164,11 +164,15 @@
     public void bodyPartReceived(byte[] piece) {
         lastReceivedMillis = dispatch.responsiveMillis();
         if (!over) {
-            recordBodyProgress();
-            dispatch.bodyReceived(piece);
+            dispatch.guard().run(() -> forward(piece));
         }
     }
 
+    private void forward(byte[] piece) {
+        recordBodyProgress();
+        dispatch.bodyReceived(piece);
+    }
+
     @Override
     public void completed(ResponseFraming framing) {
         boolean active = !over;
@@ -176,7 +180,7 @@
         target.load().ended(running);
         target.connections().release(connection, idleMillis);
         if (active) {
-            dispatch.responseEnded(this, framing);
+            dispatch.guard().run(() -> dispatch.responseEnded(this, framing));
         }
     }
 
@@ -185,7 +189,7 @@
         if (!over) {
             over = true;
             target.load().ended(running);
-            dispatch.attemptFailed(this, failure);
+            dispatch.guard().run(() -> dispatch.attemptFailed(this, failure));
         }
     }
 
@@ -208,6 +212,10 @@
 
     private void opened(TargetConnection opened) {
         connection = opened;
+        dispatch.guard().run(() -> checkOpened(opened));
+    }
+
+    private void checkOpened(TargetConnection opened) {
         if (over) {
             opened.cancel();
         } else if (!dispatch.acceptsRequests(target)) {
--- a/src/main/java/org/martenwell/gateway/StallDetector.java
+++ b/src/main/java/org/martenwell/gateway/StallDetector.java
@@ -2,6 +2,7 @@
 
 import org.martenwell.route.Route;
 import org.martenwell.service.ResponseTimeout;
+import org.martenwell.service.StepGuard;
 
 /** Detects attempts whose target sends nothing for longer than the route allows. */
 final class StallDetector {
@@ -20,6 +21,8 @@
 
     private final GatewayCore core;
 
+    private final StepGuard guard;
+
     /** The allowed silence of a target, in milliseconds. */
     private final long allowedMillis;
 
@@ -41,11 +44,13 @@
      * Creates a detector for the attempts of a request.
      *
      * @param core The gateway's state.
+     * @param guard Runs the timers.
      * @param route The request's route.
      * @param listener Receives the attempts whose targets are silent.
      */
-    StallDetector(GatewayCore core, Route route, Listener listener) {
+    StallDetector(GatewayCore core, StepGuard guard, Route route, Listener listener) {
         this.core = core;
+        this.guard = guard;
         this.listener = listener;
         long objectives = OBJECTIVES_ALLOWED * route.objectiveMillis();
         long pauses = PAUSES_ALLOWED * route.eventIntervalMillis();
@@ -59,7 +64,8 @@
      */
     void watch(SendAttempt attempt) {
         long dueMillis = core.now() + allowedMillis;
-        core.reactor().delayBackground(allowedMillis, () -> check(attempt, dueMillis));
+        core.reactor()
+                .delayBackground(allowedMillis, guard.guarded(() -> check(attempt, dueMillis)));
     }
 
     /**
@@ -77,7 +83,8 @@
             return;
         }
         long lateMillis = core.now() - dueMillis;
-        ResponseTimeout.afterNextRead(core.reactor(), () -> decide(attempt, lateMillis));
+        ResponseTimeout.afterNextRead(
+                core.reactor(), guard.guarded(() -> decide(attempt, lateMillis)));
     }
 
     /**
