--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -181,7 +181,7 @@
             idleMillis = Math.max(1, statedMillis - IDLE_MARGIN_MILLIS);
         }
         if (!over) {
-            dispatch.responseStarted(this, head);
+            dispatch.guard().run(() -> dispatch.responseStarted(this, head));
         }
     }
 
@@ -189,11 +189,15 @@
     public void bodyPartReceived(byte[] piece) {
         lastReceivedMillis = dispatch.responsiveMillis();
         if (!over) {
-            recordBodyProgress();
-            dispatch.bodyReceived(piece);
+            dispatch.guard().run(() -> forward(piece));
         }
     }
 
+    private void forward(byte[] piece) {
+        recordBodyProgress();
+        dispatch.bodyReceived(piece);
+    }
+
     @Override
     public void completed(ResponseFraming framing) {
         boolean active = !over;
@@ -201,7 +205,7 @@
         target.load().ended(running);
         target.connections().release(connection, idleMillis);
         if (active) {
-            dispatch.responseEnded(this, framing);
+            dispatch.guard().run(() -> dispatch.responseEnded(this, framing));
         }
     }
 
@@ -210,7 +214,7 @@
         if (!over) {
             over = true;
             target.load().ended(running);
-            dispatch.attemptFailed(this, failure);
+            dispatch.guard().run(() -> dispatch.attemptFailed(this, failure));
         }
     }
 
@@ -234,6 +238,10 @@
     private void opened(TargetConnection opened) {
         connection = opened;
         run = TargetRun.current(target);
+        dispatch.guard().run(() -> checkOpened(opened));
+    }
+
+    private void checkOpened(TargetConnection opened) {
         if (over) {
             opened.cancel();
         } else if (!dispatch.acceptsRequests(target)) {
