Transfer streams of unknown versions to peers that connect

Callers could get the rest of a stream from another version of the targets (ORDER) at a gateway that started after the stream's target was listed at another version under its id.

Cause: such a stream is invalidated, and peers are told at once. A peer that connects later gets the streams of each service with several versions; the invalidated ones name no service, so they were not among them, and it could take the stream for one of the only version.

They are sent with the others now. Peers that hold them for this failure domain passed them on already.

Before: testStreamOfAnUnknownVersionIsTransferredToPeersThatConnect failed, nothing was to be transferred ("Expecting actual: [] to contain exactly [StreamOrigin[..., version=ServiceVersion[service=, version=]]]").

--- a/src/main/java/org/martenwell/gateway/OriginNotices.java
+++ b/src/main/java/org/martenwell/gateway/OriginNotices.java
@@ -143,7 +143,7 @@
 
     /**
      * Returns the origins of all streams that began or continue here and of which peers were
-     * notified.
+     * notified, those of unknown versions included.
      *
      * @param now The current time, in milliseconds.
      * @return The origins.
@@ -151,6 +151,7 @@
     List<StreamOrigin> notified(long now) {
         Set<String> services = new HashSet<>(mixedServices);
         services.addAll(splitServices);
+        services.add(ServiceVersion.UNKNOWN.service());
         List<StreamOrigin> origins = new ArrayList<>();
         services.forEach(each -> origins.addAll(known.own(each, now)));
         return origins;
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -357,6 +357,15 @@
         assertThat(versions.takeUnsent()).isEmpty();
     }
 
+    /** A peer that connects later must not take the only version for such a stream's. */
+    @Test
+    void testStreamOfAnUnknownVersionIsTransferredToPeersThatConnect() {
+        versions.began("a", TARGET.withVersion("v1"), GatewayCores.route(400));
+        versions.versionChanged(TARGET.id());
+        assertThat(versions.notified())
+                .containsExactly(new StreamOrigin(StreamOrigin.key("a"), ServiceVersion.UNKNOWN));
+    }
+
     @Test
     void testPeersAreNotifiedOfEarlierStreamsOnceASecondVersionIsListed() {
         versions.began("a", TARGET.withVersion("v1"), GatewayCores.route(400));
