Judge the timeouts of the router's HTTP calls behind the next read

Calls of a router to targets and to the platform failed with a timeout though the response had arrived: Promises.timeout runs on the loop that is to see the response, and due timers run before sockets are read.

ResponseTimeout.limit expires behind the next read and by the clock of its caller; routers use a ResponsiveClock, as gateways do. A client of the command line or of a stand-in uses its loop's clock.

The test uses a ResponsiveClock now, as BusyLoopCallTest does. Real silence ends as before: the test of the silent server is unchanged.

Open: the connect timeout of 2 s still runs on the loop's clock.

--- a/src/main/java/org/martenwell/command/OperatorClient.java
+++ b/src/main/java/org/martenwell/command/OperatorClient.java
@@ -68,7 +68,10 @@
             BufferedHttpResponse response =
                     loop.call(
                             () ->
-                                    AsyncHttpClient.pooled(loop.loop(), MAX_BODY_BYTES)
+                                    AsyncHttpClient.pooled(
+                                                    loop.loop(),
+                                                    loop.loop()::currentTimeMillis,
+                                                    MAX_BODY_BYTES)
                                             .exchange(
                                                     method,
                                                     "http://" + address + path,
--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -71,6 +71,7 @@
 import org.martenwell.schedule.SlotReport;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.ManagedService;
+import org.martenwell.service.ResponsiveClock;
 import org.martenwell.service.ServerStarter;
 import org.martenwell.settings.RouterLimits;
 import org.martenwell.settings.RouterSettings;
@@ -97,6 +98,9 @@
      */
     private final long incarnation;
 
+    /** The clock of timeouts for what other processes send. */
+    private final ResponsiveClock clock;
+
     /** The client that reuses its connections. */
     private final AsyncHttpClient pooledClient;
 
@@ -161,8 +165,9 @@
         RouterLimits limits = settings.effectiveLimits();
         incarnation = reactor.currentTimeMillis();
         Random random = new Random(seed);
-        pooledClient = AsyncHttpClient.pooled(reactor, limits.maxBodyBytes());
-        singleUseClient = AsyncHttpClient.single(reactor, limits.maxBodyBytes());
+        clock = new ResponsiveClock(reactor);
+        pooledClient = AsyncHttpClient.pooled(reactor, clock::millis, limits.maxBodyBytes());
+        singleUseClient = AsyncHttpClient.single(reactor, clock::millis, limits.maxBodyBytes());
         platform = new HttpPlatform(pooledClient, settings.platformAddress());
         network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
@@ -199,7 +204,8 @@
 
     @Override
     public Promise<Void> start() {
-        return network.start()
+        return clock.start()
+                .then(network::start)
                 .then(() -> ServerStarter.start(operatorServer))
                 .then(() -> ServerStarter.start(callerServer))
                 .then(follower::start)
@@ -215,7 +221,8 @@
                 .then(() -> operatorServer.close())
                 .then(network::stop)
                 .then(pooledClient::stop)
-                .then(singleUseClient::stop);
+                .then(singleUseClient::stop)
+                .then(clock::stop);
     }
 
     @Override
--- a/src/main/java/org/martenwell/demo/DemoFleet.java
+++ b/src/main/java/org/martenwell/demo/DemoFleet.java
@@ -286,7 +286,11 @@
         String text = Json.print(site.configuration(targetSettings));
         platformLoop.call(
                 () -> {
-                    AsyncHttpClient client = AsyncHttpClient.pooled(platformLoop.loop(), 1 << 20);
+                    AsyncHttpClient client =
+                            AsyncHttpClient.pooled(
+                                    platformLoop.loop(),
+                                    platformLoop.loop()::currentTimeMillis,
+                                    1 << 20);
                     return new HttpPlatform(client, platformAddress)
                             .create(
                                     ConfigurationStore.KIND,
--- a/src/main/java/org/martenwell/http/AsyncHttpClient.java
+++ b/src/main/java/org/martenwell/http/AsyncHttpClient.java
@@ -7,11 +7,12 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import java.time.Duration;
 import java.util.List;
+import java.util.function.LongSupplier;
 import org.martenwell.service.ManagedService;
+import org.martenwell.service.ResponseTimeout;
 
 /**
  * An HTTP client on an event loop. It never retries a request by itself, and it takes IP addresses
@@ -24,9 +25,16 @@
     /** The time that an idle connection stays open. */
     private static final Duration KEEP_ALIVE = Duration.ofSeconds(10);
 
+    private final NioReactor reactor;
+
+    /** The clock of timeouts. */
+    private final LongSupplier clock;
+
     private final HttpClient client;
 
-    private AsyncHttpClient(HttpClient client) {
+    private AsyncHttpClient(NioReactor reactor, LongSupplier clock, HttpClient client) {
+        this.reactor = reactor;
+        this.clock = clock;
         this.client = client;
     }
 
@@ -34,11 +42,14 @@
      * Creates a client that reuses connections.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it timeouts are measured.
      * @param maxBodyBytes The maximum size of a response body that is read completely, in bytes.
      * @return The client, to be started before use.
      */
-    public static AsyncHttpClient pooled(NioReactor reactor, int maxBodyBytes) {
+    public static AsyncHttpClient pooled(NioReactor reactor, LongSupplier clock, int maxBodyBytes) {
         return new AsyncHttpClient(
+                reactor,
+                clock,
                 builder(reactor, maxBodyBytes).withKeepAliveTimeout(KEEP_ALIVE).build());
     }
 
@@ -47,11 +58,13 @@
      * the server closed an idle connection.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it timeouts are measured.
      * @param maxBodyBytes The maximum size of a response body that is read completely, in bytes.
      * @return The client, to be started before use.
      */
-    public static AsyncHttpClient single(NioReactor reactor, int maxBodyBytes) {
-        return new AsyncHttpClient(builder(reactor, maxBodyBytes).withNoKeepAlive().build());
+    public static AsyncHttpClient single(NioReactor reactor, LongSupplier clock, int maxBodyBytes) {
+        return new AsyncHttpClient(
+                reactor, clock, builder(reactor, maxBodyBytes).withNoKeepAlive().build());
     }
 
     private static HttpClient.Builder builder(NioReactor reactor, int maxBodyBytes) {
@@ -79,7 +92,7 @@
             long timeoutMillis) {
         Promise<BufferedHttpResponse> response =
                 send(request(method, url, headers, body)).then(AsyncHttpClient::readWhole);
-        return Promises.timeout(Duration.ofMillis(timeoutMillis), response);
+        return ResponseTimeout.limit(reactor, clock, timeoutMillis, response);
     }
 
     /**
--- a/src/main/java/org/martenwell/service/ResponseTimeout.java
+++ b/src/main/java/org/martenwell/service/ResponseTimeout.java
@@ -1,5 +1,9 @@
 package org.martenwell.service;
 
+import io.activej.async.exception.AsyncTimeoutException;
+import io.activej.common.recycle.Recyclers;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import java.util.function.LongSupplier;
@@ -65,6 +69,41 @@
         reactor.delayBackground(NEXT_TURN_MILLIS, action);
     }
 
+    /**
+     * Limits the time for a promise that another process completes.
+     *
+     * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it the timeout is measured.
+     * @param timeoutMillis The timeout, in milliseconds.
+     * @param response The promise; a result that comes behind the timeout is recycled.
+     * @param <T> The type of the result.
+     * @return The result of the promise, or an {@link AsyncTimeoutException}.
+     */
+    public static <T> Promise<T> limit(
+            NioReactor reactor, LongSupplier clock, long timeoutMillis, Promise<T> response) {
+        if (response.isComplete()) {
+            return response;
+        }
+        SettablePromise<T> limited = new SettablePromise<>();
+        ResponseTimeout timeout =
+                start(
+                        reactor,
+                        clock,
+                        timeoutMillis,
+                        () ->
+                                limited.setException(
+                                        new AsyncTimeoutException("No response in time")));
+        response.subscribe(
+                (result, failure) -> {
+                    if (limited.trySet(result, failure)) {
+                        timeout.cancel();
+                    } else {
+                        Recyclers.recycle(result);
+                    }
+                });
+        return limited;
+    }
+
     /** Starts to measure anew, since the other process has sent something. */
     public void restart() {
         startedMillis = clock.getAsLong();
--- a/src/main/java/org/martenwell/standin/LoadClient.java
+++ b/src/main/java/org/martenwell/standin/LoadClient.java
@@ -29,7 +29,7 @@
      * @param reactor The event loop.
      */
     LoadClient(NioReactor reactor) {
-        this.client = AsyncHttpClient.pooled(reactor, MAX_BODY_BYTES);
+        this.client = AsyncHttpClient.pooled(reactor, reactor::currentTimeMillis, MAX_BODY_BYTES);
     }
 
     /**
--- a/src/test/java/org/martenwell/http/BusyLoopExchangeTest.java
+++ b/src/test/java/org/martenwell/http/BusyLoopExchangeTest.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.exchange.CallerServer;
 import org.martenwell.exchange.RequestHandler;
@@ -16,6 +17,7 @@
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
+import org.martenwell.service.ResponsiveClock;
 
 /**
  * Guards against a router's busy event loop that fails its calls, since their timeouts fire before
@@ -37,8 +39,16 @@
 
     private final String address = LoopbackPorts.free(1).get(0);
 
+    private ResponsiveClock clock;
+
     private AsyncHttpClient client;
 
+    @BeforeEach
+    void start() {
+        clock = thread.call(() -> Promise.of(new ResponsiveClock(thread.loop())));
+        thread.call(clock::start);
+    }
+
     @AfterEach
     void stop() {
         thread.stop();
@@ -69,7 +79,12 @@
     private void serve(RequestHandler handler) {
         CallerServer server = new CallerServer(serverThread.loop(), IpAddress.of(address), handler);
         serverThread.call(server::start);
-        client = thread.call(() -> Promise.of(AsyncHttpClient.pooled(thread.loop(), 1 << 10)));
+        client =
+                thread.call(
+                        () ->
+                                Promise.of(
+                                        AsyncHttpClient.pooled(
+                                                thread.loop(), clock::millis, 1 << 10)));
     }
 
     /** Makes a call and blocks the loop before it can read the response. */
--- a/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
+++ b/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
@@ -45,8 +45,14 @@
                         () ->
                                 Promise.of(
                                         new HttpTargetConnector(
-                                                AsyncHttpClient.pooled(loop.loop(), 1 << 20),
-                                                AsyncHttpClient.single(loop.loop(), 1 << 20))));
+                                                AsyncHttpClient.pooled(
+                                                        loop.loop(),
+                                                        loop.loop()::currentTimeMillis,
+                                                        1 << 20),
+                                                AsyncHttpClient.single(
+                                                        loop.loop(),
+                                                        loop.loop()::currentTimeMillis,
+                                                        1 << 20))));
     }
 
     @AfterEach
