Judge the timeouts of targets' response heads behind the next read

HttpTargetConnector uses the timeout of AsyncHttpClient.

BusyLoopConnectorTest before: request of 400 ms on a loop late by 1 s fails, "The target did not respond within the timeout"; a resume on a loop late by 2.5 s fails too, at first with "Connecting to the target failed", since its connection was new. A silent target ends with target_timeout within 2 s in the same test.

Open: a new connection is still given up by the loop's clock after 2 s.

--- a/src/main/java/org/martenwell/http/AsyncHttpClient.java
+++ b/src/main/java/org/martenwell/http/AsyncHttpClient.java
@@ -1,5 +1,6 @@
 package org.martenwell.http;
 
+import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.bytebuf.ByteBuf;
 import io.activej.http.HttpClient;
 import io.activej.http.HttpHeaders;
@@ -126,6 +127,33 @@
         return client.request(request);
     }
 
+    /**
+     * Sends a request and awaits the head of its response.
+     *
+     * @param request The request.
+     * @param timeoutMillis The time until the head must arrive, in milliseconds.
+     * @return The response, whose body has not been read yet, or an {@link AsyncTimeoutException}.
+     */
+    public Promise<HttpResponse> send(HttpRequest request, long timeoutMillis) {
+        Promise<HttpResponse> response = send(request);
+        Promise<HttpResponse> limited =
+                ResponseTimeout.limit(reactor, clock, timeoutMillis, response);
+        response.whenResult(lateResponse -> closeIfLate(lateResponse, limited));
+        return limited;
+    }
+
+    /**
+     * Closes a response that arrives after its timeout, so that its connection isn't leaked.
+     *
+     * @param response The response.
+     * @param limited The promise with the timeout.
+     */
+    private static void closeIfLate(HttpResponse response, Promise<HttpResponse> limited) {
+        if (limited.isException() && !response.isRecycled()) {
+            response.takeBodyStream().close();
+        }
+    }
+
     /**
      * Reads the complete body of a response.
      *
--- a/src/main/java/org/martenwell/target/HttpTargetConnector.java
+++ b/src/main/java/org/martenwell/target/HttpTargetConnector.java
@@ -5,8 +5,6 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -111,26 +109,11 @@
      */
     private static Promise<TargetResponse> send(
             AsyncHttpClient calls, HttpRequest message, long timeoutMillis) {
-        Promise<HttpResponse> response = calls.send(message);
-        Promise<HttpResponse> bounded =
-                Promises.timeout(Duration.ofMillis(timeoutMillis), response);
-        response.whenResult(lateResponse -> closeIfLate(lateResponse, bounded));
-        return bounded.mapException(exception -> toException(message, exception))
+        return calls.send(message, timeoutMillis)
+                .mapException(exception -> toException(message, exception))
                 .map(head -> toTargetResponse(message.getMethod(), head));
     }
 
-    /**
-     * Closes a response that arrives after its timeout, so that its connection isn't leaked.
-     *
-     * @param response The response.
-     * @param bounded The promise with the timeout.
-     */
-    private static void closeIfLate(HttpResponse response, Promise<HttpResponse> bounded) {
-        if (bounded.isException() && !response.isRecycled()) {
-            response.takeBodyStream().close();
-        }
-    }
-
     /**
      * Maps a transport failure to an exception with the outcome of the request.
      *
