Judge the silence of engines within streams behind the next read

A router that was late by more than 15 s broke streams off whose events had arrived. StreamRelay measures the silence on the ResponsiveClock and judges it behind the next read.

--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -190,7 +190,14 @@
                 new AdmissionControl(limits.maxWaiting(), limits.maxWaitingBytes());
         dispatcher =
                 new RequestDispatcher(
-                        reactor, settings.name(), scheduler, connector, control, monitor, metrics);
+                        reactor,
+                        clock::millis,
+                        settings.name(),
+                        scheduler,
+                        connector,
+                        control,
+                        monitor,
+                        metrics);
         ledger = new ClaimLedger(platform, reactor::currentTimeMillis, random);
         applier = new ConfigurationApplier(reactor, settings.name(), platform, store, membership);
         callerServer = createCallerServer(limits, control);
--- a/src/main/java/org/martenwell/router/RequestDispatcher.java
+++ b/src/main/java/org/martenwell/router/RequestDispatcher.java
@@ -10,6 +10,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.martenwell.admission.AdmissionControl;
 import org.martenwell.admission.RetryBudget;
 import org.martenwell.configuration.PoolKind;
@@ -42,6 +43,9 @@
 
     private final NioReactor reactor;
 
+    /** The clock of timeouts. */
+    private final LongSupplier clock;
+
     private final FleetScheduler scheduler;
 
     private final TargetConnector connector;
@@ -65,6 +69,7 @@
      * Creates a dispatcher.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it the silence of targets is measured.
      * @param name This router's name.
      * @param scheduler The scheduler that assigns slots.
      * @param connector The connector to targets.
@@ -74,6 +79,7 @@
      */
     public RequestDispatcher(
             NioReactor reactor,
+            LongSupplier clock,
             String name,
             FleetScheduler scheduler,
             TargetConnector connector,
@@ -81,6 +87,7 @@
             TargetRefusalListener refusalListener,
             RouterMetrics metrics) {
         this.reactor = reactor;
+        this.clock = clock;
         this.scheduler = scheduler;
         this.connector = connector;
         this.admission = admission;
@@ -225,6 +232,8 @@
             RequestProgress progress, Slot slot, TargetResponse response) {
         StreamRelay relay =
                 new StreamRelay(
+                        reactor,
+                        clock,
                         connector,
                         slot.target(),
                         progress.request().message().id(),
--- a/src/main/java/org/martenwell/router/StreamRelay.java
+++ b/src/main/java/org/martenwell/router/StreamRelay.java
@@ -5,12 +5,15 @@
 import io.activej.csp.supplier.ChannelSupplier;
 import io.activej.promise.Promise;
 import io.activej.promise.Promises;
+import io.activej.reactor.nio.NioReactor;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.martenwell.configuration.Target;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.stream.EventBatch;
 import org.martenwell.stream.EventSplitter;
 import org.martenwell.target.TargetConnector;
@@ -32,6 +35,11 @@
     /** Delay before the first resume; it grows by this amount with each consecutive one. */
     private static final long RESUME_DELAY_MILLIS = 50;
 
+    private final NioReactor loop;
+
+    /** The clock of timeouts. */
+    private final LongSupplier clock;
+
     private final TargetConnector connector;
 
     private final Target target;
@@ -56,6 +64,8 @@
     /**
      * Creates a relay.
      *
+     * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it the silence of engines is measured.
      * @param connector The connector that resumes and cancels requests.
      * @param target The target that runs the request.
      * @param requestId The request's id.
@@ -63,11 +73,15 @@
      * @param listener The listener for the stream.
      */
     StreamRelay(
+            NioReactor reactor,
+            LongSupplier clock,
             TargetConnector connector,
             Target target,
             String requestId,
             ChannelSupplier<ByteBuf> source,
             StreamListener listener) {
+        this.loop = reactor;
+        this.clock = clock;
         this.connector = connector;
         this.target = target;
         this.requestId = requestId;
@@ -80,7 +94,7 @@
         if (terminated) {
             return Promise.of(null);
         }
-        return Promises.timeout(Duration.ofMillis(STALL_MILLIS), source.get())
+        return ResponseTimeout.limit(loop, clock, STALL_MILLIS, source.get())
                 .then(this::onReceived, this::onInterrupted);
     }
 
--- a/src/test/java/org/martenwell/router/StreamRelayTest.java
+++ b/src/test/java/org/martenwell/router/StreamRelayTest.java
@@ -97,7 +97,14 @@
     }
 
     private StreamRelay relay(ChannelSupplier<ByteBuf> source) {
-        return new StreamRelay(new FakeConnector(), TARGET, "id", source, new Listener());
+        return new StreamRelay(
+                loop,
+                loop::currentTimeMillis,
+                new FakeConnector(),
+                TARGET,
+                "id",
+                source,
+                new Listener());
     }
 
     private String read(StreamRelay relay) {
