Judge the timeouts of buffered responses behind the next read

A late router failed requests with "The response of the target is incomplete" though all of the body had arrived.

BusyLoopDispatchTest before: 1 of 2 fails with that message (body 150 ms behind the head, timeout 400 ms, loop late by 1 s). 2 of 2 pass now; a body that never ends fails within 3 s. A first form of the test blocked the loop from a timer and passed on the code before, since sockets are read behind such a timer.

--- a/src/main/java/org/martenwell/router/RequestDispatcher.java
+++ b/src/main/java/org/martenwell/router/RequestDispatcher.java
@@ -5,9 +5,7 @@
 import io.activej.bytebuf.ByteBufs;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongSupplier;
@@ -24,6 +22,7 @@
 import org.martenwell.schedule.Assignment;
 import org.martenwell.schedule.Slot;
 import org.martenwell.schedule.WaitingRequest;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.target.TargetConnector;
 import org.martenwell.target.TargetResponse;
 
@@ -262,7 +261,7 @@
                         startedAt);
         meters.add(meter);
         Promise<ByteBuf> body = response.body().toCollector(ByteBufs.collector(MAX_BUFFERED_BYTES));
-        return Promises.timeout(Duration.ofMillis(request.message().timeoutMillis()), body)
+        return ResponseTimeout.limit(reactor, clock, request.message().timeoutMillis(), body)
                 .whenComplete(
                         (buffer, exception) -> {
                             meters.remove(meter);
