Read heartbeats before members are removed

A router that was late by 3 s removed all members of its fleet, and with them the coordinators of their targets, before it read their heartbeats. Members expire by the ResponsiveClock and behind the next read.

--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -71,6 +71,7 @@
 import org.martenwell.schedule.SlotReport;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.ManagedService;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.service.ResponsiveClock;
 import org.martenwell.service.ServerStarter;
 import org.martenwell.settings.RouterLimits;
@@ -340,7 +341,7 @@
     }
 
     private void applyHeartbeat(Heartbeat heartbeat) {
-        boolean changed = membership.applyHeartbeat(heartbeat, reactor.currentTimeMillis());
+        boolean changed = membership.applyHeartbeat(heartbeat, clock.millis());
         if (heartbeat.configurationVersion() > store.version()) {
             network.send(
                     heartbeat.router(), new ConfigurationRequest(settings.name(), store.version()));
@@ -386,7 +387,7 @@
     private void startPeriodicTasks() {
         RouterIntervals intervals = RouterIntervals.DEFAULTS;
         ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis(), this::broadcastHeartbeat);
-        ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis() / 2, this::expireMembers);
+        ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis() / 2, this::scheduleExpiry);
         ticker.every(intervals.countersMillis(), scheduler::exchangeCounters);
         ticker.every(intervals.maintainMillis(), scheduler::maintain);
         ticker.every(intervals.meterMillis(), dispatcher::recordElapsedService);
@@ -423,10 +424,15 @@
                 store.version());
     }
 
+    /** Looks for overdue heartbeats once those that have arrived are read. */
+    private void scheduleExpiry() {
+        ResponseTimeout.afterNextRead(reactor, this::expireMembers);
+    }
+
     /** Removes members whose heartbeats are overdue and updates the router's readiness. */
     private void expireMembers() {
         long now = reactor.currentTimeMillis();
-        MembershipChange change = membership.expire(now);
+        MembershipChange change = membership.expire(clock.millis());
         Set<String> listed = membership.listedRouters();
         long joined = listed.stream().filter(name -> membership.find(name).isPresent()).count();
         readiness.updateContact(follower.lastResponseAt(), listed.size(), (int) joined, now);
