Run periodic tasks of routers again after one that failed

Ticker scheduled the next run behind the task, so a task that failed once never ran again: heartbeats, expiry of members, polls of targets. It uses PeriodicTask, which schedules first. Runs are spaced from begin to begin now.

--- a/src/main/java/org/martenwell/router/Ticker.java
+++ b/src/main/java/org/martenwell/router/Ticker.java
@@ -1,13 +1,16 @@
 package org.martenwell.router;
 
 import io.activej.reactor.nio.NioReactor;
+import java.util.ArrayList;
+import java.util.List;
+import org.martenwell.service.PeriodicTask;
 
 /** Runs periodic tasks on the event loop. */
 public final class Ticker {
 
     private final NioReactor reactor;
 
-    private boolean stopped;
+    private final List<PeriodicTask> tasks = new ArrayList<>();
 
     /**
      * Creates a ticker without tasks.
@@ -19,24 +22,20 @@
     }
 
     /**
-     * Runs a task periodically until {@link #stop()}, first after one interval.
+     * Runs a task periodically until {@link #stop()}, first after one interval, also after a run
+     * that failed.
      *
-     * @param millis The time between the end of a run and the next run, in milliseconds.
+     * @param millis The time between the begins of two runs, in milliseconds.
      * @param action The task.
      */
     public void every(long millis, Runnable action) {
-        reactor.delayBackground(
-                millis,
-                () -> {
-                    if (!stopped) {
-                        action.run();
-                        every(millis, action);
-                    }
-                });
+        PeriodicTask task = new PeriodicTask(reactor, millis, action);
+        tasks.add(task);
+        task.start();
     }
 
     /** Stops all tasks. A stopped ticker can't be restarted. */
     public void stop() {
-        stopped = true;
+        tasks.forEach(PeriodicTask::stop);
     }
 }
