Poll an engine's cache again after an answer that can't be read

An answer whose processing failed ended the chain of polls, so the gateway never followed that engine's cache again. FailureBarrier separates a chain of calls from the code that processes results: it logs the failure and schedules the next call.

CacheChangePollerTest before: fails, no third poll within 30 s. Passes now, polls 2 s apart.

--- a/src/main/java/org/martenwell/gateway/CacheChangePoller.java
+++ b/src/main/java/org/martenwell/gateway/CacheChangePoller.java
@@ -7,6 +7,7 @@
 import org.martenwell.prompt.CachedPartChanges;
 import org.martenwell.prompt.PromptCacheView;
 import org.martenwell.prompt.PromptChain;
+import org.martenwell.service.FailureBarrier;
 
 /**
  * Long-polls one engine for changes of its prompt cache. Changes arrive late and some are lost, so
@@ -93,14 +94,25 @@
                         POLL_WAIT_MILLIS + EXTRA_TIMEOUT_MILLIS)
                 .subscribe(
                         (response, failure) -> {
-                            boolean good = failure == null && response.status() == OK;
-                            if (good) {
-                                applyChanges(response);
+                            if (failure == null && response.status() == OK) {
+                                process(response);
+                            } else {
+                                schedulePoll(FAILURE_BACKOFF_MILLIS);
                             }
-                            schedulePoll(good ? INTERVAL_MILLIS : FAILURE_BACKOFF_MILLIS);
                         });
     }
 
+    /** Applies changes and schedules the next poll, also if they can't be read. */
+    private void process(BufferedResponse response) {
+        FailureBarrier.run(
+                "CacheChangePoller",
+                () -> {
+                    applyChanges(response);
+                    schedulePoll(INTERVAL_MILLIS);
+                },
+                () -> schedulePoll(FAILURE_BACKOFF_MILLIS));
+    }
+
     private void schedulePoll(long delayMillis) {
         if (!closed) {
             core.reactor().delayBackground(delayMillis, this::poll);
