List objects again after their listener failed

A listener that failed once ended the watch of its kind for good: the gateway went on with the configuration or targets of that moment.

--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -10,6 +10,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.observe.LogEvent;
+import org.martenwell.service.FailureBarrier;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -157,7 +158,7 @@
         generation++;
         watching = false;
         asOfMillis = startedMillis;
-        applyListing(generation, listing);
+        process(generation, () -> applyListing(generation, listing));
     }
 
     /**
@@ -215,11 +216,38 @@
                                 retryLater(callGeneration);
                             } else {
                                 asOfMillis = startedMillis;
-                                applyListing(callGeneration, listing);
+                                process(
+                                        callGeneration,
+                                        () -> applyListing(callGeneration, listing));
                             }
                         });
     }
 
+    /**
+     * Processes a response. If that fails, as the listener may, all objects are listed again, so
+     * that the listener receives them once more.
+     *
+     * @param callGeneration The generation of the call.
+     * @param step Applies the response and makes or schedules the next call.
+     */
+    private void process(int callGeneration, Runnable step) {
+        FailureBarrier.run(
+                source.kind() + " watcher",
+                step,
+                () -> {
+                    if (callGeneration == generation) {
+                        recover();
+                    }
+                });
+    }
+
+    private void recover() {
+        int next = ++generation;
+        watching = false;
+        listDue = true;
+        source.delayWithJitter(MAX_DELAY_MILLIS, () -> makeNextCall(next));
+    }
+
     private void applyListing(int callGeneration, KindListing listing) {
         delayMillis = INITIAL_DELAY_MILLIS;
         listDue = false;
@@ -284,7 +312,7 @@
                                 makeNextCall(callGeneration);
                             } else {
                                 asOfMillis = startedMillis;
-                                apply(callGeneration, changes);
+                                process(callGeneration, () -> apply(callGeneration, changes));
                             }
                         });
     }
--- a/src/test/java/org/martenwell/directory/KindWatcherHarness.java
+++ b/src/test/java/org/martenwell/directory/KindWatcherHarness.java
@@ -21,6 +21,9 @@
     /** The names of the entries in each notification, in order. */
     private final List<Set<String>> notifications = new ArrayList<>();
 
+    /** The number of notifications that fail from now on. */
+    private int failures;
+
     private long nowMillis = 1;
 
     private final Eventloop loop =
@@ -32,7 +35,7 @@
                     new StoreRetries(),
                     () -> WatchTiming.of(0),
                     entry -> "group",
-                    entries -> notifications.add(new TreeSet<>(entries.keySet())));
+                    entries -> notified(entries.keySet()));
 
     ScriptedStore store() {
         return store;
@@ -46,6 +49,19 @@
         return notifications.get(notifications.size() - 1);
     }
 
+    /** Makes the listener fail at its next notifications. */
+    void failNotifications(int count) {
+        failures = count;
+    }
+
+    private void notified(Set<String> names) {
+        notifications.add(new TreeSet<>(names));
+        if (failures > 0) {
+            failures--;
+            throw new IllegalStateException("A fault of the listener.");
+        }
+    }
+
     void start() {
         watcher.start();
         loop.run();
--- a/src/test/java/org/martenwell/directory/KindWatcherTest.java
+++ b/src/test/java/org/martenwell/directory/KindWatcherTest.java
@@ -59,6 +59,30 @@
         assertThat(harness.store().pingCount()).isZero();
     }
 
+    /** Guards against a watcher that never calls the store again after its listener failed. */
+    @Test
+    void testObjectsAreListedAgainAfterAFailureOfTheListener() {
+        harness.store().willReturn(7, false, "one");
+        harness.store().willReturn(8, false, "one", "two");
+        harness.store().willHoldWatches();
+        harness.failNotifications(1);
+        harness.runScript();
+        assertThat(harness.notifications()).containsExactly(Set.of("one"), Set.of("one", "two"));
+        assertThat(harness.store().watchedRevisions()).contains(8L);
+    }
+
+    @Test
+    void testListenerThatFailsDoesNotMakeTheStoreBusy() {
+        harness.store().willReturn(7, false, "one");
+        harness.store().willHoldWatches();
+        harness.failNotifications(Integer.MAX_VALUE);
+        harness.start();
+        for (int attempt = 0; attempt < ATTEMPTS; attempt++) {
+            harness.advance(MAX_DELAY_MILLIS / 10);
+        }
+        assertThat(harness.store().listCount()).isBetween(10, 50);
+    }
+
     @Test
     void testRetryDelayIsLimited() {
         harness.store().willFail();
