Reject folded header lines in requests behind others

A request with a folded header line was handed on if its bytes arrived while another request was served, or together with the one before: the detector saw only bytes that arrived while none was served, up to the first head's end. A target that parses such a line differently would allow request smuggling.

CallerRequestDecoder checks the bytes that Netty's decoder consumes as heads, so the position is the decoder's own. A fold is rejected once its line is complete.

CallerServerTest before: testFoldBehindARequestThatIsServedIsRejected and testFoldInTheSecondOfTwoRequestsIsRejected fail (no 400; the read times out).

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -382,10 +382,6 @@
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
-        } else if (decoder.containsFold(bytes)) {
-            bytes.recycle();
-            rejectRequest(CloseReason.BAD_REQUEST, HttpResponseStatus.BAD_REQUEST);
-            return;
         }
         decoder.decode(bytes);
         processDecodedParts();
--- a/src/main/java/org/martenwell/exchange/CodecChannels.java
+++ b/src/main/java/org/martenwell/exchange/CodecChannels.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -35,7 +34,7 @@
      */
     static EmbeddedChannel forCaller(int maxHeaderBytes) {
         return new EmbeddedChannel(
-                new HttpRequestDecoder(decoderConfig(maxHeaderBytes)), new HttpResponseEncoder());
+                new CallerRequestDecoder(decoderConfig(maxHeaderBytes)), new HttpResponseEncoder());
     }
 
     /**
--- a/src/main/java/org/martenwell/exchange/RequestDecoder.java
+++ b/src/main/java/org/martenwell/exchange/RequestDecoder.java
@@ -38,8 +38,6 @@
 
     private final EmbeddedChannel codec;
 
-    private final ObsoleteFoldDetector foldDetector = new ObsoleteFoldDetector();
-
     /** Message parts that are decoded but not processed because a request is being served. */
     private final Deque<HttpObject> parts = new ArrayDeque<>();
 
@@ -60,17 +58,6 @@
         this.codec = codec;
     }
 
-    /**
-     * Checks the bytes of a request for a header line that is folded, which targets could parse
-     * differently.
-     *
-     * @param bytes The next bytes.
-     * @return {@code true} if there is one.
-     */
-    boolean containsFold(ByteBuf bytes) {
-        return foldDetector.containsFold(bytes.array(), bytes.head(), bytes.readRemaining());
-    }
-
     /**
      * Decodes received bytes.
      *
@@ -122,7 +109,6 @@
         // is idle, which is 15 KB after a body of 12 KB.
         body = new ByteArrayOutputStream();
         head = null;
-        foldDetector.reset();
         return complete;
     }
 
--- a/src/test/java/org/martenwell/exchange/CallerServerTest.java
+++ b/src/test/java/org/martenwell/exchange/CallerServerTest.java
@@ -229,6 +229,75 @@
         }
     }
 
+    /** Guards against a folded header line in a request that arrives while another is served. */
+    @Test
+    void testFoldBehindARequestThatIsServedIsRejected() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /wait HTTP/1.1|Host: x||");
+            CallerExchange served = exchanges.poll(10, TimeUnit.SECONDS);
+            client.send("GET /b HTTP/1.1|Host: x|X: a| b||");
+            TimeUnit.MILLISECONDS.sleep(200);
+            respond(served);
+            assertThat(client.readAll()).contains("200 OK").contains("HTTP/1.1 400");
+        }
+        assertThat(exchanges).isEmpty();
+    }
+
+    /** Guards against a folded header line in a request that arrives with the one before. */
+    @Test
+    void testFoldInTheSecondOfTwoRequestsIsRejected() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send(
+                    "POST /a HTTP/1.1|Host: x|Content-Length: 3||1\n GET /b HTTP/1.1|X: a| b||");
+            assertThat(client.readAll()).contains("POST /a").contains("HTTP/1.1 400");
+        }
+        assertThat(exchanges).hasSize(1);
+    }
+
+    @Test
+    void testFoldThatArrivesByteByByteIsRejected() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            for (char each : "GET /b HTTP/1.1|Host: x|X: a|\tb||".toCharArray()) {
+                client.send(String.valueOf(each));
+                TimeUnit.MILLISECONDS.sleep(2);
+            }
+            assertThat(client.readAll()).startsWith("HTTP/1.1 400");
+        }
+        assertThat(exchanges).isEmpty();
+    }
+
+    /** A line of a body that begins with a blank is no folded header line. */
+    @Test
+    void testBlankLinesOfBodiesAreNoFolds() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("POST /echo HTTP/1.1|Host: x|Content-Length: 11||a|| b||");
+            assertThat(client.readUntil(" b\r\n")).startsWith("HTTP/1.1 200");
+            client.send("POST /echo HTTP/1.1|Host: x|Transfer-Encoding: chunked||");
+            client.send("5| c1||0||GET /c HTTP/1.1|Host: x||");
+            assertThat(client.readUntil("GET /c")).contains(" c1").contains("200 OK");
+        }
+    }
+
+    /** Guards against a header line without an end that fills the heap. */
+    @Test
+    void testHeaderLineWithoutAnEndIsRefused() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /b HTTP/1.1|X: " + "x".repeat(1_200));
+            assertThat(client.readAll()).startsWith("HTTP/1.1 431");
+        }
+    }
+
+    private void respond(CallerExchange served) {
+        thread.call(
+                () -> {
+                    served.respond(
+                            200,
+                            DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                            new byte[0]);
+                    return Promise.complete();
+                });
+    }
+
     /**
      * Responds with the body to {@code /echo}, not at all to {@code /wait}, else with method and
      * path.
