Apply the limit of headers to requests on kept connections

A kept connection refused with 431 what a newer configuration allows, since the limit belonged to the decoder of the connection. A request that begins on a quiet connection gets a decoder with the limit in force.

CallerServerTest before: testLargerLimitOfHeadersHoldsForAKeptConnection fails (431 for headers of 4,096 bytes, limit raised from 1,024 to 8,192), and so does the test of a smaller limit, which wasn't enforced.

Open: requests that arrive behind others keep the limit of the first.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -66,7 +66,10 @@
 
     private final CallerServer server;
 
-    private final EmbeddedChannel codec;
+    private EmbeddedChannel codec;
+
+    /** The maximum size of headers that the codec accepts, in bytes. */
+    private int codecHeaderBytes;
 
     private final RequestDecoder decoder;
 
@@ -128,7 +131,8 @@
         this.reactor = reactor;
         this.socket = socket;
         this.server = server;
-        this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
+        this.codecHeaderBytes = server.limits().maxHeaderBytes();
+        this.codec = CodecChannels.forCaller(codecHeaderBytes);
         this.decoder = new RequestDecoder(codec);
         enter(ConnectionState.IDLE);
         if (socket instanceof TcpSocket tcp) {
@@ -379,6 +383,7 @@
         }
         if (state == ConnectionState.IDLE || state == ConnectionState.SENDING) {
             receive();
+            applyHeaderLimit();
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
@@ -390,6 +395,17 @@
         }
     }
 
+    /** Replaces a codec whose limit on headers isn't that of the request that begins. */
+    private void applyHeaderLimit() {
+        if (codecHeaderBytes != limits.maxHeaderBytes()) {
+            EmbeddedChannel former = codec;
+            codecHeaderBytes = limits.maxHeaderBytes();
+            codec = CodecChannels.forCaller(codecHeaderBytes);
+            decoder.replaceCodec(codec);
+            former.finishAndReleaseAll();
+        }
+    }
+
     private void receive() {
         enter(ConnectionState.RECEIVING);
         server.becameActive(this);
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -128,9 +128,10 @@
 
     /**
      * Replaces the limits of connections. A request that is arriving and an idle connection keep
-     * their limits where the new ones allow less, since their callers may rely on them.
+     * their limits where the new ones allow less, since their callers may rely on them. The maximum
+     * header size applies to requests that begin later.
      *
-     * @param changed The new limits; the maximum header size applies to new connections only.
+     * @param changed The new limits.
      */
     public void setLimits(ConnectionLimits changed) {
         limits = changed;
--- a/src/main/java/org/martenwell/exchange/RequestDecoder.java
+++ b/src/main/java/org/martenwell/exchange/RequestDecoder.java
@@ -36,7 +36,7 @@
         REJECTED
     }
 
-    private final EmbeddedChannel codec;
+    private EmbeddedChannel codec;
 
     /** Message parts that are decoded but not processed because a request is being served. */
     private final Deque<HttpObject> parts = new ArrayDeque<>();
@@ -70,6 +70,15 @@
         }
     }
 
+    /**
+     * Replaces the codec between two requests.
+     *
+     * @param next Decodes the next requests.
+     */
+    void replaceCodec(EmbeddedChannel next) {
+        codec = next;
+    }
+
     /** {@return {@code true} if parts are decoded but not processed} */
     boolean hasParts() {
         return !parts.isEmpty();
--- a/src/test/java/org/martenwell/exchange/CallerServerTest.java
+++ b/src/test/java/org/martenwell/exchange/CallerServerTest.java
@@ -278,6 +278,28 @@
         }
     }
 
+    /** Guards against a kept connection that refuses what the configuration allows by now. */
+    @Test
+    void testLargerLimitOfHeadersHoldsForAKeptConnection() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /a HTTP/1.1|Host: x||").readUntil("GET /a");
+            setMaxHeaderBytes(8_192);
+            client.send("GET /b HTTP/1.1|X: " + "x".repeat(4_096) + "||");
+            assertThat(client.readUntil("GET /b")).startsWith("HTTP/1.1 200");
+        }
+    }
+
+    @Test
+    void testSmallerLimitOfHeadersHoldsForAKeptConnection() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /a HTTP/1.1|Host: x||").readUntil("GET /a");
+            setMaxHeaderBytes(100);
+            client.send("GET /b HTTP/1.1|X: " + "x".repeat(50) + "||").readUntil("GET /b");
+            client.send("GET /c HTTP/1.1|X: " + "x".repeat(500) + "||");
+            assertThat(client.readAll()).startsWith("HTTP/1.1 431");
+        }
+    }
+
     /** Guards against a header line without an end that fills the heap. */
     @Test
     void testHeaderLineWithoutAnEndIsRefused() throws Exception {
@@ -287,6 +309,14 @@
         }
     }
 
+    private void setMaxHeaderBytes(int bytes) {
+        thread.call(
+                () -> {
+                    server.setLimits(new ConnectionLimits(bytes, 2_048, 60_000, 60_000));
+                    return Promise.complete();
+                });
+    }
+
     private void respond(CallerExchange served) {
         thread.call(
                 () -> {
