--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -71,6 +71,8 @@
 import org.martenwell.schedule.SlotReport;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.ManagedService;
+import org.martenwell.service.ResponseTimeout;
+import org.martenwell.service.ResponsiveClock;
 import org.martenwell.service.ServerStarter;
 import org.martenwell.settings.RouterLimits;
 import org.martenwell.settings.RouterSettings;
@@ -97,6 +99,9 @@
      */
     private final long incarnation;
 
+    /** The clock of timeouts for what other processes send. */
+    private final ResponsiveClock clock;
+
     /** The client that reuses its connections. */
     private final AsyncHttpClient pooledClient;
 
@@ -161,8 +166,9 @@
         RouterLimits limits = settings.effectiveLimits();
         incarnation = reactor.currentTimeMillis();
         Random random = new Random(seed);
-        pooledClient = AsyncHttpClient.pooled(reactor, limits.maxBodyBytes());
-        singleUseClient = AsyncHttpClient.single(reactor, limits.maxBodyBytes());
+        clock = new ResponsiveClock(reactor);
+        pooledClient = AsyncHttpClient.pooled(reactor, clock::millis, limits.maxBodyBytes());
+        singleUseClient = AsyncHttpClient.single(reactor, clock::millis, limits.maxBodyBytes());
         platform = new HttpPlatform(pooledClient, settings.platformAddress());
         network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
@@ -185,7 +191,14 @@
                 new AdmissionControl(limits.maxWaiting(), limits.maxWaitingBytes());
         dispatcher =
                 new RequestDispatcher(
-                        reactor, settings.name(), scheduler, connector, control, monitor, metrics);
+                        reactor,
+                        clock::millis,
+                        settings.name(),
+                        scheduler,
+                        connector,
+                        control,
+                        monitor,
+                        metrics);
         ledger = new ClaimLedger(platform, reactor::currentTimeMillis, random);
         applier = new ConfigurationApplier(reactor, settings.name(), platform, store, membership);
         callerServer = createCallerServer(limits, control);
@@ -199,7 +212,8 @@
 
     @Override
     public Promise<Void> start() {
-        return network.start()
+        return clock.start()
+                .then(network::start)
                 .then(() -> ServerStarter.start(operatorServer))
                 .then(() -> ServerStarter.start(callerServer))
                 .then(follower::start)
@@ -215,7 +229,8 @@
                 .then(() -> operatorServer.close())
                 .then(network::stop)
                 .then(pooledClient::stop)
-                .then(singleUseClient::stop);
+                .then(singleUseClient::stop)
+                .then(clock::stop);
     }
 
     @Override
@@ -326,7 +341,7 @@
     }
 
     private void applyHeartbeat(Heartbeat heartbeat) {
-        boolean changed = membership.applyHeartbeat(heartbeat, reactor.currentTimeMillis());
+        boolean changed = membership.applyHeartbeat(heartbeat, clock.millis());
         if (heartbeat.configurationVersion() > store.version()) {
             network.send(
                     heartbeat.router(), new ConfigurationRequest(settings.name(), store.version()));
@@ -372,7 +387,7 @@
     private void startPeriodicTasks() {
         RouterIntervals intervals = RouterIntervals.DEFAULTS;
         ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis(), this::broadcastHeartbeat);
-        ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis() / 2, this::expireMembers);
+        ticker.every(MembershipParameters.DEFAULTS.heartbeatMillis() / 2, this::scheduleExpiry);
         ticker.every(intervals.countersMillis(), scheduler::exchangeCounters);
         ticker.every(intervals.maintainMillis(), scheduler::maintain);
         ticker.every(intervals.meterMillis(), dispatcher::recordElapsedService);
@@ -409,10 +424,15 @@
                 store.version());
     }
 
+    /** Looks for overdue heartbeats once those that have arrived are read. */
+    private void scheduleExpiry() {
+        ResponseTimeout.afterNextRead(reactor, this::expireMembers);
+    }
+
     /** Removes members whose heartbeats are overdue and updates the router's readiness. */
     private void expireMembers() {
         long now = reactor.currentTimeMillis();
-        MembershipChange change = membership.expire(now);
+        MembershipChange change = membership.expire(clock.millis());
         Set<String> listed = membership.listedRouters();
         long joined = listed.stream().filter(name -> membership.find(name).isPresent()).count();
         readiness.updateContact(follower.lastResponseAt(), listed.size(), (int) joined, now);
--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -72,7 +72,10 @@
 
     private final StepGuard guard;
 
-    private final EmbeddedChannel codec;
+    private EmbeddedChannel codec;
+
+    /** The maximum size of headers that the codec accepts, in bytes. */
+    private int codecHeaderBytes;
 
     private final RequestDecoder decoder;
 
@@ -121,8 +124,8 @@
 
     private boolean closed;
 
-    /** Set if the next request is refused, since there are too many connections. */
-    private boolean refusing;
+    /** The reason for which requests that become complete are refused, or {@code null}. */
+    private CloseReason refusalReason;
 
     /** The reason of a graceful close that has started. */
     private CloseReason closeReason = CloseReason.RESPONSE_COMPLETE;
@@ -142,7 +145,8 @@
         this.socket = socket;
         this.server = server;
         this.guard = StepGuard.ofSocket(socket, "CallerConnection", this::stepFailed);
-        this.codec = CodecChannels.forCaller(server.limits().maxHeaderBytes());
+        this.codecHeaderBytes = server.limits().maxHeaderBytes();
+        this.codec = CodecChannels.forCaller(codecHeaderBytes);
         this.decoder = new RequestDecoder(codec);
         enter(ConnectionState.IDLE);
         if (socket instanceof TcpSocket tcp) {
@@ -230,18 +234,25 @@
      * @param reason The reason.
      */
     void refuse(CloseReason reason) {
-        refusing = true;
         start();
-        closeIfSilent(reason);
-        refuseIfIncomplete(reason, HttpResponseStatus.SERVICE_UNAVAILABLE);
-        abort(reason);
+        endWithRefusal(reason);
     }
 
-    /** Closes the connection, after a response to what has arrived on it and isn't being served. */
+    /**
+     * Closes the connection. A request that has arrived and wasn't passed on is refused, and the
+     * close is graceful then.
+     */
     void stop() {
-        closeIfSilent(CloseReason.STOP);
-        refuseIfIncomplete(CloseReason.STOP, HttpResponseStatus.SERVICE_UNAVAILABLE);
-        abort(CloseReason.STOP);
+        endWithRefusal(CloseReason.STOP);
+    }
+
+    private void endWithRefusal(CloseReason reason) {
+        refusalReason = reason;
+        closeIfSilent(reason);
+        refuseIfIncomplete(reason, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        if (state != ConnectionState.CLOSING) {
+            abort(reason);
+        }
     }
 
     /**
@@ -417,13 +428,10 @@
         }
         if (state == ConnectionState.IDLE || state == ConnectionState.SENDING) {
             receive();
+            applyHeaderLimit();
         }
         if (exchange != null) {
             pipelinedBytes += bytes.readRemaining();
-        } else if (decoder.containsFold(bytes)) {
-            bytes.recycle();
-            rejectRequest(CloseReason.BAD_REQUEST, HttpResponseStatus.BAD_REQUEST);
-            return;
         }
         decoder.decode(bytes);
         processDecodedParts();
@@ -432,6 +440,17 @@
         }
     }
 
+    /** Replaces a codec whose limit on headers isn't that of the request that begins. */
+    private void applyHeaderLimit() {
+        if (codecHeaderBytes != limits.maxHeaderBytes()) {
+            EmbeddedChannel former = codec;
+            codecHeaderBytes = limits.maxHeaderBytes();
+            codec = CodecChannels.forCaller(codecHeaderBytes);
+            decoder.replaceCodec(codec);
+            former.finishAndReleaseAll();
+        }
+    }
+
     private void receive() {
         enter(ConnectionState.RECEIVING);
         server.becameActive(this);
@@ -478,8 +497,8 @@
         state = ConnectionState.SERVING;
         if (inputEnded()) {
             abort(CloseReason.CALLER_LEFT);
-        } else if (refusing) {
-            rejectRequest(CloseReason.CONNECTION_LIMIT, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else if (refusalReason != null) {
+            rejectRequest(refusalReason, HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
             responseBegun = false;
             server.handle(exchange);
--- a/src/main/java/org/martenwell/router/RequestDispatcher.java
+++ b/src/main/java/org/martenwell/router/RequestDispatcher.java
@@ -5,11 +5,10 @@
 import io.activej.bytebuf.ByteBufs;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.promise.Promise;
-import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.martenwell.admission.AdmissionControl;
 import org.martenwell.admission.RetryBudget;
 import org.martenwell.configuration.PoolKind;
@@ -23,6 +22,7 @@
 import org.martenwell.schedule.Assignment;
 import org.martenwell.schedule.Slot;
 import org.martenwell.schedule.WaitingRequest;
+import org.martenwell.service.ResponseTimeout;
 import org.martenwell.target.TargetConnector;
 import org.martenwell.target.TargetResponse;
 
@@ -42,6 +42,9 @@
 
     private final NioReactor reactor;
 
+    /** The clock of timeouts. */
+    private final LongSupplier clock;
+
     private final FleetScheduler scheduler;
 
     private final TargetConnector connector;
@@ -65,6 +68,7 @@
      * Creates a dispatcher.
      *
      * @param reactor The event loop.
+     * @param clock Returns the time, in milliseconds; by it the silence of targets is measured.
      * @param name This router's name.
      * @param scheduler The scheduler that assigns slots.
      * @param connector The connector to targets.
@@ -74,6 +78,7 @@
      */
     public RequestDispatcher(
             NioReactor reactor,
+            LongSupplier clock,
             String name,
             FleetScheduler scheduler,
             TargetConnector connector,
@@ -81,6 +86,7 @@
             TargetRefusalListener refusalListener,
             RouterMetrics metrics) {
         this.reactor = reactor;
+        this.clock = clock;
         this.scheduler = scheduler;
         this.connector = connector;
         this.admission = admission;
@@ -225,6 +231,8 @@
             RequestProgress progress, Slot slot, TargetResponse response) {
         StreamRelay relay =
                 new StreamRelay(
+                        reactor,
+                        clock,
                         connector,
                         slot.target(),
                         progress.request().message().id(),
@@ -253,7 +261,7 @@
                         startedAt);
         meters.add(meter);
         Promise<ByteBuf> body = response.body().toCollector(ByteBufs.collector(MAX_BUFFERED_BYTES));
-        return Promises.timeout(Duration.ofMillis(request.message().timeoutMillis()), body)
+        return ResponseTimeout.limit(reactor, clock, request.message().timeoutMillis(), body)
                 .whenComplete(
                         (buffer, exception) -> {
                             meters.remove(meter);
