Refuse a request that fails before it is handed on

A caller got neither an answer nor a refusal if an error (no heap) struck between the last byte of its request and the handler, on the second or later request of a connection: the connection counted as serving, and the note that a response has begun was still that of the response before, so it was cut. On a first request it got 500, though nothing was passed on.

The note is reset first, and a request counts as served only once the handler gets it, so the caller gets 503. Found by reading in the review; no test makes the one allocation there fail.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -494,13 +494,13 @@
                         request,
                         HttpUtil.isKeepAlive(head),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
-        state = ConnectionState.SERVING;
+        responseBegun = false;
         if (inputEnded()) {
             abort(CloseReason.CALLER_LEFT);
         } else if (refusalReason != null) {
             rejectRequest(refusalReason, HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
-            responseBegun = false;
+            state = ConnectionState.SERVING;
             server.handle(exchange);
         }
     }
