Connect to a peer again also if the line of its loss can't be written

Behind an error at a peer's connection the line peer-disconnected was made before the next attempt was scheduled; without heap for the line there was none, ever, and the second notice of the loss was ignored. The line comes last now.

--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -299,14 +299,7 @@
             return;
         }
         connected = null;
-        if (established() && !closed) {
-            LOGGER.info(
-                    LogEvent.of("peer-disconnected")
-                            .with("peer", name)
-                            .with("reason", failure == null ? "closed" : failure.toString())
-                            .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
-                            .message());
-        }
+        boolean wasEstablished = established();
         socket = null;
         codec = null;
         writing = false;
@@ -319,6 +312,18 @@
         } finally {
             retryLater();
         }
+        if (wasEstablished && !closed) {
+            logDisconnected(failure);
+        }
+    }
+
+    private void logDisconnected(Exception failure) {
+        LOGGER.info(
+                LogEvent.of("peer-disconnected")
+                        .with("peer", name)
+                        .with("reason", failure == null ? "closed" : failure.toString())
+                        .with("silentMillis", reactor.currentTimeMillis() - lastReadMillis)
+                        .message());
     }
 
     /** Opens a connection, or schedules that once more if not even the attempt can be made. */
