Record failures of chained calls as other defects

FailureBarrier wrote its own defect line, which the metric defects didn't count, and threw if that line couldn't be made, before the next call was scheduled in some orders. It uses Defects, which throws nothing.

--- a/src/main/java/org/martenwell/service/FailureBarrier.java
+++ b/src/main/java/org/martenwell/service/FailureBarrier.java
@@ -1,8 +1,7 @@
 package org.martenwell.service;
 
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import org.martenwell.observe.LogEvent;
+import java.util.Optional;
+import org.martenwell.observe.Defects;
 
 /**
  * A barrier between a chain of calls, each of which schedules the next one, and the code that
@@ -10,12 +9,10 @@
  */
 public final class FailureBarrier {
 
-    private static final Logger LOGGER = LogManager.getLogger(FailureBarrier.class);
-
     private FailureBarrier() {}
 
     /**
-     * Runs a step. An exception or error of the step is logged.
+     * Runs a step. An exception or error of the step is recorded as a defect.
      *
      * @param name The name of the chain in log lines.
      * @param step The step, which schedules the next call.
@@ -25,8 +22,8 @@
         try {
             step.run();
         } catch (Throwable failure) {
+            Defects.record(failure, name, Optional.empty());
             recovery.run();
-            LOGGER.error(LogEvent.of("defect").with("in", name).message(), failure);
         }
     }
 }
