--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -96,9 +96,9 @@
     private long writtenMillis;
 
     /**
-     * The first check of timeouts in a pass of the event loop behind the one in which the
-     * connection became idle, or {@link #NOT_RESTING}. A pass that takes long ends the last request
-     * much later than its own time says, and a caller's rest only begins then.
+     * The time of the first check of timeouts after the pass of the event loop in which the
+     * connection became idle, or {@link #NOT_RESTING}. The loop's time within a pass is that of its
+     * start, which may be long before the last response was sent.
      */
     private long restingSinceMillis = NOT_RESTING;
 
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -42,10 +42,13 @@
     /** The interval at which a shutdown checks for requests in progress, in milliseconds. */
     private static final long DRAIN_CHECK_MILLIS = 50;
 
-    /** The shortest interval at which a gateway that shuts down reads its peers. */
+    /** The minimum interval at which a gateway that shuts down lists its peers, in milliseconds. */
     private static final long MEMBERS_MILLIS = 500;
 
-    /** The same for each gateway, so that a fleet that shuts down makes few lists a second. */
+    /**
+     * The part of this interval for each gateway of the fleet, in milliseconds; it bounds the lists
+     * of a fleet that shuts down.
+     */
     private static final long MEMBERS_MILLIS_PER_GATEWAY = 100;
 
     private static final String METRICS_TYPE = "text/plain; version=0.0.4";
@@ -241,8 +244,8 @@
     }
 
     /**
-     * Reads which gateways there are more often than usual. One that starts while all others shut
-     * down finds none of them in the directory, and knows no streams unless they connect to it.
+     * Lists the gateways more often than usual, to connect to those that start meanwhile: they find
+     * no gateway that shuts down in the directory.
      */
     private void readMembersIfDue() {
         if (reactor.currentTimeMillis() - membersReadMillis >= membersIntervalMillis) {
--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -21,7 +21,7 @@
  * Records of the versions at which streams may have begun, kept in the directory for the case that
  * all gateways are lost at once. A record is written when a version appears and removed long after
  * it has gone; a gateway reads them only if no peer tells it what was listed before its start.
- * Where there are none, the history of a new directory tells it.
+ * Where there are none, the history of a new directory provides it.
  */
 final class VersionRecords {
 
@@ -234,7 +234,7 @@
         }
     }
 
-    /** Reads what was ever listed if the records don't tell what was listed of late. */
+    /** Reads what was ever listed if the records don't cover what was listed of late. */
     private Promise<Void> readHistory() {
         if (historyLost || window.isCovered(now())) {
             return Promise.complete();
--- a/src/main/java/org/martenwell/observe/Defects.java
+++ b/src/main/java/org/martenwell/observe/Defects.java
@@ -29,7 +29,7 @@
             request.ifPresent(id -> event.with("request", id));
             LOGGER.error(event.message(), thrown);
         } catch (Throwable unlogged) {
-            // The count tells of it.
+            // The count includes it.
         }
     }
 
