Log by which decision requests of an organisation are refused

The line of organisations holds all refusals for limits of the gateway as overloaded, so the log doesn't tell the lag of the loop, the processor time and the heap apart, nor how old the reports are that shares were decided on. A line refusals a second holds the refused tokens by organisation and decision, and the age of the oldest report that counts.

--- a/src/main/java/org/martenwell/gateway/DispositionCount.java
+++ b/src/main/java/org/martenwell/gateway/DispositionCount.java
@@ -2,6 +2,7 @@
 
 import org.martenwell.balance.EngineDemand;
 import org.martenwell.share.Disposition;
+import org.martenwell.share.RefusalReason;
 
 /** Counts the arrival of one model request and what became of it, for the log. */
 final class DispositionCount {
@@ -38,6 +39,18 @@
         }
     }
 
+    /**
+     * Counts a refusal of the request.
+     *
+     * @param organisation The caller's organisation or an empty string.
+     * @param reason The decision that refused it.
+     */
+    void refused(String organisation, RefusalReason reason) {
+        if (costTokens > 0) {
+            core.dispositions().refused(organisation, costTokens, reason);
+        }
+    }
+
     /**
      * Counts what became of the request, once.
      *
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -10,11 +10,11 @@
 import org.martenwell.balance.PromptCacheLookup;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
-import org.martenwell.error.ErrorKind;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.Route;
 import org.martenwell.route.ServiceConfiguration;
+import org.martenwell.share.RefusalReason;
 import org.martenwell.share.ShareTier;
 import org.martenwell.share.ShareUse;
 
@@ -53,10 +53,10 @@
      * Outcome of a routing decision. Without a choice and a refusal, the request waits.
      *
      * @param choice The engine to send the request to, or empty.
-     * @param refusal The error with which the request is refused, or empty.
+     * @param refusal The reason for which the request is refused, or empty.
      * @param use The use that the organisation has made of its fair shares.
      */
-    record Decision(Optional<EngineChoice> choice, Optional<ErrorKind> refusal, ShareUse use) {}
+    record Decision(Optional<EngineChoice> choice, Optional<RefusalReason> refusal, ShareUse use) {}
 
     /**
      * Creates the routing of a request.
@@ -147,11 +147,14 @@
         if (attempts > 0) {
             return new Decision(chooseLeastLoaded(available, now), Optional.empty(), use);
         }
-        if (tier == ShareTier.BEYOND || allowed.isEmpty()) {
-            return new Decision(choice, Optional.of(ErrorKind.RATE_EXCEEDED), use);
+        if (tier == ShareTier.BEYOND) {
+            return new Decision(choice, Optional.of(RefusalReason.SHARE), use);
+        }
+        if (allowed.isEmpty()) {
+            return new Decision(choice, Optional.of(RefusalReason.RESERVE), use);
         }
         if (now - demand.arrivedMillis() >= MAX_WAIT_FRACTION * route.objectiveMillis()) {
-            return new Decision(choice, Optional.of(ErrorKind.WAIT_TOO_LONG), use);
+            return new Decision(choice, Optional.of(RefusalReason.ENGINES_FULL), use);
         }
         return new Decision(choice, Optional.empty(), use);
     }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -23,6 +23,7 @@
 import org.martenwell.service.ResponseTimeout;
 import org.martenwell.service.StepGuard;
 import org.martenwell.share.Disposition;
+import org.martenwell.share.RefusalReason;
 import org.martenwell.share.ShareUse;
 import org.martenwell.version.ServiceVersion;
 
@@ -160,15 +161,27 @@
             }
         }
         dispositionCount.requested(organisation.orElse(""));
-        if (core.heap().nearlyFull()
-                || core.loopLag().shouldRefuse()
-                || core.processor().shouldRefuse()) {
-            respond(ErrorKind.ROUTER_FULL, RetryDelay.ELSEWHERE);
+        Optional<RefusalReason> overload = overload();
+        if (overload.isPresent()) {
+            refuse(overload.get(), RetryDelay.ELSEWHERE);
             return;
         }
         accept(configuration.get());
     }
 
+    /** Returns the limit of this gateway that the request exceeds, or empty. */
+    private Optional<RefusalReason> overload() {
+        if (core.heap().nearlyFull()) {
+            return Optional.of(RefusalReason.HEAP);
+        }
+        if (core.loopLag().shouldRefuse()) {
+            return Optional.of(RefusalReason.LOOP_LAG);
+        }
+        return core.processor().shouldRefuse()
+                ? Optional.of(RefusalReason.PROCESSOR)
+                : Optional.empty();
+    }
+
     /** Accepts a request whose route and organisation are known, and tries to send it. */
     private void accept(GatewayConfiguration configuration) {
         long timeout =
@@ -338,9 +351,9 @@
         if (decision.choice().isPresent()) {
             sendToChosenEngine(routing, decision.choice().get(), decision.use());
         } else if (decision.refusal().isPresent()) {
-            ErrorKind kind = decision.refusal().get();
-            boolean share = kind == ErrorKind.RATE_EXCEEDED;
-            fail(kind, share ? RetryDelay.SHARE : RetryDelay.CAPACITY);
+            RefusalReason reason = decision.refusal().get();
+            boolean share = reason.kind() == ErrorKind.RATE_EXCEEDED;
+            refuse(reason, share ? RetryDelay.SHARE : RetryDelay.CAPACITY);
         } else {
             core.queue().add(this);
         }
@@ -793,6 +806,12 @@
         }
     }
 
+    /** Ends a request that is refused by a limit of this gateway or of the shares. */
+    private void refuse(RefusalReason reason, RetryDelay delay) {
+        dispositionCount.refused(organisation.orElse(""), reason);
+        fail(reason.kind(), delay);
+    }
+
     private void fail(ErrorKind kind, RetryDelay delay) {
         fail(kind, delay.seconds());
     }
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -121,6 +121,15 @@
                             .with("tokens", tokens)
                             .message());
         }
+        Map<String, Map<String, Long>> refused = core.dispositions().takeRefusals();
+        if (!refused.isEmpty()) {
+            LOGGER.info(
+                    LogEvent.of("refusals")
+                            .with("gateway", gateway)
+                            .with("sharesAgeMillis", core.shares().oldestReportMillis(now))
+                            .with("tokens", refused)
+                            .message());
+        }
         writtenMillis = now;
     }
 }
--- a/src/main/java/org/martenwell/share/DispositionCounts.java
+++ b/src/main/java/org/martenwell/share/DispositionCounts.java
@@ -18,6 +18,9 @@
     /** The counts by organisation. */
     private final Map<String, Counts> counts = new TreeMap<>();
 
+    /** The refused tokens by organisation, then by the label of the reason. */
+    private final Map<String, Map<String, Double>> refusals = new TreeMap<>();
+
     /** The counts of one organisation. */
     private static final class Counts {
 
@@ -50,6 +53,36 @@
         of(organisation).ended.merge(disposition, tokens, Double::sum);
     }
 
+    /**
+     * Counts a request that was refused, besides its disposition.
+     *
+     * @param organisation The organisation.
+     * @param tokens The cost of the request, in tokens.
+     * @param reason The decision that refused it.
+     */
+    public void refused(String organisation, double tokens, RefusalReason reason) {
+        refusals.computeIfAbsent(organisation, name -> new TreeMap<>())
+                .merge(reason.label(), tokens, Double::sum);
+    }
+
+    /**
+     * Returns the refused tokens since the last call and resets them.
+     *
+     * @return The tokens by organisation, then by the label of the reason.
+     */
+    public Map<String, Map<String, Long>> takeRefusals() {
+        Map<String, Map<String, Long>> taken = new LinkedHashMap<>();
+        refusals.forEach((organisation, each) -> taken.put(organisation, rounded(each)));
+        refusals.clear();
+        return taken;
+    }
+
+    private static Map<String, Long> rounded(Map<String, Double> tokens) {
+        Map<String, Long> rounded = new LinkedHashMap<>();
+        tokens.forEach((label, each) -> rounded.put(label, Math.round(each)));
+        return rounded;
+    }
+
     /**
      * Returns the counts since the last call and resets them.
      *
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -216,6 +216,19 @@
                         organisation, tokens, (sums.sent() + tokens / 2) / observedLevel));
     }
 
+    /**
+     * Returns the age of the oldest report of a peer that counts.
+     *
+     * @param now The current time, in milliseconds.
+     * @return The age in milliseconds, 0 without reports.
+     */
+    public long oldestReportMillis(long now) {
+        return peers.values().stream()
+                .mapToLong(each -> now - each.receivedMillis())
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns how much of the promised capacity was requested within fair shares at the last
      * computation.
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -15,11 +15,11 @@
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
-import org.martenwell.error.ErrorKind;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.prompt.PromptPart;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.service.IpAddress;
+import org.martenwell.share.RefusalReason;
 import org.martenwell.share.ShareSums;
 import org.martenwell.share.ShareTier;
 
@@ -83,7 +83,7 @@
         assertThat(waiting.choice()).isEmpty();
         assertThat(waiting.refusal()).isEmpty();
         EngineRouting.Decision refused = routing.decide(loads, 0, GatewayCores.route(0));
-        assertThat(refused.refusal()).contains(ErrorKind.WAIT_TOO_LONG);
+        assertThat(refused.refusal()).contains(RefusalReason.ENGINES_FULL);
     }
 
     @Test
@@ -159,7 +159,7 @@
         loads.forEach(each -> fill(each, 1));
         EngineRouting.Decision refused = routing.decide(loads, 0, GatewayCores.route(60_000));
         assertThat(refused.use().tier()).isNotEqualTo(ShareTier.PROMISED);
-        assertThat(refused.refusal()).contains(ErrorKind.RATE_EXCEEDED);
+        assertThat(refused.refusal()).contains(RefusalReason.RESERVE);
     }
 
     /** Returns the organisation's charged tokens as reported to peers. */
