--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -155,6 +155,7 @@
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
         log.metrics().registerGauge("tokens_charged", this::chargedTokens);
+        log.metrics().registerGauge("tokens_requested", this::requestedTokens);
         log.metrics().registerGauge("configuration_version", this::configurationVersion);
         log.metrics().registerGauge("service_time_millis", this::maxServiceMillis);
         log.metrics().registerGauge("prefill_nanos_per_token", targets::maxPrefillNanosPerToken);
@@ -245,6 +246,13 @@
         return Math.round(charged);
     }
 
+    /** {@return the tokens requested at this gateway by all organisations in the last window} */
+    private long requestedTokens() {
+        double requested =
+                shares.own(now()).sums().values().stream().mapToDouble(ShareSums::requested).sum();
+        return Math.round(requested);
+    }
+
     /** {@return the counts of what became of the requests of each organisation} */
     DispositionCounts dispositions() {
         return dispositions;
