Count requests that a gateway at its limits refuses as demand

Its unused share was lent to the others, which got more than twice as much.

Now such a request counts as demand of its organisation. The test failed before: 351,780 of 721,600 tokens counted.

--- a/src/main/java/org/martenwell/gateway/DispositionCount.java
+++ b/src/main/java/org/martenwell/gateway/DispositionCount.java
@@ -1,6 +1,5 @@
 package org.martenwell.gateway;
 
-import org.martenwell.balance.EngineDemand;
 import org.martenwell.share.Disposition;
 import org.martenwell.share.RefusalReason;
 
@@ -22,10 +21,7 @@
      */
     DispositionCount(GatewayCore core, RequestMetadata metadata) {
         this.core = core;
-        this.costTokens =
-                metadata.generation()
-                        .map(each -> EngineDemand.cost(each.promptTokens(), each.responseTokens()))
-                        .orElse(0.0);
+        this.costTokens = metadata.generation().map(GenerationMetadata::cost).orElse(0.0);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GenerationMetadata.java
+++ b/src/main/java/org/martenwell/gateway/GenerationMetadata.java
@@ -1,6 +1,7 @@
 package org.martenwell.gateway;
 
 import java.util.List;
+import org.martenwell.balance.EngineDemand;
 import org.martenwell.prompt.PromptPart;
 
 /**
@@ -12,4 +13,10 @@
  * @param parts The parts of the prompt, in order.
  */
 public record GenerationMetadata(
-        String model, long promptTokens, long responseTokens, List<PromptPart> parts) {}
+        String model, long promptTokens, long responseTokens, List<PromptPart> parts) {
+
+    /** {@return the cost of the request, in tokens} */
+    double cost() {
+        return EngineDemand.cost(promptTokens, responseTokens);
+    }
+}
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -163,12 +163,27 @@
         dispositionCount.requested(organisation.orElse(""));
         Optional<RefusalReason> overload = overload();
         if (overload.isPresent()) {
+            recordRefusedDemand(configuration.get());
             refuse(overload.get(), RetryDelay.ELSEWHERE);
             return;
         }
         accept(configuration.get());
     }
 
+    /**
+     * Records the demand of a request that is refused before its engine is looked for. The fleet
+     * would otherwise lend the share of its organisation to others.
+     */
+    private void recordRefusedDemand(GatewayConfiguration configuration) {
+        if (metadata.generation().isPresent() && configuration.leadsToEngines(route)) {
+            core.shares()
+                    .requested(
+                            organisation.orElse(""),
+                            metadata.generation().get().cost(),
+                            core.now());
+        }
+    }
+
     /** Returns the limit of this gateway that the request exceeds, or empty. */
     private Optional<RefusalReason> overload() {
         if (core.heap().nearlyFull()) {
--- a/src/main/java/org/martenwell/route/GatewayConfiguration.java
+++ b/src/main/java/org/martenwell/route/GatewayConfiguration.java
@@ -35,4 +35,17 @@
     public Optional<ServiceConfiguration> service(String name) {
         return Optional.ofNullable(services.get(name));
     }
+
+    /**
+     * Returns whether requests of a route go to model engines.
+     *
+     * @param route The route.
+     * @return {@code true} if one of its services runs engines.
+     */
+    public boolean leadsToEngines(Route route) {
+        return route.services().stream()
+                .map(each -> service(each.service()))
+                .flatMap(Optional::stream)
+                .anyMatch(each -> each.engine().isPresent());
+    }
 }
