Divide what a gateway at its limits admits among organisations

The limits of lag and processor time drew lots over all requests, so an organisation that floods a box took the part of every other one there.

One admission decision now has the three inputs (heap, lag, processor time), and what is to be refused is borne by the organisations that request most there; what they are served at other gateways counts. With one organisation alone all is as before.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -27,6 +27,7 @@
 import org.martenwell.service.ResponsiveClock;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.settings.ProcessorSettings;
+import org.martenwell.share.AdmissionShares;
 import org.martenwell.share.DispositionCounts;
 import org.martenwell.share.FairShares;
 import org.martenwell.share.ShareSums;
@@ -117,6 +118,8 @@
 
     private final ProcessorLimiter processor;
 
+    private final OverloadLimiter overload;
+
     /** Set shortly before the gateway exits, when new requests are refused. */
     private boolean closing;
 
@@ -170,13 +173,20 @@
                         reactor.currentTimeMillis());
         this.queue = new EngineQueue(reactor);
         this.heap = HeapMonitor.of(reactor, log);
-        this.loopLag = new LoopLagLimiter(reactor, random);
+        this.loopLag = new LoopLagLimiter(reactor);
         this.processor =
                 new ProcessorLimiter(
                         reactor,
                         settings.processor().orElse(ProcessorSettings.WHOLE).processors(),
                         ProcessUsage::processorMillis,
-                        loopLag::meanMillis,
+                        loopLag::meanMillis);
+        this.overload =
+                new OverloadLimiter(
+                        heap::nearlyFull,
+                        loopLag::refusedFraction,
+                        processor::refusedFraction,
+                        new AdmissionShares(
+                                name -> shares.servedElsewhere(name, windowTokens(), now())),
                         random);
     }
 
@@ -479,6 +489,11 @@
         return processor;
     }
 
+    /** {@return the limiter that refuses requests at the limits of this gateway} */
+    OverloadLimiter overload() {
+        return overload;
+    }
+
     /** {@return {@code true} if new requests are refused because the gateway is about to exit} */
     boolean closing() {
         return closing;
--- a/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
+++ b/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
@@ -2,7 +2,6 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import java.util.Random;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -39,9 +38,6 @@
 
     private final NioReactor reactor;
 
-    /** Selects the requests to refuse. */
-    private final Random random;
-
     /** The time for which the next sample is scheduled, in milliseconds. */
     private long dueMillis;
 
@@ -57,11 +53,9 @@
      * Creates a limiter that refuses nothing yet.
      *
      * @param reactor The event loop.
-     * @param random Selects the requests to refuse.
      */
-    LoopLagLimiter(NioReactor reactor, Random random) {
+    LoopLagLimiter(NioReactor reactor) {
         this.reactor = reactor;
-        this.random = random;
     }
 
     @Override
@@ -76,16 +70,6 @@
         return Promise.complete();
     }
 
-    /**
-     * Decides whether to refuse a new request.
-     *
-     * @return {@code true} if it is refused.
-     */
-    boolean shouldRefuse() {
-        double refusedFraction = refusedFraction();
-        return refusedFraction > 0 && random.nextDouble() < refusedFraction;
-    }
-
     /** {@return the exponentially weighted mean of the lag, in milliseconds} */
     double meanMillis() {
         return meanLagMillis;
--- a/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
+++ b/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
@@ -2,7 +2,6 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
-import java.util.Random;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import org.martenwell.service.ManagedService;
@@ -67,9 +66,6 @@
     /** Returns the mean lag of the event loop, in milliseconds. */
     private final DoubleSupplier lagMillis;
 
-    /** Selects the requests to refuse. */
-    private final Random random;
-
     /** The processor time at the last sample, in milliseconds. */
     private long lastUsedMillis;
 
@@ -90,19 +86,16 @@
      * @param processors The processor time that the box grants, in processors.
      * @param usedMillis Returns the processor time of this process, in milliseconds.
      * @param lagMillis Returns the mean lag of the event loop, in milliseconds.
-     * @param random Selects the requests to refuse.
      */
     ProcessorLimiter(
             NioReactor reactor,
             double processors,
             LongSupplier usedMillis,
-            DoubleSupplier lagMillis,
-            Random random) {
+            DoubleSupplier lagMillis) {
         this.reactor = reactor;
         this.processors = processors;
         this.usedMillis = usedMillis;
         this.lagMillis = lagMillis;
-        this.random = random;
     }
 
     @Override
@@ -117,15 +110,6 @@
         return Promise.complete();
     }
 
-    /**
-     * Decides whether to refuse a new request.
-     *
-     * @return {@code true} if it is refused.
-     */
-    boolean shouldRefuse() {
-        return refusedFraction > 0 && random.nextDouble() < refusedFraction;
-    }
-
     /** {@return the fraction of new requests that is refused, from 0 to 1} */
     double refusedFraction() {
         return refusedFraction;
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -161,7 +161,12 @@
             }
         }
         dispositionCount.requested(organisation.orElse(""));
-        Optional<RefusalReason> overload = overload();
+        Optional<RefusalReason> overload =
+                core.overload()
+                        .refusal(
+                                organisation.orElse(""),
+                                metadata.generation().map(GenerationMetadata::cost).orElse(0.0),
+                                core.now());
         if (overload.isPresent()) {
             recordRefusedDemand(configuration.get());
             refuse(overload.get(), RetryDelay.ELSEWHERE);
@@ -184,19 +189,6 @@
         }
     }
 
-    /** Returns the limit of this gateway that the request exceeds, or empty. */
-    private Optional<RefusalReason> overload() {
-        if (core.heap().nearlyFull()) {
-            return Optional.of(RefusalReason.HEAP);
-        }
-        if (core.loopLag().shouldRefuse()) {
-            return Optional.of(RefusalReason.LOOP_LAG);
-        }
-        return core.processor().shouldRefuse()
-                ? Optional.of(RefusalReason.PROCESSOR)
-                : Optional.empty();
-    }
-
     /** Accepts a request whose route and organisation are known, and tries to send it. */
     private void accept(GatewayConfiguration configuration) {
         long timeout =
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -27,6 +27,8 @@
      */
     private static final long MIN_COUNTED_MILLIS = 500;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final long windowMillis;
 
     /** The cost of the requests received here, by organisation. */
@@ -204,9 +206,7 @@
      * @return The used fractions of both shares.
      */
     public ShareUse use(String organisation, double tokens, double capacity, long now) {
-        if (now - computedMillis >= BASE_REFRESH_MILLIS + REFRESH_MILLIS_PER_PEER * peers.size()) {
-            compute(capacity, now);
-        }
+        refresh(capacity, now);
         ShareSums sums = fleetSums.getOrDefault(organisation, ShareSums.NONE);
         // Requests sent beyond the promised share used idle capacity; they don't count against it.
         return new ShareUse(
@@ -216,6 +216,27 @@
                         organisation, tokens, (sums.sent() + tokens / 2) / observedLevel));
     }
 
+    /**
+     * Returns what an organisation is served at other gateways. The sums of the fleet are
+     * recomputed if they are out of date.
+     *
+     * @param organisation The organisation.
+     * @param capacity The promised capacity of the fleet in a window, in tokens.
+     * @param now The current time, in milliseconds.
+     * @return The cost of its requests that were sent in the last window, in tokens per second.
+     */
+    public double servedElsewhere(String organisation, double capacity, long now) {
+        refresh(capacity, now);
+        double all = fleetSums.getOrDefault(organisation, ShareSums.NONE).sent();
+        return Math.max(0, all - sum(sent, organisation, now)) * MILLIS_PER_SECOND / windowMillis;
+    }
+
+    private void refresh(double capacity, long now) {
+        if (now - computedMillis >= BASE_REFRESH_MILLIS + REFRESH_MILLIS_PER_PEER * peers.size()) {
+            compute(capacity, now);
+        }
+    }
+
     /**
      * Returns the age of the oldest report of a peer that counts.
      *
--- a/src/test/java/org/martenwell/gateway/LoopLagLimiterTest.java
+++ b/src/test/java/org/martenwell/gateway/LoopLagLimiterTest.java
@@ -21,7 +21,7 @@
     private final Eventloop loop =
             Eventloop.builder().withTimeProvider(() -> nowMillis).withCurrentThread().build();
 
-    private final LoopLagLimiter limiter = new LoopLagLimiter(loop, new Random(1));
+    private final LoopLagLimiter limiter = new LoopLagLimiter(loop);
 
     @Test
     void testNoRefusalWithoutLag() {
@@ -87,9 +87,10 @@
     }
 
     private int refused() {
+        Random random = new Random(1);
         int refused = 0;
         for (int request = 0; request < 1_000; request++) {
-            refused += limiter.shouldRefuse() ? 1 : 0;
+            refused += random.nextDouble() < limiter.refusedFraction() ? 1 : 0;
         }
         return refused;
     }
--- a/src/test/java/org/martenwell/gateway/ProcessorLimiterTest.java
+++ b/src/test/java/org/martenwell/gateway/ProcessorLimiterTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.activej.eventloop.Eventloop;
-import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -42,8 +41,7 @@
                     loop,
                     PROCESSORS,
                     () -> (long) (usedMillis * clockRate),
-                    () -> backlogMillis / PROCESSORS,
-                    new Random(1));
+                    () -> backlogMillis / PROCESSORS);
 
     @BeforeEach
     void start() {
