Limit how far organisations get ahead of one that is held up

Now an organisation that asks for more than its promised share and has got less than 0.6 of its demand for a second bounds the others: they get no more than 1/0.6 of what it gets, and never less than their promised share. What is beyond is refused at once with the delay of a share.

--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -138,6 +138,9 @@
         long now = core.now();
         ShareUse use = shareUse();
         tier = use.tier();
+        if (use.aheadOfOthers() && attempts == 0) {
+            return new Decision(Optional.empty(), Optional.of(RefusalReason.LEAD), use);
+        }
         List<TargetLoad> allowed = allowed(available);
         Optional<EngineChoice> choice =
                 choose(available, allowed, now).or(() -> chooseIdle(available, now));
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -52,6 +52,9 @@
     /** The credits within shares of the observed capacity. */
     private final ShareCredits observedCredits = new ShareCredits(ShareSums::sent);
 
+    /** The limit on organisations that are ahead of one that is held up. */
+    private final ShareLead lead;
+
     /** The largest share of the promised capacity; infinite if it covers all demands. */
     private double level = Double.POSITIVE_INFINITY;
 
@@ -91,6 +94,7 @@
      */
     public FairShares(long windowMillis) {
         this.windowMillis = windowMillis;
+        this.lead = new ShareLead(windowMillis);
     }
 
     /**
@@ -203,7 +207,7 @@
      * @param tokens The cost of the request, in tokens; half of it counts.
      * @param capacity The promised capacity of the fleet in a window, in tokens.
      * @param now The current time, in milliseconds.
-     * @return The used fractions of both shares.
+     * @return The use of the shares.
      */
     public ShareUse use(String organisation, double tokens, double capacity, long now) {
         refresh(capacity, now);
@@ -213,7 +217,8 @@
                 promisedCredits.limit(
                         organisation, tokens, (sums.withinShare() + tokens / 2) / level),
                 observedCredits.limit(
-                        organisation, tokens, (sums.sent() + tokens / 2) / observedLevel));
+                        organisation, tokens, (sums.sent() + tokens / 2) / observedLevel),
+                lead.exceeds(sums.sent() + tokens / 2));
     }
 
     /**
@@ -287,6 +292,7 @@
             each.counts().sums().forEach((name, sums) -> all.merge(name, sums, ShareSums::plus));
         }
         computeLevels(all, capacity * countedFraction(counted));
+        lead.update(all, level, now);
         promisedCredits.update(all, own.sums(), level);
         observedCredits.update(all, own.sums(), observedLevel);
         fleetSums = all;
--- a/src/main/java/org/martenwell/share/RefusalReason.java
+++ b/src/main/java/org/martenwell/share/RefusalReason.java
@@ -18,6 +18,9 @@
     /** The organisation exceeds both of its shares, and no engine has room for that. */
     SHARE(ErrorKind.RATE_EXCEEDED),
 
+    /** The organisation got far more than one that is held up. */
+    LEAD(ErrorKind.RATE_EXCEEDED),
+
     /** All engines are reserved for requests within promised shares. */
     RESERVE(ErrorKind.RATE_EXCEEDED),
 
