Bound what a response of a target may take

A stream of events may bring 256 KiB without the end of an event, comments included, whether it can be resumed or not. Before its response a connection takes at most 16 interim responses or responses to other requests, and 1 MiB of their bodies; of a response that nobody waits for 64 KiB are read. Own calls (directory, health, prompt caches) take 4 MiB. Beyond, the connection is reset and the attempt fails with TOO_LARGE, so another target is tried where that is allowed, else the caller gets 502, or the end of its stream, at once. In time all are bounded by the deadline of the request, as before. Complete comments between events are passed on as they come, and don't count as an event.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -23,6 +23,9 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
+    /** The most bytes of a response; pages of the directory and of prompt caches are smaller. */
+    private static final int MAX_BODY_BYTES = 4 << 20;
+
     private final NioReactor reactor;
 
     /** The clock of timeouts. */
@@ -143,6 +146,11 @@
 
         @Override
         public void bodyPartReceived(byte[] piece) {
+            if (body.size() + piece.length > MAX_BODY_BYTES) {
+                connection.cancel();
+                failed(ResponseFailure.TOO_LARGE);
+                return;
+            }
             body.writeBytes(piece);
         }
 
--- a/src/main/java/org/martenwell/exchange/ResponseFailure.java
+++ b/src/main/java/org/martenwell/exchange/ResponseFailure.java
@@ -21,6 +21,9 @@
     /** The bytes received are not an HTTP response. */
     MALFORMED(true),
 
+    /** The response is larger than any that is accepted, or has no end. */
+    TOO_LARGE(true),
+
     /** This process failed to process the connection, as for lack of heap. */
     DEFECT(true);
 
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -25,6 +25,12 @@
  */
 public final class TargetConnection {
 
+    /** The most interim responses, and responses to other requests, before that to a request. */
+    private static final int MAX_DISCARDED_RESPONSES = 16;
+
+    /** The most body bytes of these responses. */
+    private static final int MAX_DISCARDED_BYTES = 1 << 20;
+
     private final NioReactor reactor;
 
     private final TcpSocket socket;
@@ -54,6 +60,12 @@
     /** Set while the response being received is interim or belongs to another request. */
     private boolean discarding;
 
+    /** The interim responses and those to other requests since the request was sent. */
+    private int discardedResponses;
+
+    /** The body bytes of these responses. */
+    private int discardedBytes;
+
     /** Cleared once the connection can't carry another request. */
     private boolean reusable = true;
 
@@ -123,6 +135,8 @@
     private void write(OutboundRequest request) {
         head = null;
         discarding = false;
+        discardedResponses = 0;
+        discardedBytes = 0;
         method = request.method();
         decoder.expect(method);
         if (request.body().length() > 0 || !request.method().equals(HttpMethod.GET)) {
@@ -244,7 +258,7 @@
         if (part instanceof HttpResponse responseHead) {
             beginResponse(responseHead);
         }
-        if (part instanceof HttpContent content && head != null) {
+        if (part instanceof HttpContent content && head != null && listener != null) {
             processContent(content);
         }
     }
@@ -256,6 +270,8 @@
         discarding = interim || !listener.belongs(responseHead);
         if (discarding) {
             reusable = reusable && interim;
+            discardedResponses++;
+            failAboveLimit(discardedResponses, MAX_DISCARDED_RESPONSES);
             return;
         }
         reusable =
@@ -265,6 +281,12 @@
         listener.headReceived(responseHead);
     }
 
+    private void failAboveLimit(int count, int limit) {
+        if (count > limit) {
+            fail(ResponseFailure.TOO_LARGE);
+        }
+    }
+
     private ResponseFraming framingOf(HttpResponse responseHead) {
         return ResponseFraming.of(method, responseHead);
     }
@@ -276,6 +298,10 @@
             content.content().getBytes(content.content().readerIndex(), piece);
             listener.bodyPartReceived(piece);
         }
+        if (discarding) {
+            discardedBytes += length;
+            failAboveLimit(discardedBytes, MAX_DISCARDED_BYTES);
+        }
         if (content instanceof LastHttpContent) {
             boolean matching = !discarding;
             ResponseFraming framing = framingOf(head);
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -15,6 +15,7 @@
 import org.martenwell.balance.ServiceChooser;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.UnreportedWork;
+import org.martenwell.exchange.ResponseMemory;
 import org.martenwell.observe.ProcessUsage;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.prompt.SharedKeys;
@@ -120,6 +121,9 @@
 
     private final OverloadLimiter overload;
 
+    /** Bounds the memory of responses that are not complete. */
+    private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
+
     /** Set shortly before the gateway exits, when new requests are refused. */
     private boolean closing;
 
@@ -159,6 +163,7 @@
         this.shares = new FairShares(shareWindowMillis);
         log.metrics().registerGauge("tokens_charged", this::chargedTokens);
         log.metrics().registerGauge("tokens_requested", this::requestedTokens);
+        log.metrics().registerGauge("response_bytes_kept", responseMemory::usedBytes);
         log.metrics().registerGauge("configuration_version", this::configurationVersion);
         log.metrics().registerGauge("service_time_millis", this::maxServiceMillis);
         log.metrics().registerGauge("prefill_nanos_per_token", targets::maxPrefillNanosPerToken);
@@ -489,6 +494,11 @@
         return processor;
     }
 
+    /** {@return the bound on the memory of responses that are not complete} */
+    ResponseMemory responseMemory() {
+        return responseMemory;
+    }
+
     /** {@return the limiter that refuses requests at the limits of this gateway} */
     OverloadLimiter overload() {
         return overload;
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -519,9 +519,10 @@
      * Handles a chunk of a response body.
      *
      * @param chunk The bytes.
+     * @return {@code false} if the response is too large.
      */
-    void bodyReceived(byte[] chunk) {
-        relay.receive(chunk, route.resumable());
+    boolean bodyReceived(byte[] chunk) {
+        boolean accepted = relay.receive(chunk, route.resumable());
         if (relay.eventForwarded() && !eventCounted) {
             eventCounted = true;
             core.log().streamStarted(resumption.isPresent());
@@ -532,6 +533,7 @@
             selector = TargetSelector.of(new ServiceVersion(target.service(), target.version()));
             metadata.requestId().ifPresent(id -> core.streams().began(id, target, route));
         }
+        return accepted;
     }
 
     /**
@@ -867,6 +869,7 @@
             core.endRequest();
             core.queue().remove(this);
             core.harmful().end(this);
+            relay.release();
             if (deadlineTimer != null) {
                 deadlineTimer.cancel();
             }
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -30,6 +30,9 @@
      */
     private static final int MAX_UNWRITTEN_BYTES = 262_144;
 
+    /** The most bytes of a stream between the ends of two events, comments included. */
+    private static final int MAX_BYTES_WITHOUT_EVENT = 262_144;
+
     /** The interval at which the backlog of a slow caller is checked, in milliseconds. */
     private static final long BACKLOG_CHECK_MILLIS = 20;
 
@@ -53,6 +56,9 @@
     /** Set once an event of a resumable stream was forwarded. */
     private boolean eventForwarded;
 
+    /** The bytes that are reserved for the response, of its body or of an incomplete event. */
+    private int reservedBytes;
+
     /** The body of a response that is forwarded once it is complete. */
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
 
@@ -82,8 +88,28 @@
         head = null;
         framing = null;
         streaming = false;
+        release();
+    }
+
+    /** Discards what is kept of an incomplete response. */
+    void release() {
         bufferedBody.reset();
         events.reset();
+        reserve(0);
+    }
+
+    /**
+     * Reserves memory for what is kept of the response.
+     *
+     * @param bytes The number of bytes, instead of those reserved before.
+     * @return {@code false} if the response is too large.
+     */
+    private boolean reserve(int bytes) {
+        core.responseMemory().release(reservedBytes);
+        reservedBytes = 0;
+        boolean reserved = core.responseMemory().reserve(0, bytes);
+        reservedBytes = reserved ? bytes : 0;
+        return reserved;
     }
 
     /**
@@ -106,11 +132,13 @@
      *
      * @param chunk The bytes.
      * @param resumable {@code true} if the stream can be resumed at another target.
+     * @return {@code false} if the response is too large: its body, if it isn't a stream, or what
+     *     it sends without completing an event.
      */
-    void receive(byte[] chunk, boolean resumable) {
+    boolean receive(byte[] chunk, boolean resumable) {
         if (!streaming) {
             bufferedBody.writeBytes(chunk);
-            return;
+            return reserve(bufferedBody.size());
         }
         beginStream();
         byte[] forwarded = chunk;
@@ -120,11 +148,13 @@
             events.follow(chunk);
         }
         exchange.write(forwarded);
-        eventForwarded |= resumable && forwarded.length > 0;
+        eventForwarded |= resumable && events.eventCompleted();
         if (exchange.unwrittenBytes() > MAX_UNWRITTEN_BYTES) {
             source.pause();
             scheduleBacklogCheck(source);
         }
+        boolean endless = events.bytesWithoutEvent() > MAX_BYTES_WITHOUT_EVENT;
+        return reserve(events.keptBytes()) && !(endless && eventStream());
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -30,6 +30,9 @@
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** The most bytes of an ignored response that are read so that its connection can be reused. */
+    private static final int MAX_IGNORED_BYTES = 65_536;
+
     private final RequestDispatch dispatch;
 
     private final KnownTarget target;
@@ -59,6 +62,9 @@
     /** Set once the dispatch was notified that the target survived the start of its response. */
     private boolean survived;
 
+    /** The bytes of the response that arrived since it is ignored. */
+    private int ignoredBytes;
+
     /** Set once the dispatch ignores further events of this attempt. */
     private boolean over;
 
@@ -190,12 +196,20 @@
         lastReceivedMillis = dispatch.responsiveMillis();
         if (!over) {
             dispatch.guard().run(() -> forward(piece));
+        } else {
+            ignoredBytes += piece.length;
+            if (ignoredBytes > MAX_IGNORED_BYTES) {
+                connection.cancel();
+            }
         }
     }
 
     private void forward(byte[] piece) {
         recordBodyProgress();
-        dispatch.bodyReceived(piece);
+        if (!dispatch.bodyReceived(piece) && !over) {
+            cancel();
+            dispatch.attemptFailed(this, ResponseFailure.TOO_LARGE);
+        }
     }
 
     @Override
--- a/src/main/java/org/martenwell/stream/CompleteEventFilter.java
+++ b/src/main/java/org/martenwell/stream/CompleteEventFilter.java
@@ -6,20 +6,26 @@
 import java.util.Optional;
 
 /**
- * Passes a stream of server-sent events on unchanged, up to the end of the last complete event, and
- * records its id, so that an interrupted stream can be resumed after this event.
+ * Passes a stream of server-sent events on unchanged, up to the end of the last complete event or
+ * of the last comment between two events, and records the id of that event, so that an interrupted
+ * stream can be resumed after it.
  */
 public final class CompleteEventFilter {
 
     private static final String ID_FIELD = "id:";
 
-    /** The bytes after the last complete event. */
+    /** The bytes after the last complete event or comment. */
     private final ByteArrayOutputStream incomplete = new ByteArrayOutputStream();
 
     private final EventBoundary boundary = new EventBoundary();
 
     private Optional<String> lastId = Optional.empty();
 
+    private boolean eventCompleted;
+
+    /** The bytes since the end of the last event, comments included. */
+    private int bytesWithoutEvent;
+
     /** Creates a filter at the start of a stream. */
     public CompleteEventFilter() {}
 
@@ -33,7 +39,8 @@
         int completeLength = 0;
         for (byte each : bytes) {
             incomplete.write(each);
-            if (boundary.receive(each)) {
+            follow(each);
+            if (each == '\n' && !boundary.withinEvent()) {
                 completeLength = incomplete.size();
             }
         }
@@ -55,10 +62,32 @@
      */
     public void follow(byte[] bytes) {
         for (byte each : bytes) {
-            boundary.receive(each);
+            follow(each);
         }
     }
 
+    private void follow(byte next) {
+        boolean within = boundary.withinEvent();
+        boolean ended = boundary.receive(next) && within;
+        bytesWithoutEvent = ended ? 0 : bytesWithoutEvent + 1;
+        eventCompleted |= ended;
+    }
+
+    /** {@return the number of bytes since the end of the last event, comments included} */
+    public int bytesWithoutEvent() {
+        return bytesWithoutEvent;
+    }
+
+    /** {@return the number of bytes that are kept until their event is complete} */
+    public int keptBytes() {
+        return incomplete.size();
+    }
+
+    /** {@return {@code true} once an event was complete} */
+    public boolean eventCompleted() {
+        return eventCompleted;
+    }
+
     /** {@return {@code true} if the bytes received so far end within an event} */
     public boolean withinEvent() {
         return boundary.withinEvent();
@@ -80,6 +109,7 @@
     public void reset() {
         incomplete.reset();
         boundary.reset();
+        bytesWithoutEvent = 0;
     }
 
     /** {@return the id of the last complete event that has one, or empty} */
