--- a/src/main/java/org/martenwell/exchange/ResponseMemory.java
+++ b/src/main/java/org/martenwell/exchange/ResponseMemory.java
@@ -7,7 +7,7 @@
 public final class ResponseMemory {
 
     /** The most bytes of one response that are kept. */
-    public static final int MAX_RESPONSE_BYTES = 1 << 20;
+    public static final int MAX_RESPONSE_BYTES = 4 << 20;
 
     /** The bytes of a response that are kept whatever the others take. */
     private static final int GUARANTEED_BYTES = 1 << 15;
