Add capacity notices, optional features and the pace of responses

The load balancer assigns callers by a hash, so a small box may receive half of the fleet's requests while the others are idle, and nothing tells gateways what their peers could take. The setting features enables optional behaviour. request-ended names the route and the target, the time of the first chunk and the longest pause, without which late responses can't be attributed.

--- a/src/main/java/org/martenwell/directory/GatewayMember.java
+++ b/src/main/java/org/martenwell/directory/GatewayMember.java
@@ -20,6 +20,9 @@
     /** The protocol in which gateways deny that they know a stream, and send all that they know. */
     public static final int ORIGIN_PROTOCOL = 2;
 
+    /** The protocol with capacity notices and offloaded requests. */
+    public static final int OFFLOAD_PROTOCOL = 3;
+
     /**
      * Creates a member of this program's protocol.
      *
@@ -29,6 +32,6 @@
      * @param processors The available processor time.
      */
     public GatewayMember(String name, String failureDomain, String peerAddress, double processors) {
-        this(name, failureDomain, peerAddress, processors, ORIGIN_PROTOCOL);
+        this(name, failureDomain, peerAddress, processors, OFFLOAD_PROTOCOL);
     }
 }
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.martenwell.admission.FleetRetryBudget;
 import org.martenwell.balance.CachedPartUpdate;
 import org.martenwell.balance.EngineChooser;
@@ -26,6 +27,7 @@
 import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.route.WarmUpLimit;
 import org.martenwell.service.ResponsiveClock;
+import org.martenwell.settings.GatewayFeature;
 import org.martenwell.settings.GatewaySettings;
 import org.martenwell.settings.ProcessorSettings;
 import org.martenwell.share.AdmissionShares;
@@ -121,6 +123,10 @@
 
     private final OverloadLimiter overload;
 
+    private final CapacityExchange capacities;
+
+    private final Set<GatewayFeature> features;
+
     /** Bounds the memory of responses that are not complete. */
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
 
@@ -147,6 +153,8 @@
         this.dialect = dialect;
         this.random = random;
         this.log = log;
+        this.features = settings.features().orElse(Set.of());
+        this.capacities = new CapacityExchange(settings.name());
         this.harmful =
                 new HarmfulRequests(reactor, settings.name(), log, Clock.systemUTC(), random);
         this.streams = new StreamVersions(reactor);
@@ -224,6 +232,21 @@
         return routes;
     }
 
+    /**
+     * Returns whether an optional behaviour is enabled.
+     *
+     * @param feature The behaviour.
+     * @return {@code true} if the settings name it.
+     */
+    boolean enables(GatewayFeature feature) {
+        return features.contains(feature);
+    }
+
+    /** {@return the exchange of capacity notices with peers} */
+    CapacityExchange capacities() {
+        return capacities;
+    }
+
     /** {@return the event loop} */
     NioReactor reactor() {
         return reactor;
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -235,13 +235,23 @@
      * Records a request that ended with a target's response.
      *
      * @param request The id that the caller gave to the attempt.
+     * @param route The name of the route.
+     * @param target The id of the target.
      * @param status The HTTP status code.
      * @param framing The way in which the end of the response was determined.
      * @param attempts The number of attempts.
+     * @param pace The times at which the body arrived.
      * @param elapsedMillis The time since the request arrived, in milliseconds.
      */
     void ended(
-            String request, int status, ResponseFraming framing, int attempts, long elapsedMillis) {
+            String request,
+            String route,
+            String target,
+            int status,
+            ResponseFraming framing,
+            int attempts,
+            ResponsePace pace,
+            long elapsedMillis) {
         metrics.counter("requests_answered").inc();
         if (!framing.showsTruncation()) {
             metrics.counter("responses_close_delimited").inc();
@@ -250,9 +260,13 @@
             write(
                     LogEvent.of("request-ended")
                             .with("request", request)
+                            .with("route", route)
+                            .with("target", target)
                             .with("status", status)
                             .with("framing", framing.label())
                             .with("attempts", attempts)
+                            .with("firstMillis", pace.firstMillis())
+                            .with("pauseMillis", pace.longestPauseMillis())
                             .with("heldMillis", elapsedMillis));
         }
     }
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.directory.FleetDirectory;
@@ -94,6 +96,8 @@
 
     private final OriginExchange origins;
 
+    private final CapacityExchange capacities;
+
     /** Set while an urgent report is scheduled. */
     private boolean urgentReportPending;
 
@@ -127,6 +131,7 @@
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
+        this.capacities = core.capacities();
         core.streams().peers(origins);
         MetricRegistry metrics = core.log().metrics();
         metrics.registerGauge("peers_connected", network::establishedConnections);
@@ -178,6 +183,7 @@
         incarnations.keySet().retainAll(members.keySet());
         topology.members(members.values());
         origins.members(members.values());
+        capacities.members(members.values());
         core.updateFleet(addresses.size() + 1, topology.ageMillis());
         connect();
     }
@@ -224,6 +230,8 @@
             receiveBatch(batch);
         } else if (message instanceof TargetNotice notice) {
             receiveDirect(notice);
+        } else if (message instanceof CapacityNotice notice) {
+            receiveDirect(notice);
         } else if (message instanceof ConfigurationRequest request) {
             respond(request);
         } else if (message instanceof ConfigurationResponse response) {
@@ -332,6 +340,18 @@
         core.targets().applyNotice(notice, core.now());
     }
 
+    /**
+     * Processes a capacity notice that arrived directly from its gateway.
+     *
+     * @param notice The notice.
+     */
+    private void receiveDirect(CapacityNotice notice) {
+        if (topology.usesRelays() && capacities.allowed()) {
+            relayedReports.add(notice);
+        }
+        capacities.receive(notice);
+    }
+
     /**
      * Processes reports that arrived in a batch from a relay.
      *
@@ -341,13 +361,16 @@
         long now = core.now();
         topology.recordRelay(batch.relay(), now);
         if (topology.isRelay(now) && topology.inOtherDomain(batch.relay())) {
-            relayedReports.add(batch);
+            relayedReports.add(
+                    capacities.allowed() ? batch : ReportBatches.withoutCapacities(batch));
         }
         for (PeerMessage each : ReportBatches.messages(batch)) {
             if (each instanceof GatewayReport report) {
                 receiveRelayed(report);
             } else if (each instanceof TargetNotice notice) {
                 core.targets().applyNotice(notice, now);
+            } else if (each instanceof CapacityNotice capacity) {
+                capacities.receive(capacity);
             }
         }
     }
@@ -448,15 +471,19 @@
     }
 
     private void sendToPeers(GatewayReport own, List<TargetNotice> notices) {
+        Optional<CapacityNotice> capacity = capacities.next(core.now());
         if (!topology.usesRelays()) {
             notices.forEach(network::broadcast);
+            capacity.ifPresent(network::broadcast);
             network.broadcast(own);
         } else if (topology.isRelay(core.now())) {
             notices.forEach(relayedReports::add);
+            capacity.ifPresent(relayedReports::add);
             relayReports(own);
         } else {
             String relay = topology.relay(core.now());
             notices.forEach(each -> network.send(relay, each));
+            capacity.ifPresent(each -> network.send(relay, each));
             network.send(relay, own);
         }
     }
--- a/src/main/java/org/martenwell/gateway/RelayedReports.java
+++ b/src/main/java/org/martenwell/gateway/RelayedReports.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.message.PeerMessage;
@@ -24,6 +25,9 @@
     /** The notices of other gateways on targets, without duplicates. */
     private final Set<TargetNotice> notices = new LinkedHashSet<>();
 
+    /** The capacity notices of gateways in the same failure domain. */
+    private final List<CapacityNotice> capacities = new ArrayList<>();
+
     /** The reports of gateways in the same failure domain. */
     private final List<GatewayReport> collected = new ArrayList<>();
 
@@ -58,6 +62,15 @@
         notices.add(notice);
     }
 
+    /**
+     * Adds a capacity notice, which must reach only gateways that know the message.
+     *
+     * @param notice The notice.
+     */
+    void add(CapacityNotice notice) {
+        capacities.add(notice);
+    }
+
     /**
      * Adds a batch from another failure domain. One that was already forwarded is dropped, since
      * two relays of a domain would otherwise send it to each other endlessly.
@@ -79,6 +92,7 @@
     ReportBatch batchWith(GatewayReport own) {
         collected.add(own);
         List<PeerMessage> messages = new ArrayList<>(notices);
+        messages.addAll(capacities);
         messages.addAll(collected);
         return ReportBatches.of(self, messages);
     }
@@ -91,6 +105,7 @@
     /** Removes all notices, reports and batches. */
     void clear() {
         notices.clear();
+        capacities.clear();
         collected.clear();
         fromOtherDomains.clear();
     }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -94,6 +94,8 @@
 
     private final SendHistory history = new SendHistory();
 
+    private final ResponsePace pace = new ResponsePace();
+
     /** The requests at the target of a plain service when this one was sent, including it. */
     private int loadWhenSent;
 
@@ -502,6 +504,7 @@
      * @param from The attempt.
      */
     void bodyStarted(SendAttempt from) {
+        pace.started(elapsedMillis());
         core.log().firstChunk(elapsedMillis());
         if (relay.streaming()) {
             engines.ifPresent(
@@ -522,6 +525,7 @@
      * @return {@code false} if the response is too large.
      */
     boolean bodyReceived(byte[] chunk) {
+        pace.received(elapsedMillis());
         boolean accepted = relay.receive(chunk, route.resumable());
         if (relay.eventForwarded() && !eventCounted) {
             eventCounted = true;
@@ -607,7 +611,16 @@
                 }
             }
             relay.end();
-            core.log().ended(requestId(), status, framing, history.attempts(), elapsedMillis());
+            core.log()
+                    .ended(
+                            requestId(),
+                            routeName(),
+                            targetId(from),
+                            status,
+                            framing,
+                            history.attempts(),
+                            pace,
+                            elapsedMillis());
             finish();
         }
     }
--- a/src/main/java/org/martenwell/peer/GatewayMessageCodec.java
+++ b/src/main/java/org/martenwell/peer/GatewayMessageCodec.java
@@ -4,10 +4,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.martenwell.balance.CachedPartUpdate;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.balance.TargetLoadReport;
+import org.martenwell.balance.TargetSpeedReport;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantineUpdate;
 import org.martenwell.quarantine.QuarantineUpdateKind;
@@ -80,6 +82,41 @@
         }
     }
 
+    /**
+     * Encodes a capacity notice.
+     *
+     * @param message The notice.
+     * @param writer Receives the fields.
+     * @throws IOException Never; the buffer is in memory.
+     */
+    static void write(CapacityNotice message, FieldWriter writer) throws IOException {
+        writer.name(message.gateway());
+        writer.number(message.spareMillis());
+        writer.count(message.speeds().size());
+        for (TargetSpeedReport each : message.speeds()) {
+            writer.name(each.target());
+            writer.number(each.samples());
+            writer.number(each.logSumThousandths());
+        }
+    }
+
+    /**
+     * Decodes a capacity notice.
+     *
+     * @param reader Provides the fields.
+     * @return The notice.
+     * @throws IOException If the payload ends early.
+     */
+    static CapacityNotice readCapacity(FieldReader reader) throws IOException {
+        return new CapacityNotice(
+                reader.name(),
+                reader.intNumber(),
+                reader.list(
+                        each ->
+                                new TargetSpeedReport(
+                                        each.name(), each.intNumber(), each.number())));
+    }
+
     /**
      * Encodes a batch of reports.
      *
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.Locale;
 import java.util.Optional;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.member.Heartbeat;
@@ -210,6 +211,19 @@
         PeerMessage read(FieldReader reader) throws IOException {
             return VersionMessageCodec.readRecordNotice(reader);
         }
+    },
+
+    /** Spare processor time of a gateway and speeds of targets. */
+    CAPACITY_NOTICE(20, CapacityNotice.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            GatewayMessageCodec.write((CapacityNotice) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return GatewayMessageCodec.readCapacity(reader);
+        }
     };
 
     private final int number;
--- a/src/main/java/org/martenwell/peer/ReportBatches.java
+++ b/src/main/java/org/martenwell/peer/ReportBatches.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.Collection;
 import java.util.List;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
 import org.martenwell.message.PeerMessage;
@@ -57,4 +58,17 @@
                 .map(GatewayReport.class::cast)
                 .toList();
     }
+
+    /**
+     * Returns a batch without capacity notices, for gateways that don't know that message.
+     *
+     * @param batch The batch.
+     * @return The other messages of the batch.
+     */
+    public static ReportBatch withoutCapacities(ReportBatch batch) {
+        List<PeerMessage> known =
+                messages(batch).stream().filter(each -> !(each instanceof CapacityNotice)).toList();
+        ReportBatch stripped = of(batch.relay(), known);
+        return batch.forwarded() ? stripped.asForwarded() : stripped;
+    }
 }
--- a/src/main/java/org/martenwell/settings/GatewaySettings.java
+++ b/src/main/java/org/martenwell/settings/GatewaySettings.java
@@ -1,6 +1,7 @@
 package org.martenwell.settings;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The settings of a gateway. All addresses are an IP address and a port.
@@ -20,6 +21,7 @@
  * @param retryAllowance The number of retries in a window beyond that share.
  * @param retryWindowSeconds The window of the retry budget, in seconds.
  * @param shareWindowSeconds The window in which fair shares are measured, in seconds.
+ * @param features The optional behaviour that is enabled, or empty for none.
  */
 public record GatewaySettings(
         String name,
@@ -36,10 +38,21 @@
         double retryShare,
         double retryAllowance,
         double retryWindowSeconds,
-        double shareWindowSeconds) {
+        double shareWindowSeconds,
+        Optional<Set<GatewayFeature>> features) {
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * Returns whether an optional behaviour is enabled.
+     *
+     * @param feature The behaviour.
+     * @return {@code true} if the settings name it.
+     */
+    public boolean enables(GatewayFeature feature) {
+        return features.isPresent() && features.get().contains(feature);
+    }
+
     /** {@return the time limit of a graceful stop, in milliseconds} */
     public long stopMillis() {
         return Math.round(stopSeconds * MILLIS_PER_SECOND);
--- a/src/main/java/org/martenwell/settings/GatewaySettingsParser.java
+++ b/src/main/java/org/martenwell/settings/GatewaySettingsParser.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.martenwell.json.JsonDocuments;
 import org.martenwell.service.IpAddress;
 
@@ -19,6 +21,9 @@
     /** The field with the processor time, the only nested object. */
     private static final String PROCESSOR = "processor";
 
+    /** The field with the enabled features, the only array. */
+    private static final String FEATURES = "features";
+
     /**
      * The greatest length of the name of a gateway, failure domain or deployment, in characters.
      */
@@ -46,6 +51,8 @@
     /** The numbers by field path; a field is removed once it is read. */
     private final Map<String, Double> numbers = new HashMap<>();
 
+    private final Set<GatewayFeature> features = EnumSet.noneOf(GatewayFeature.class);
+
     private boolean hasProcessor;
 
     /** Stays {@code true} while all fields that were read are valid. */
@@ -94,13 +101,26 @@
                 if (!readObject(parser, PROCESSOR + "/")) {
                     return false;
                 }
-            } else {
+            } else if (value != JsonToken.START_ARRAY
+                    || !name.equals(FEATURES)
+                    || !readFeatures(parser)) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Reads the array of features; returns {@code false} for an unknown or repeated one. */
+    private boolean readFeatures(JsonParser parser) throws IOException {
+        while (parser.nextToken() == JsonToken.VALUE_STRING) {
+            Optional<GatewayFeature> feature = GatewayFeature.of(parser.getText());
+            if (feature.isEmpty() || !features.add(feature.get())) {
+                return false;
+            }
+        }
+        return parser.currentToken() == JsonToken.END_ARRAY;
+    }
+
     /**
      * Builds the settings from the fields.
      *
@@ -125,7 +145,8 @@
                         number("retryShare", 0, 1),
                         number("retryAllowance", 0, MAX_RETRY_ALLOWANCE),
                         number("retryWindowSeconds", MIN_WINDOW_SECONDS, MAX_SECONDS),
-                        number("shareWindowSeconds", MIN_WINDOW_SECONDS, MAX_SECONDS));
+                        number("shareWindowSeconds", MIN_WINDOW_SECONDS, MAX_SECONDS),
+                        features.isEmpty() ? Optional.empty() : Optional.of(features));
         boolean complete = valid && texts.isEmpty() && numbers.isEmpty();
         return complete ? Optional.of(settings) : Optional.empty();
     }
--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -87,6 +87,7 @@
                 1,
                 100,
                 10,
-                4);
+                4,
+                Optional.empty());
     }
 }
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -11,9 +11,11 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 import org.martenwell.balance.CachedPartUpdate;
+import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.LoadSums;
 import org.martenwell.balance.TargetLoadReport;
+import org.martenwell.balance.TargetSpeedReport;
 import org.martenwell.configuration.Pool;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
@@ -207,7 +209,17 @@
                 Combinators.combine(names, Arbitraries.of(true, false)).as(StreamOriginsSent::new);
         Arbitrary<PeerMessage> recordNotices =
                 versions.list().ofMaxSize(5).map(VersionRecordNotice::new);
+        Arbitrary<PeerMessage> capacityNotices =
+                Combinators.combine(
+                                names,
+                                counts,
+                                Combinators.combine(names, counts, Arbitraries.longs())
+                                        .as(TargetSpeedReport::new)
+                                        .list()
+                                        .ofMaxSize(5))
+                        .as(CapacityNotice::new);
         return Arbitraries.oneOf(
+                        capacityNotices,
                         recordNotices,
                         originNotices,
                         originRequests,
