Delay watches behind changes that only add objects

Each change in the store completes the watches of all gateways. Behind a change that only adds objects the next watch now starts 1.75 times the delay later, jittered by half, so that not all gateways are without a watch at a time and the first to see a removal notifies the others.

Tests: a watch behind an addition waits longer, one behind a removal or a changed object doesn't; the longest delay stays below the drain time.

--- a/src/main/java/org/martenwell/directory/KindWatcher.java
+++ b/src/main/java/org/martenwell/directory/KindWatcher.java
@@ -344,6 +344,10 @@
         delayMillis = INITIAL_DELAY_MILLIS;
         availability.responded();
         retries.responded(source.kind());
+        boolean onlyAdditions =
+                changes.changes().stream()
+                        .noneMatch(
+                                each -> each.removed() || entries.containsKey(each.entry().name()));
         for (EntryChange each : changes.changes()) {
             if (each.removed()) {
                 entries.remove(each.entry().name());
@@ -356,7 +360,24 @@
             makeNextCall(callGeneration);
         } else {
             notifyListener();
-            source.delay(timing.get().batchMillis(), () -> makeNextCall(callGeneration));
+            watchAfterChange(callGeneration, onlyAdditions);
+        }
+    }
+
+    /**
+     * Schedules the next watch. The delay behind additions is jittered, so that not all gateways
+     * are without a watch at the same time: the first one that sees a removal notifies its peers.
+     *
+     * @param callGeneration The generation of the call.
+     * @param onlyAdditions {@code true} if the last change only added objects.
+     */
+    private void watchAfterChange(int callGeneration, boolean onlyAdditions) {
+        WatchTiming current = timing.get();
+        Runnable next = () -> makeNextCall(callGeneration);
+        if (onlyAdditions && current.additionBatchMillis() > 0) {
+            source.delayWithJitter(current.additionBatchMillis(), next);
+        } else {
+            source.delay(current.batchMillis(), next);
         }
     }
 
--- a/src/main/java/org/martenwell/directory/WatchTiming.java
+++ b/src/main/java/org/martenwell/directory/WatchTiming.java
@@ -24,6 +24,13 @@
 
     private static final long MAX_BATCH_MILLIS = 750;
 
+    /**
+     * The factor by which the delay behind a change that only adds objects is longer. Nobody waits
+     * for a new target as for the end of a draining one, and while a fleet's targets start, each
+     * addition would complete the watches of all gateways.
+     */
+    private static final double ADDITION_FACTOR = 1.75;
+
     /**
      * Timing for the time in which a gateway does not know the size of its fleet yet. A whole fleet
      * and its targets may start at once, and each change would then complete all watches.
@@ -41,4 +48,12 @@
                 Math.min(MAX_WAIT_MILLIS, MIN_WAIT_MILLIS + WAIT_MILLIS_PER_MEMBER * members),
                 Math.min(MAX_BATCH_MILLIS, BATCH_MILLIS_PER_MEMBER * members));
     }
+
+    /**
+     * {@return the mean delay between a change that only adds objects and the next watch, in
+     * milliseconds}
+     */
+    long additionBatchMillis() {
+        return Math.round(ADDITION_FACTOR * batchMillis);
+    }
 }
--- a/src/test/java/org/martenwell/directory/KindWatcherHarness.java
+++ b/src/test/java/org/martenwell/directory/KindWatcherHarness.java
@@ -26,6 +26,8 @@
 
     private long nowMillis = 1;
 
+    private WatchTiming timing = WatchTiming.of(0);
+
     private final Eventloop loop =
             Eventloop.builder().withTimeProvider(() -> nowMillis).withCurrentThread().build();
 
@@ -33,7 +35,7 @@
             new KindWatcher(
                     new KindSource(loop, store, "kind", new Random(1)),
                     new StoreRetries(),
-                    () -> WatchTiming.of(0),
+                    () -> timing,
                     entry -> "group",
                     entries -> notified(entries.keySet()));
 
@@ -62,6 +64,10 @@
         }
     }
 
+    void timing(WatchTiming changed) {
+        timing = changed;
+    }
+
     void start() {
         watcher.start();
         loop.run();
--- a/src/test/java/org/martenwell/directory/KindWatcherTest.java
+++ b/src/test/java/org/martenwell/directory/KindWatcherTest.java
@@ -50,6 +50,34 @@
         assertThat(harness.store().listCount()).isEqualTo(1);
     }
 
+    /** Guards against a call of each gateway for each target while a fleet's targets start. */
+    @Test
+    void testWatchBehindAnAdditionIsDelayedLonger() {
+        assertThat(watchesAfterBatchDelay("two", false)).isEqualTo(1);
+    }
+
+    /** Guards against a removal behind which further ones are noticed late. */
+    @Test
+    void testWatchBehindARemovalIsNotDelayedLonger() {
+        assertThat(watchesAfterBatchDelay("one", true)).isEqualTo(2);
+    }
+
+    /** Guards against a draining target behind which further ones are noticed late. */
+    @Test
+    void testWatchBehindAChangedObjectIsNotDelayedLonger() {
+        assertThat(watchesAfterBatchDelay("one", false)).isEqualTo(2);
+    }
+
+    /** Counts the watches until the least delay behind a change has passed. */
+    private int watchesAfterBatchDelay(String changed, boolean removed) {
+        harness.timing(new WatchTiming(8_000, 400));
+        harness.store().willReturn(7, false, "one");
+        harness.store().willReport(8, changed, removed);
+        harness.start();
+        harness.advance(400);
+        return harness.store().watchedRevisions().size();
+    }
+
     /** Guards against pings that a store with many changes would get for each of them. */
     @Test
     void testAnsweredWatchIsNotPinged() {
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -22,6 +22,9 @@
     /** Set if the next list stays pending. */
     private boolean hangNext;
 
+    /** The changes that the next watch returns, empty if none are scripted. */
+    private Optional<EntryChanges> nextChanges = Optional.empty();
+
     /** Set if watches stay pending rather than fail. */
     private boolean holdsWatches;
 
@@ -68,6 +71,16 @@
         holdsWatches = true;
     }
 
+    /** Makes the next watch report an object, and holds those behind it. */
+    void willReport(long revision, String name, boolean removed) {
+        holdsWatches = true;
+        StoredEntry entry = new StoredEntry(name, revision, JsonNodeFactory.instance.objectNode());
+        nextChanges =
+                Optional.of(
+                        new EntryChanges(
+                                List.of(new EntryChange(entry, removed)), revision, false));
+    }
+
     /** Makes pings fail. */
     void failPings() {
         failsPings = true;
@@ -105,6 +118,11 @@
     @Override
     public Promise<EntryChanges> watch(String kind, long revision, long waitMillis) {
         watchedRevisions.add(revision);
+        if (nextChanges.isPresent()) {
+            EntryChanges changes = nextChanges.get();
+            nextChanges = Optional.empty();
+            return Promise.of(changes);
+        }
         if (holdsWatches) {
             return new SettablePromise<>();
         }
--- a/src/test/java/org/martenwell/directory/WatchTimingTest.java
+++ b/src/test/java/org/martenwell/directory/WatchTimingTest.java
@@ -34,4 +34,10 @@
     void testBatchDelayIsLessThanHalfOfTheDrainTime() {
         assertThat(WatchTiming.of(10_000).batchMillis()).isLessThan(DRAIN_MILLIS / 2);
     }
+
+    /** Delays behind additions are jittered up to one and a half times the mean. */
+    @Test
+    void testDelayBehindAdditionsIsLessThanTheDrainTime() {
+        assertThat(1.5 * WatchTiming.of(10_000).additionBatchMillis()).isLessThan(DRAIN_MILLIS);
+    }
 }
