Decide how many requests to offload, and to which gateways

The load balancer may send half of the fleet's requests to a box of 0.27 processors while the other gateways are nearly idle. It relates the mean use to the mean fraction over the same time, since the use follows a change only while responses end; a controller by the current use alone oscillates. OffloadPeers chooses among recent offers: up to four peers, the same failure domain first, in proportion to the offers. The rate permitted at a peer is the rate that its notice covers plus a part of its offer. The part is halved when a peer has nothing left or rejects a request, so that several busy gateways with the same old notices share it. SpareTime computes the offer, 0 while the gateway stops, refuses or offloads itself. Gauges offloaded_fraction (thousandths) and spare_processor_millis, offloadedPart in the state line. Nothing asks the decision yet: the forwarding of requests is a change of its own.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -127,6 +127,9 @@
 
     private final Set<GatewayFeature> features;
 
+    /** The offloading of requests to peers, empty if it isn't enabled. */
+    private final Optional<Offloading> offloading;
+
     /** Bounds the memory of responses that are not complete. */
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
 
@@ -201,6 +204,16 @@
                         new AdmissionShares(
                                 name -> shares.servedElsewhere(name, windowTokens(), now())),
                         random);
+        this.offloading =
+                settings.enables(GatewayFeature.OFFLOAD)
+                        ? Optional.of(
+                                new Offloading(
+                                        settings,
+                                        () -> closing || overload.refusing(),
+                                        reactor::currentTimeMillis,
+                                        random::nextDouble))
+                        : Optional.empty();
+        offloading.ifPresent(each -> each.register(processor, capacities, log));
     }
 
     /**
@@ -247,6 +260,11 @@
         return capacities;
     }
 
+    /** {@return the offloading of requests to peers, empty if it isn't enabled} */
+    Optional<Offloading> offloading() {
+        return offloading;
+    }
+
     /** {@return the event loop} */
     NioReactor reactor() {
         return reactor;
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -183,6 +183,7 @@
     @Override
     public Promise<Void> stop() {
         stopping = true;
+        core.offloading().ifPresent(Offloading::stop);
         core.targets().close();
         return cachedPartsFollower
                 .stop()
@@ -207,6 +208,7 @@
      */
     public Promise<Void> drain() {
         stopping = true;
+        core.offloading().ifPresent(Offloading::stop);
         log.changed("gateway-drain", core.activeRequests());
         callers.drain();
         directory.leave();
--- a/src/main/java/org/martenwell/gateway/OverloadLimiter.java
+++ b/src/main/java/org/martenwell/gateway/OverloadLimiter.java
@@ -49,6 +49,13 @@
         this.random = random;
     }
 
+    /** {@return {@code true} while a part of new requests is refused} */
+    boolean refusing() {
+        return heapFull.getAsBoolean()
+                || lagFraction.getAsDouble() > 0
+                || processorFraction.getAsDouble() > 0;
+    }
+
     /**
      * Records a request that arrived and decides whether to refuse it.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -184,6 +184,7 @@
         topology.members(members.values());
         origins.members(members.values());
         capacities.members(members.values());
+        core.offloading().ifPresent(each -> each.members(members.values()));
         core.updateFleet(addresses.size() + 1, topology.ageMillis());
         connect();
     }
--- a/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
+++ b/src/main/java/org/martenwell/gateway/ProcessorLimiter.java
@@ -77,6 +77,9 @@
 
     private double refusedFraction;
 
+    /** Receives each sample. */
+    private ProcessorSampleListener listener = (usedFraction, lag, elapsedMillis) -> {};
+
     private boolean stopped;
 
     /**
@@ -98,6 +101,15 @@
         this.lagMillis = lagMillis;
     }
 
+    /**
+     * Sets the receiver of each sample; called at most once.
+     *
+     * @param receiver The receiver.
+     */
+    void onSample(ProcessorSampleListener receiver) {
+        listener = receiver;
+    }
+
     @Override
     public Promise<Void> start() {
         reactor.delayBackground(INITIAL_DELAY_MILLIS, this::begin);
@@ -130,14 +142,17 @@
         long now = reactor.currentTimeMillis();
         long used = usedMillis.getAsLong();
         double elapsedMillis = Math.max(1, now - lastSampleMillis);
-        adjust((used - lastUsedMillis) / (elapsedMillis * processors), elapsedMillis);
+        double use = (used - lastUsedMillis) / (elapsedMillis * processors);
+        double lag = lagMillis.getAsDouble();
         lastSampleMillis = now;
         lastUsedMillis = used;
+        adjust(use, lag, elapsedMillis);
+        listener.sampled(use, lag, elapsedMillis);
     }
 
-    private void adjust(double use, double elapsedMillis) {
+    private void adjust(double use, double lag, double elapsedMillis) {
         meanUse += SMOOTHING_FACTOR * (Math.min(1, use) - meanUse);
-        double lagExcess = (lagMillis.getAsDouble() - AIMED_LAG_MILLIS) / LAG_UNIT_MILLIS;
+        double lagExcess = (lag - AIMED_LAG_MILLIS) / LAG_UNIT_MILLIS;
         double excess = Math.min(meanUse - AIMED_USE, lagExcess);
         double change = CHANGE_PER_SECOND * excess * elapsedMillis / MILLIS_PER_SECOND;
         double changed = refusedFraction + change;
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -93,7 +93,7 @@
         long now = reactor.currentTimeMillis();
         ProcessUsage.Interval used = usage.measure();
         InformationAge age = informationAge.get();
-        LOGGER.info(
+        LogEvent state =
                 LogEvent.of("state")
                         .with("overMillis", now - writtenMillis)
                         .with("lateMillis", core.loopLag().takeMaxLagMillis())
@@ -111,8 +111,9 @@
                         .with("heapMegabytes", used.heapMegabytes())
                         .with("descriptors", used.descriptors())
                         .with("descriptorLimit", used.descriptorLimit())
-                        .with("shares", core.shares().summary(TOP_ORGANISATIONS))
-                        .message());
+                        .with("shares", core.shares().summary(TOP_ORGANISATIONS));
+        core.offloading().ifPresent(each -> state.with("offloadedPart", each.fraction()));
+        LOGGER.info(state.message());
         Map<String, Map<String, Long>> tokens = core.dispositions().take();
         if (!tokens.isEmpty()) {
             LOGGER.info(
--- a/src/test/java/org/martenwell/ArchitectureTest.java
+++ b/src/test/java/org/martenwell/ArchitectureTest.java
@@ -30,6 +30,7 @@
                             "org.martenwell.quarantine..",
                             "org.martenwell.prompt..",
                             "org.martenwell.version..",
+                            "org.martenwell.offload..",
                             "org.martenwell.configuration..")
                     .should()
                     .dependOnClassesThat()
@@ -48,6 +49,7 @@
                             "org.martenwell.quarantine..",
                             "org.martenwell.prompt..",
                             "org.martenwell.version..",
+                            "org.martenwell.offload..",
                             "org.martenwell.member..")
                     .should()
                     .callMethod(System.class, "currentTimeMillis")
@@ -89,6 +91,7 @@
                             "org.martenwell.admission..",
                             "org.martenwell.member..",
                             "org.martenwell.policy..",
+                            "org.martenwell.offload..",
                             "org.martenwell.peer..");
 
     @ArchTest
