Add messages of offloaded requests and the channel of responses

Cause: a gateway that offloads a request needs messages for the request and its response, and an exchange whose response doesn't go to a connection. Change: CallerExchange is built on ResponseChannel, which CallerConnection implements as before. Peer messages 16 to 19. Connections between peers report their loss, write what is pending before they are closed, and divide what exceeds a frame, which closed the connection before.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -27,7 +27,7 @@
  * A connection from a caller. It serves one request at a time but keeps reading while a request is
  * served, so that a disconnect of the caller is detected immediately.
  */
-final class CallerConnection {
+final class CallerConnection implements ResponseChannel {
 
     private static final String KEEP_ALIVE = "keep-alive";
 
@@ -163,8 +163,8 @@
         read();
     }
 
-    /** {@return the number of response bytes that are not yet written to the socket} */
-    int unwrittenBytes() {
+    @Override
+    public int unwrittenBytes() {
         return unwrittenBytes;
     }
 
@@ -253,15 +253,8 @@
         }
     }
 
-    /**
-     * Sends a complete response. The body is omitted if the request's method is {@code HEAD}.
-     *
-     * @param status The status code.
-     * @param headers The headers, to which framing and connection headers are added.
-     * @param content The body.
-     * @param keepAlive {@code true} if the caller allows a persistent connection.
-     */
-    void respond(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
+    @Override
+    public void respond(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
         guard.run(() -> sendWhole(status, headers, content, keepAlive));
     }
 
@@ -281,15 +274,13 @@
     }
 
     /**
-     * Sends the head of a response of unknown length. Until a close-delimited response has ended,
-     * any close resets the connection, also the one at the end of the process.
+     * {@inheritDoc}
      *
-     * @param status The status code.
-     * @param headers The headers, whose framing and connection headers are replaced.
-     * @param framing The framing of the body.
-     * @param keepAlive {@code true} if the caller allows a persistent connection.
+     * <p>Until a close-delimited response has ended, any close resets the connection, also the one
+     * at the end of the process.
      */
-    void begin(int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
+    @Override
+    public void begin(int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
         guard.run(() -> sendHead(status, headers, framing, keepAlive));
     }
 
@@ -308,21 +299,13 @@
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
     }
 
-    /**
-     * Sends a piece of a response.
-     *
-     * @param piece The non-empty piece.
-     */
-    void write(byte[] piece) {
+    @Override
+    public void write(byte[] piece) {
         guard.run(() -> send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece))));
     }
 
-    /**
-     * Ends a response, with its last chunk if it has chunks.
-     *
-     * @param keepAlive {@code true} if the connection can carry another response.
-     */
-    void end(boolean keepAlive) {
+    @Override
+    public void end(boolean keepAlive) {
         guard.run(
                 () -> {
                     send(LastHttpContent.EMPTY_LAST_CONTENT);
@@ -330,8 +313,8 @@
                 });
     }
 
-    /** Ends the request being served with an answer, if none has begun. */
-    void responseFailed() {
+    @Override
+    public void responseFailed() {
         guard.run(this::endWithFailure);
     }
 
@@ -341,7 +324,8 @@
      *
      * @param reason The reason.
      */
-    void abort(CloseReason reason) {
+    @Override
+    public void abort(CloseReason reason) {
         exchange = null;
         close(reason);
     }
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -9,7 +9,7 @@
  */
 public final class CallerExchange {
 
-    private final CallerConnection connection;
+    private final ResponseChannel channel;
 
     private final CallerRequest request;
 
@@ -32,17 +32,17 @@
     /**
      * Creates an exchange.
      *
-     * @param connection The connection on which the request arrived.
+     * @param channel The way of the response to the caller.
      * @param request The complete request.
-     * @param keepAlive {@code true} if the caller allows a persistent connection.
+     * @param keepAlive {@code true} if the caller allows a persistent channel.
      * @param chunksAllowed {@code true} if the caller understands chunks.
      */
-    CallerExchange(
-            CallerConnection connection,
+    public CallerExchange(
+            ResponseChannel channel,
             CallerRequest request,
             boolean keepAlive,
             boolean chunksAllowed) {
-        this.connection = connection;
+        this.channel = channel;
         this.request = request;
         this.keepAlive = keepAlive;
         this.chunksAllowed = chunksAllowed;
@@ -53,6 +53,16 @@
         return request;
     }
 
+    /** {@return {@code true} if the caller allows a persistent connection} */
+    public boolean keepAlive() {
+        return keepAlive;
+    }
+
+    /** {@return {@code true} if the caller understands chunks} */
+    public boolean chunksAllowed() {
+        return chunksAllowed;
+    }
+
     /** {@return {@code true} once the response head is sent} */
     public boolean headSent() {
         return headSent;
@@ -71,7 +81,7 @@
      * caller reads slowly}
      */
     public int unwrittenBytes() {
-        return connection.unwrittenBytes();
+        return channel.unwrittenBytes();
     }
 
     /**
@@ -83,6 +93,15 @@
         disconnectListener = listener;
     }
 
+    /**
+     * Tells the channel that the request is sent to a target.
+     *
+     * @param attempts The number of targets that it has been sent to, including this one.
+     */
+    public void requestSent(int attempts) {
+        channel.requestSent(attempts);
+    }
+
     /**
      * Sends a complete response.
      *
@@ -96,7 +115,7 @@
         }
         finished = true;
         headSent = true;
-        connection.respond(status, headers, body, keepAlive);
+        channel.respond(status, headers, body, keepAlive);
     }
 
     /**
@@ -136,7 +155,7 @@
         }
         headSent = true;
         framing = chunksAllowed ? wanted : ResponseFraming.CLOSE_DELIMITED;
-        connection.begin(status, headers, framing, keepAlive);
+        channel.begin(status, headers, framing, keepAlive);
     }
 
     /** {@return the framing of the response that was begun} */
@@ -151,7 +170,7 @@
      */
     public void write(byte[] piece) {
         if (!finished && piece.length > 0) {
-            connection.write(piece);
+            channel.write(piece);
         }
     }
 
@@ -159,7 +178,7 @@
     public void end() {
         if (!finished) {
             finished = true;
-            connection.end(keepAlive && framing.showsTruncation());
+            channel.end(keepAlive && framing.showsTruncation());
         }
     }
 
@@ -170,7 +189,7 @@
     public void abort() {
         if (!finished) {
             finished = true;
-            connection.abort(CloseReason.RESPONSE_ABORTED);
+            channel.abort(CloseReason.RESPONSE_ABORTED);
         }
     }
 
@@ -181,12 +200,15 @@
     public void failed() {
         if (!finished) {
             finished = true;
-            connection.responseFailed();
+            channel.responseFailed();
         }
     }
 
-    /** Called by the connection when the caller disconnects before the response is complete. */
-    void callerDisconnected() {
+    /**
+     * Ends the exchange because its caller has disconnected; called by the owner of the channel. It
+     * has no effect on an exchange that has finished.
+     */
+    public void callerDisconnected() {
         if (!finished) {
             finished = true;
             disconnectListener.run();
--- a/src/main/java/org/martenwell/peer/MessageType.java
+++ b/src/main/java/org/martenwell/peer/MessageType.java
@@ -213,6 +213,58 @@
         }
     },
 
+    /** A request that a gateway lets another one handle. */
+    OFFLOADED_REQUEST(16, OffloadedRequest.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            OffloadMessageCodec.write((OffloadedRequest) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return OffloadMessageCodec.readRequest(reader);
+        }
+    },
+
+    /** Parts of the responses to offloaded requests. */
+    OFFLOADED_RESPONSE(17, OffloadedResponse.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            OffloadMessageCodec.write((OffloadedResponse) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return OffloadMessageCodec.readResponse(reader);
+        }
+    },
+
+    /** Notice that the caller of an offloaded request has disconnected. */
+    OFFLOADED_REQUEST_CANCELLED(18, OffloadedRequestCancelled.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            OffloadMessageCodec.write((OffloadedRequestCancelled) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return OffloadMessageCodec.readCancelled(reader);
+        }
+    },
+
+    /** Notice of how much of a response has been written to its caller. */
+    OFFLOADED_RESPONSE_RECEIVED(19, OffloadedResponseReceived.class) {
+        @Override
+        void write(PeerMessage message, FieldWriter writer) throws IOException {
+            OffloadMessageCodec.write((OffloadedResponseReceived) message, writer);
+        }
+
+        @Override
+        PeerMessage read(FieldReader reader) throws IOException {
+            return OffloadMessageCodec.readReceived(reader);
+        }
+    },
+
     /** Spare processor time of a gateway and speeds of targets. */
     CAPACITY_NOTICE(20, CapacityNotice.class) {
         @Override
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -9,10 +9,15 @@
 import io.activej.csp.consumer.ChannelConsumers;
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import java.io.IOException;
 import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Optional;
 import java.util.Random;
 import org.apache.logging.log4j.LogManager;
@@ -60,6 +65,16 @@
      */
     private static final int MAX_PENDING_BYTES = 4 << 20;
 
+    /** The maximum size of the messages of a frame in bytes. */
+    private static final int MAX_PAYLOAD_BYTES =
+            FrameCodec.MAX_FRAME_BYTES - FrameCodec.SIGNATURE_BYTES;
+
+    /**
+     * The time for which a connection that ends waits until the peer has read all messages, in
+     * milliseconds; less than the time that a gateway has to stop beyond its requests.
+     */
+    private static final long FINISH_MILLIS = 300;
+
     /** The maximum size of a frame's length prefix in bytes. */
     private static final int MAX_LENGTH_BYTES = 5;
 
@@ -82,6 +97,18 @@
     /** Encoded messages that have not been framed yet. */
     private final OutputBuffer pending = new OutputBuffer();
 
+    /** The messages before the pending ones that would make a frame too large with those. */
+    private final Deque<byte[]> fullPayloads = new ArrayDeque<>();
+
+    /** The size of those messages in bytes. */
+    private int fullPayloadBytes;
+
+    /** The size of the messages of the frame that is being written. */
+    private int writingBytes;
+
+    /** Completes when a connection that ends has closed, or {@code null} before. */
+    private SettablePromise<Void> finished;
+
     /** The connection that was opened last, or {@code null} once it has ended. */
     private TcpSocket connected;
 
@@ -166,7 +193,12 @@
 
     /** {@return the bytes of messages that wait to be framed} */
     int pendingBytes() {
-        return pending.size();
+        return fullPayloadBytes + pending.size();
+    }
+
+    /** {@return the bytes of messages that are not written yet} */
+    int unwrittenBytes() {
+        return pendingBytes() + writingBytes;
     }
 
     /** Connects, and reconnects after a failure until {@link #close} is called. */
@@ -202,6 +234,43 @@
         }
     }
 
+    /**
+     * Writes all messages, closes the connection once the peer has read them or after a while, and
+     * stops reconnecting.
+     *
+     * @return Completes when the connection is closed.
+     */
+    Promise<Void> finish() {
+        closed = true;
+        if (codec == null) {
+            close();
+            return Promise.complete();
+        }
+        finished = new SettablePromise<>();
+        reactor.delayBackground(FINISH_MILLIS, this::endFinish);
+        flush();
+        endOutput();
+        return finished;
+    }
+
+    /** Ends the output of a connection that ends, once all is written. */
+    private void endOutput() {
+        if (finished == null || codec == null || unwrittenBytes() > 0) {
+            return;
+        }
+        try {
+            // A close would discard what the peer has not read yet if a keep-alive is unread here.
+            socket.getSocketChannel().shutdownOutput();
+        } catch (IOException exception) {
+            endFinish();
+        }
+    }
+
+    private void endFinish() {
+        close();
+        finished.trySet(null);
+    }
+
     /**
      * Queues a message. It is dropped if the connection is not established.
      *
@@ -211,11 +280,15 @@
         if (codec == null) {
             return;
         }
-        if (pending.size() > MAX_PENDING_BYTES) {
+        if (pendingBytes() > MAX_PENDING_BYTES) {
             socket.close();
             return;
         }
         byte[] encoded = messageWriter.write(message);
+        if (pending.size() + encoded.length > MAX_PAYLOAD_BYTES) {
+            fullPayloadBytes += pending.size();
+            fullPayloads.add(pending.takeAll());
+        }
         pending.write(encoded);
         traffic.messageSent(MessageType.of(message), encoded.length);
         if (!flushScheduled) {
@@ -303,17 +376,25 @@
         socket = null;
         codec = null;
         writing = false;
+        writingBytes = 0;
         if (readTimeout != null) {
             readTimeout.cancel();
         }
         try {
             broken.close();
             pending.takeAll();
+            fullPayloads.clear();
+            fullPayloadBytes = 0;
         } finally {
             retryLater();
         }
-        if (wasEstablished && !closed) {
-            logDisconnected(failure);
+        if (finished != null) {
+            finished.trySet(null);
+        } else if (wasEstablished) {
+            if (!closed) {
+                logDisconnected(failure);
+            }
+            listener.peerDisconnected(name);
         }
     }
 
@@ -363,25 +444,37 @@
 
     /** Writes all buffered messages in one frame, unless a frame is already being written. */
     private void write() {
-        if (writing || codec == null || pending.size() == 0) {
+        if (writing || codec == null || pendingBytes() == 0) {
             return;
         }
         TcpSocket current = socket;
-        byte[] frame = codec.sign(pending.takeAll());
+        byte[] frame = codec.sign(nextPayload());
         ByteBuf buffer = ByteBufPool.allocate(frame.length + MAX_LENGTH_BYTES);
         buffer.writeVarInt(frame.length);
         buffer.write(frame);
         traffic.frameOverheadSent(
                 buffer.readRemaining() - frame.length + FrameCodec.SIGNATURE_BYTES);
         writing = true;
+        writingBytes = frame.length;
         current.write(buffer)
                 .whenResult(
                         () -> {
                             if (current == socket) {
                                 writing = false;
+                                writingBytes = 0;
                                 flush();
+                                endOutput();
                             }
                         })
                 .whenException(exception -> current.close());
     }
+
+    private byte[] nextPayload() {
+        byte[] full = fullPayloads.poll();
+        if (full == null) {
+            return pending.takeAll();
+        }
+        fullPayloadBytes -= full.length;
+        return full;
+    }
 }
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -1,8 +1,10 @@
 package org.martenwell.peer;
 
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import org.martenwell.message.PeerMessage;
@@ -56,9 +58,9 @@
 
     @Override
     public Promise<Void> stop() {
-        connections.values().forEach(PeerConnection::close);
+        List<PeerConnection> closing = List.copyOf(connections.values());
         connections.clear();
-        return server.stop();
+        return Promises.all(closing.stream().map(PeerConnection::finish)).then(server::stop);
     }
 
     /**
@@ -123,6 +125,36 @@
         return connections.containsKey(peer) && connections.get(peer).established();
     }
 
+    /**
+     * Returns the bytes of messages to a peer that are not written yet.
+     *
+     * @param peer The peer's name.
+     * @return The number of bytes, 0 without a connection.
+     */
+    public long unwrittenBytes(String peer) {
+        return connections.containsKey(peer) ? connections.get(peer).unwrittenBytes() : 0;
+    }
+
+    /**
+     * Returns whether a connection is open on which a peer sent {@link OffloadMessage}s.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if there is one.
+     */
+    public boolean receivesFrom(String peer) {
+        return server.receivesFrom(peer);
+    }
+
+    /**
+     * Closes the connections on which a peer sent {@link OffloadMessage}s, so that it learns that
+     * messages may have been lost.
+     *
+     * @param peer The peer's name.
+     */
+    public void closeFrom(String peer) {
+        server.closeFrom(peer);
+    }
+
     /**
      * Returns whether a peer has ended, as its machine refuses connections to it.
      *
--- a/src/main/java/org/martenwell/peer/PeerServer.java
+++ b/src/main/java/org/martenwell/peer/PeerServer.java
@@ -11,12 +11,16 @@
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.message.PeerMessage;
 import org.martenwell.observe.LogEvent;
 import org.martenwell.service.ManagedService;
 import org.martenwell.service.PeriodicTask;
@@ -53,8 +57,14 @@
     /** The open connections. */
     private final Set<ITcpSocket> sockets = new HashSet<>();
 
+    /** The peers that sent {@link OffloadMessage}s, by the connection on which they did. */
+    private final Map<ITcpSocket, String> senders = new HashMap<>();
+
     private final PeriodicTask keepAlives;
 
+    /** Set once the server stops, when the end of a connection is no loss. */
+    private boolean stopping;
+
     /**
      * Creates a server that doesn't listen yet.
      *
@@ -84,10 +94,32 @@
 
     @Override
     public Promise<Void> stop() {
+        stopping = true;
         Set.copyOf(sockets).forEach(ITcpSocket::close);
         return keepAlives.stop().then(server::close).toVoid();
     }
 
+    /**
+     * Returns whether a connection is open on which a peer sent {@link OffloadMessage}s.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if there is one.
+     */
+    boolean receivesFrom(String peer) {
+        return senders.containsValue(peer);
+    }
+
+    /**
+     * Closes the connections on which a peer sent {@link OffloadMessage}s.
+     *
+     * @param peer The peer's name.
+     */
+    void closeFrom(String peer) {
+        List.copyOf(senders.entrySet()).stream()
+                .filter(each -> each.getValue().equals(peer))
+                .forEach(each -> close(each.getKey()));
+    }
+
     /** {@return the number of open connections} */
     int connections() {
         return sockets.size();
@@ -120,7 +152,11 @@
 
     private void close(ITcpSocket socket) {
         sockets.remove(socket);
+        String sender = senders.remove(socket);
         socket.close();
+        if (sender != null && !stopping) {
+            listener.peerDisconnected(sender);
+        }
     }
 
     /**
@@ -137,12 +173,18 @@
                         ByteBufsDecoders.ofVarIntSizePrefixedBytes(FrameCodec.MAX_FRAME_BYTES))
                 .streamTo(
                         ChannelConsumers.ofConsumer(
-                                frame -> receive(codec, messages, frame.asArray())));
+                                frame -> receive(socket, codec, messages, frame.asArray())));
     }
 
-    private void receive(FrameCodec codec, MessageReader messages, byte[] frame) {
+    private void receive(
+            ITcpSocket socket, FrameCodec codec, MessageReader messages, byte[] frame) {
         traffic.frameReceived(frame.length);
-        messages.read(codec.verify(frame)).forEach(listener::receive);
+        for (PeerMessage each : messages.read(codec.verify(frame))) {
+            if (each instanceof OffloadMessage message && sockets.contains(socket)) {
+                senders.put(socket, message.sender());
+            }
+            listener.receive(each);
+        }
     }
 
     /**
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Map;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -218,7 +220,60 @@
                                         .list()
                                         .ofMaxSize(5))
                         .as(CapacityNotice::new);
+        Arbitrary<ByteBuffer> bytes =
+                Arbitraries.bytes()
+                        .array(byte[].class)
+                        .ofMaxSize(200)
+                        .map(each -> ByteBuffer.wrap(each).asReadOnlyBuffer());
+        Arbitrary<String> texts = Arbitraries.strings().ascii().ofMaxLength(100);
+        Arbitrary<List<HeaderField>> headers =
+                Combinators.combine(texts, texts).as(HeaderField::new).list().ofMaxSize(5);
+        Arbitrary<PeerMessage> offloadedRequests =
+                Combinators.combine(
+                                Combinators.combine(names, Arbitraries.longs()).as(Map::entry),
+                                numbers,
+                                numbers,
+                                texts,
+                                texts,
+                                headers,
+                                bytes,
+                                Combinators.combine(flags, flags).as(Map::entry))
+                        .as(
+                                (sender, version, held, method, target, fields, body, caller) ->
+                                        new OffloadedRequest(
+                                                sender.getKey(),
+                                                sender.getValue(),
+                                                version,
+                                                held,
+                                                method,
+                                                target,
+                                                fields,
+                                                body,
+                                                caller.getKey(),
+                                                caller.getValue()));
+        Arbitrary<PeerMessage> offloadedResponses =
+                Combinators.combine(
+                                names,
+                                Combinators.combine(
+                                                Arbitraries.longs(),
+                                                Arbitraries.of(ResponsePartKind.class),
+                                                counts,
+                                                headers,
+                                                bytes)
+                                        .as(ResponsePart::new)
+                                        .list()
+                                        .ofMaxSize(5))
+                        .as(OffloadedResponse::new);
+        Arbitrary<PeerMessage> offloadCancellations =
+                Combinators.combine(names, Arbitraries.longs()).as(OffloadedRequestCancelled::new);
+        Arbitrary<PeerMessage> offloadProgress =
+                Combinators.combine(names, Arbitraries.longs(), numbers)
+                        .as(OffloadedResponseReceived::new);
         return Arbitraries.oneOf(
+                        offloadedRequests,
+                        offloadedResponses,
+                        offloadCancellations,
+                        offloadProgress,
                         capacityNotices,
                         recordNotices,
                         originNotices,
