Let another gateway handle requests and pass its responses on

Cause: a gateway whose box is short of processor time refuses requests that other gateways could handle. Direct connections exist beside those of the report topology while they are used. A lost peer is retried locally within the route's attempts and the retry budget, or told as 502. The daemon's choice of peers chooses nobody until the decision exists.

--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Function;
 import org.martenwell.directory.DirectoryListener;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.directory.FleetDirectory;
@@ -78,6 +79,8 @@
     /** Exchanges reports with peers. */
     private final PeerReporter peerReporter;
 
+    private final OffloadExchange offload;
+
     private final FleetDirectory directory;
 
     private final GatewayLog log;
@@ -115,6 +118,22 @@
      * @param random Randomizes balancing, retry and refusal decisions.
      */
     public GatewayDaemon(NioReactor reactor, GatewaySettings settings, Random random) {
+        this(reactor, settings, random, core -> NoOffloadTargets.INSTANCE);
+    }
+
+    /**
+     * Creates a gateway with a choice of the gateways that requests are offloaded to.
+     *
+     * @param reactor The event loop.
+     * @param settings The settings.
+     * @param random Randomizes balancing, retry and refusal decisions.
+     * @param targets Creates the choice.
+     */
+    GatewayDaemon(
+            NioReactor reactor,
+            GatewaySettings settings,
+            Random random,
+            Function<GatewayCore, OffloadTargets> targets) {
         this.reactor = reactor;
         this.settings = settings;
         this.deployment = Deployment.named(settings.deployment());
@@ -148,6 +167,10 @@
                                                 address,
                                                 this::serveMetrics));
         this.peerReporter = new PeerReporter(reactor, settings, core, random);
+        this.offload =
+                new OffloadExchange(
+                        core, settings.name(), targets.apply(core), peerReporter.offloadLinks());
+        peerReporter.offload(offload);
         this.stateLog =
                 new StateLog(
                         reactor,
@@ -183,6 +206,7 @@
     @Override
     public Promise<Void> stop() {
         stopping = true;
+        offload.close();
         core.targets().close();
         return cachedPartsFollower
                 .stop()
@@ -207,6 +231,7 @@
      */
     public Promise<Void> drain() {
         stopping = true;
+        offload.close();
         log.changed("gateway-drain", core.activeRequests());
         callers.drain();
         directory.leave();
@@ -321,12 +346,14 @@
     }
 
     /**
-     * Dispatches a caller's request.
+     * Offloads or dispatches a caller's request.
      *
      * @param exchange The request.
      */
     private void serveCaller(CallerExchange exchange) {
-        new RequestDispatch(core, exchange).start();
+        if (!offload.offload(exchange)) {
+            new RequestDispatch(core, exchange).start();
+        }
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -5,6 +5,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -71,6 +72,38 @@
         return metrics;
     }
 
+    /**
+     * Records a request that is offloaded to another gateway.
+     *
+     * @param request Returns the id that the caller gave to the attempt; called only for a line,
+     *     since it parses headers.
+     * @param peer The gateway's name.
+     * @param heldMillis The time since the request arrived, in milliseconds.
+     */
+    void offloaded(Supplier<Optional<String>> request, String peer, long heldMillis) {
+        metrics.counter("requests_offloaded").inc();
+        if (mayWrite()) {
+            LogEvent event = LogEvent.of("request-offloaded");
+            request.get().ifPresent(id -> event.with("request", id));
+            write(event.with("peer", peer).with("heldMillis", heldMillis));
+        }
+    }
+
+    /** Counts a request that another gateway rejected, which is handled here then. */
+    void offloadRejected() {
+        metrics.counter("requests_offloaded_rejected").inc();
+    }
+
+    /** Counts a request that another gateway didn't complete. */
+    void offloadFailed() {
+        metrics.counter("requests_offloaded_failed").inc();
+    }
+
+    /** Counts a request that another gateway offloaded to this one, which handles it. */
+    void receivedOffloaded() {
+        metrics.counter("requests_received_offloaded").inc();
+    }
+
     /**
      * Records a request that ended without a target's response.
      *
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -4,10 +4,12 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.martenwell.balance.CapacityNotice;
 import org.martenwell.balance.GatewayReport;
 import org.martenwell.balance.ReportBatch;
@@ -17,6 +19,7 @@
 import org.martenwell.message.PeerMessage;
 import org.martenwell.peer.ConfigurationRequest;
 import org.martenwell.peer.ConfigurationResponse;
+import org.martenwell.peer.OffloadMessage;
 import org.martenwell.peer.PeerListener;
 import org.martenwell.peer.PeerNetwork;
 import org.martenwell.peer.ReportBatches;
@@ -98,6 +101,15 @@
 
     private final CapacityExchange capacities;
 
+    /** The gateways that are connected for requests, beside those of the topology. */
+    private final DirectPeers directPeers;
+
+    /** The offloaded requests, set before the start. */
+    private Optional<OffloadExchange> offload = Optional.empty();
+
+    /** The peers of the topology that have been sent what a peer needs to know first. */
+    private final Set<String> greeted = new HashSet<>();
+
     /** Set while an urgent report is scheduled. */
     private boolean urgentReportPending;
 
@@ -132,6 +144,7 @@
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         this.origins = new OriginExchange(name, core, network, topology, livePeers);
         this.capacities = core.capacities();
+        this.directPeers = new DirectPeers(name, network, core::now, this::connect);
         core.streams().peers(origins);
         MetricRegistry metrics = core.log().metrics();
         metrics.registerGauge("peers_connected", network::establishedConnections);
@@ -151,6 +164,21 @@
         origins.directory(fleetDirectory);
     }
 
+    /** {@return the connections for offloaded requests} */
+    OffloadLinks offloadLinks() {
+        return directPeers;
+    }
+
+    /**
+     * Sets the receiver of messages on offloaded requests; called at most once, before the start.
+     *
+     * @param exchange The receiver.
+     */
+    void offload(OffloadExchange exchange) {
+        offload = Optional.of(exchange);
+        directPeers.inUse(exchange::uses);
+    }
+
     @Override
     public Promise<Void> start() {
         lastReportMillis = core.now();
@@ -184,15 +212,25 @@
         topology.members(members.values());
         origins.members(members.values());
         capacities.members(members.values());
+        directPeers.members(members.values());
         core.updateFleet(addresses.size() + 1, topology.ageMillis());
         connect();
     }
 
-    /** Opens the connections that the topology requires and closes all others. */
+    /** Opens the connections that the topology and requests require and closes all others. */
     private void connect() {
+        Set<String> reported = topology.requiredPeers(core.now());
         Map<String, String> needed = new HashMap<>(addresses);
-        needed.keySet().retainAll(topology.requiredPeers(core.now()));
+        needed.keySet().retainAll(reported);
+        directPeers.required().forEach(needed::putIfAbsent);
         network.setPeers(needed);
+        greeted.retainAll(reported);
+        for (String each : reported) {
+            // One that was connected for requests before the topology required it.
+            if (network.connected(each) && !greeted.contains(each)) {
+                greet(each);
+            }
+        }
     }
 
     /** {@return the age of the last response of the directory and of the last report of a peer} */
@@ -236,6 +274,8 @@
             respond(request);
         } else if (message instanceof ConfigurationResponse response) {
             receiveConfiguration(response);
+        } else if (message instanceof OffloadMessage offloaded) {
+            offload.ifPresent(each -> each.receive(offloaded));
         } else if (message instanceof StreamOriginNotice notice) {
             origins.receive(notice);
         } else if (message instanceof StreamOriginRequest request) {
@@ -269,6 +309,24 @@
 
     @Override
     public void peerConnected(String peer) {
+        if (topology.requiredPeers(core.now()).contains(peer)) {
+            greet(peer);
+        }
+        offload.ifPresent(each -> each.connected(peer));
+    }
+
+    @Override
+    public void peerDisconnected(String peer) {
+        if (offload.isPresent()) {
+            offload.get().peerLost(peer);
+            // It may not have noticed, as if packets are lost in one direction.
+            network.closeFrom(peer);
+        }
+    }
+
+    /** Sends a peer to which this gateway reports what it needs to know first. */
+    private void greet(String peer) {
+        greeted.add(peer);
         core.targets()
                 .listingNotices()
                 .recent(core.now())
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -94,6 +94,9 @@
 
     private final SendHistory history = new SendHistory();
 
+    /** Set if the request was accepted before, so that a shutdown doesn't refuse it. */
+    private boolean accepted;
+
     private final ResponsePace pace = new ResponsePace();
 
     /** The requests at the target of a plain service when this one was sent, including it. */
@@ -135,15 +138,27 @@
         guard.run(this::begin);
     }
 
+    /**
+     * Starts the dispatch of a request that was offloaded to another gateway before.
+     *
+     * @param attempts The number of targets that it may have been sent to, 0 if it has not run. A
+     *     request that may have run is only sent if it may be retried.
+     */
+    void continueWith(int attempts) {
+        accepted = true;
+        history.recordOffloaded(attempts);
+        start();
+    }
+
     private void begin() {
         core.beginRequest();
         Optional<GatewayConfiguration> configuration = core.configuration();
-        if (core.closing()) {
-            respond(ErrorKind.DRAINING, RetryDelay.ELSEWHERE);
+        if (core.closing() && !accepted) {
+            fail(ErrorKind.DRAINING, RetryDelay.ELSEWHERE);
             return;
         }
         if (configuration.isEmpty()) {
-            respond(ErrorKind.NOT_READY, RetryDelay.CAPACITY);
+            fail(ErrorKind.NOT_READY, RetryDelay.CAPACITY);
             return;
         }
         Optional<Route> found = core.routes().find(metadata.host(), exchange.request().path());
@@ -211,6 +226,10 @@
                         organisation.orElse(""),
                         metadata.generation());
         core.harmful().begin(this);
+        if (history.mayHaveRun() && !(route.repeatable() && mayRetry())) {
+            fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
+            return;
+        }
         if (metadata.lastEventId().isPresent() && route.resumable()) {
             core.streams()
                     .find(
@@ -439,6 +458,7 @@
         if (history.recordAttempt(id)) {
             core.countFirstAttempt();
         }
+        exchange.requestSent(history.attempts());
         core.targets().recordSent(load, core.now());
         attempt = new SendAttempt(this, target.get(), running);
         relay.reset(attempt);
--- a/src/main/java/org/martenwell/gateway/SendHistory.java
+++ b/src/main/java/org/martenwell/gateway/SendHistory.java
@@ -13,6 +13,9 @@
 
     private int attempts;
 
+    /** The attempts that another gateway may have made. */
+    private int offloadedAttempts;
+
     private int unreachable;
 
     /**
@@ -35,12 +38,23 @@
     boolean recordAttempt(String target) {
         // Doesn't use the number of attempts, since withdrawn attempts lower it. A request that
         // counts as new more than once would add too much to the retry budget.
-        boolean first = triedTargets.isEmpty();
+        boolean first = triedTargets.isEmpty() && offloadedAttempts == 0;
         attempts++;
         triedTargets.add(target);
         return first;
     }
 
+    /**
+     * Records that the request was handed to another gateway that was lost.
+     *
+     * @param count The number of targets that it may have been sent to, 0 if it has not run.
+     */
+    void recordOffloaded(int count) {
+        attempts = count;
+        offloadedAttempts = count;
+        mayHaveRun = count > 0;
+    }
+
     /**
      * Records that the request was handed to a connection.
      *
--- /dev/null
+++ b/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
@@ -0,0 +1,245 @@
+package org.martenwell.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.martenwell.exchange.CallerExchange;
+import org.martenwell.message.PeerMessage;
+import org.martenwell.peer.HeaderField;
+import org.martenwell.peer.OffloadedRequest;
+import org.martenwell.peer.OffloadedRequestCancelled;
+import org.martenwell.peer.OffloadedResponse;
+import org.martenwell.peer.OffloadedResponseReceived;
+import org.martenwell.peer.ResponsePart;
+import org.martenwell.peer.ResponsePartKind;
+
+/**
+ * Guards against responses of other gateways that are lost, changed or told wrongly to the caller,
+ * and against requests that run twice or count as active for ever.
+ */
+final class RequestOffloaderTest {
+
+    private static final int BLOCK_BYTES = 1 << 15;
+
+    private final OffloadFixture fixture = new OffloadFixture();
+
+    private final OffloadFixture.Channel caller = new OffloadFixture.Channel();
+
+    /** The requests that are handled here, as the numbers of their attempts elsewhere. */
+    private final List<Integer> local = new ArrayList<>();
+
+    private final RequestOffloader offloader = offloader(fixture);
+
+    private final CallerExchange exchange = fixture.exchange(caller, "body", 40);
+
+    private RequestOffloader offloader(OffloadFixture of) {
+        return new RequestOffloader(
+                of.core(),
+                OffloadFixture.SELF,
+                of.targets(),
+                of.links(),
+                (each, attempts) -> local.add(attempts));
+    }
+
+    @Test
+    void testRequestIsSentAsItArrived() {
+        OffloadedRequest request = offload();
+        assertThat(request.sender()).isEqualTo(OffloadFixture.SELF);
+        assertThat(request.configurationVersion()).isEqualTo(1);
+        assertThat(request.heldMillis()).isEqualTo(40);
+        assertThat(request.method()).isEqualTo("POST");
+        assertThat(request.target()).isEqualTo("/path?query");
+        assertThat(request.headers())
+                .containsExactly(
+                        new HeaderField("a", "1"),
+                        new HeaderField("b", "2"),
+                        new HeaderField("A", "3"));
+        assertThat(request.body()).isEqualTo(bytes("body"));
+        assertThat(fixture.core().activeRequests()).isEqualTo(1);
+    }
+
+    @Test
+    void testRequestIsHandledHereWithoutAGatewayThatCanTakeIt() {
+        fixture.links().hasRoom(false);
+        assertThat(offloader.offload(exchange)).isFalse();
+        fixture.links().hasRoom(true);
+        fixture.targets().chooseNobody();
+        assertThat(offloader.offload(exchange)).isFalse();
+        assertThat(fixture.links().takeSent()).isEmpty();
+    }
+
+    @Test
+    void testLargeRequestIsHandledHere() {
+        String large = "x".repeat(RequestOffloader.MAX_BODY_BYTES + 1);
+        assertThat(offloader.offload(fixture.exchange(caller, large, 0))).isFalse();
+    }
+
+    @Test
+    void testNothingIsOffloadedUnlessTheFeatureIsEnabled() {
+        OffloadFixture disabled = new OffloadFixture(Set.of());
+        assertThat(offloader(disabled).offload(disabled.exchange(caller, "", 0))).isFalse();
+    }
+
+    @Test
+    void testStreamIsPassedOnInOrder() {
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("one ")));
+        receive(ResponsePart.body(id, bytes("two ")), ResponsePart.body(id, bytes("three ")));
+        assertThat(fixture.core().activeRequests()).isEqualTo(1);
+        receive(ResponsePart.of(id, ResponsePartKind.END));
+        assertThat(caller.text()).isEqualTo("head 200 CHUNKEDone two three end");
+        assertThat(fixture.core().activeRequests()).isZero();
+        assertThat(fixture.links().takeSent()).isEmpty();
+    }
+
+    @Test
+    void testWholeResponseIsPassedOn() {
+        long id = offload().id();
+        receive(
+                new ResponsePart(
+                        id,
+                        ResponsePartKind.WHOLE,
+                        201,
+                        List.of(new HeaderField("x", "y")),
+                        bytes("text")));
+        assertThat(caller.events()).containsExactly("whole 201 [x=y] text");
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    /** The caller is told the length, which is known only once all pieces have arrived. */
+    @Test
+    void testLargeWholeResponseIsKeptUntilItIsComplete() {
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.LENGTH_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("one ")));
+        assertThat(caller.events()).isEmpty();
+        receive(ResponsePart.body(id, bytes("two")), ResponsePart.of(id, ResponsePartKind.END));
+        assertThat(caller.events()).containsExactly("whole 200 [] one two");
+        assertThat(fixture.core().responseMemory().usedBytes()).isZero();
+    }
+
+    @Test
+    void testRejectedRequestIsHandledHereAsNew() {
+        receive(ResponsePart.of(offload().id(), ResponsePartKind.REJECTED));
+        assertThat(local).containsExactly(0);
+        assertThat(fixture.targets().events()).containsExactly("rejected peer");
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    @Test
+    void testOtherGatewayLearnsThatTheCallerLeft() {
+        long id = offload().id();
+        exchange.callerDisconnected();
+        assertThat(fixture.links().takeSent())
+                .containsExactly(new OffloadedRequestCancelled(OffloadFixture.SELF, id));
+        receive(ResponsePart.of(id, ResponsePartKind.REJECTED));
+        assertThat(local).isEmpty();
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    @Test
+    void testLossBeforeTheHeadCountsTheAttemptsOfTheOtherGateway() {
+        offload();
+        offloader.peerLost("another");
+        assertThat(local).isEmpty();
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(local).containsExactly(1);
+        assertThat(fixture.targets().events()).containsExactly("failed peer");
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    /** Guards against a request that is sent to more targets than its route permits. */
+    @Test
+    void testRetriesOfTheOtherGatewayCount() {
+        receive(ResponsePart.of(offload().id(), ResponsePartKind.SENT_AGAIN, 2));
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(local).containsExactly(2);
+    }
+
+    @Test
+    void testLossBehindTheHeadBreaksTheResponse() {
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("one")));
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(caller.events()).endsWith("one", "aborted");
+        receive(ResponsePart.body(id, bytes("two")));
+        assertThat(caller.events()).endsWith("one", "aborted");
+        assertThat(local).isEmpty();
+    }
+
+    @Test
+    void testBrokenResponseBreaksThatOfTheCaller() {
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.of(id, ResponsePartKind.BROKEN));
+        assertThat(caller.events()).endsWith("aborted");
+    }
+
+    @Test
+    void testPartsOfUnknownRequestsAndOtherSendersAreIgnored() {
+        long id = offload().id();
+        receive(ResponsePart.of(id + 1, ResponsePartKind.REJECTED));
+        offloader.receive(
+                new OffloadedResponse(
+                        "another", List.of(ResponsePart.of(id, ResponsePartKind.REJECTED))));
+        assertThat(local).isEmpty();
+        assertThat(fixture.core().activeRequests()).isEqualTo(1);
+    }
+
+    /** Guards against a message for each event, which costs the busy gateway its time. */
+    @Test
+    void testProgressIsReportedOnlyNowAndThen() {
+        long id = offload().id();
+        receive(ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()));
+        String block = "x".repeat(BLOCK_BYTES);
+        receive(ResponsePart.body(id, bytes(block)));
+        assertThat(fixture.links().takeSent()).isEmpty();
+        receive(ResponsePart.body(id, bytes(block)));
+        assertThat(fixture.links().takeSent()).containsExactly(progress(id, 2 * BLOCK_BYTES));
+    }
+
+    @Test
+    void testProgressOfASlowCallerIsReportedOnceItReads() {
+        long id = offload().id();
+        receive(ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()));
+        caller.unwrittenBytes(4 * BLOCK_BYTES);
+        for (int count = 0; count < 4; count++) {
+            receive(ResponsePart.body(id, bytes("x".repeat(BLOCK_BYTES))));
+        }
+        fixture.pass(1_000);
+        assertThat(fixture.links().takeSent()).isEmpty();
+        caller.unwrittenBytes(BLOCK_BYTES);
+        fixture.pass(1_000);
+        assertThat(fixture.links().takeSent()).containsExactly(progress(id, 3 * BLOCK_BYTES));
+    }
+
+    private OffloadedRequest offload() {
+        assertThat(offloader.offload(exchange)).isTrue();
+        List<PeerMessage> sent = fixture.links().takeSent();
+        assertThat(sent).hasSize(1);
+        return (OffloadedRequest) sent.get(0);
+    }
+
+    private void receive(ResponsePart... parts) {
+        offloader.receive(new OffloadedResponse(OffloadFixture.PEER, List.of(parts)));
+    }
+
+    private static PeerMessage progress(long id, long bytes) {
+        return new OffloadedResponseReceived(OffloadFixture.SELF, id, bytes);
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8)).asReadOnlyBuffer();
+    }
+}
