Merge the mechanics of offloading requests

Connects them with the decision, which also decides whether requests of peers are accepted. Before the first sample of the processor time a gateway offers nothing but accepts what it gets.

--- a/src/main/java/org/martenwell/gateway/OffloadDecision.java
+++ b/src/main/java/org/martenwell/gateway/OffloadDecision.java
@@ -8,7 +8,7 @@
 import org.martenwell.offload.SpareTime;
 
 /** Decides on each request whether a peer is to handle it, and on each request of a peer. */
-final class OffloadDecision {
+final class OffloadDecision implements OffloadTargets {
 
     private final OffloadController controller;
 
@@ -51,7 +51,8 @@
      * @param now The current time, in milliseconds.
      * @return The peer's name, or empty if this gateway is to handle the request.
      */
-    Optional<String> choose(double workMillis, long now) {
+    @Override
+    public Optional<String> choose(double workMillis, long now) {
         return random.getAsDouble() < controller.fraction()
                 ? peers.choose(random.getAsDouble(), workMillis, now)
                 : Optional.empty();
@@ -63,7 +64,8 @@
      * @param peer The peer's name.
      * @param now The current time, in milliseconds.
      */
-    void rejected(String peer, long now) {
+    @Override
+    public void rejected(String peer, long now) {
         peers.rejected(peer, now);
     }
 
@@ -73,7 +75,8 @@
      * @param peer The peer's name.
      * @param now The current time, in milliseconds.
      */
-    void failed(String peer, long now) {
+    @Override
+    public void failed(String peer, long now) {
         peers.failed(peer, now);
     }
 
--- a/src/main/java/org/martenwell/offload/SpareTime.java
+++ b/src/main/java/org/martenwell/offload/SpareTime.java
@@ -42,7 +42,7 @@
      */
     public int millis(boolean refusing) {
         double spare = (OFFERED_USE - controller.meanUse()) * processors * MILLIS_PER_SECOND;
-        return accepts(refusing) ? (int) Math.max(0, spare) : 0;
+        return controller.measured() && accepts(refusing) ? (int) Math.max(0, spare) : 0;
     }
 
     /**
@@ -55,7 +55,6 @@
     public boolean accepts(boolean refusing) {
         return !stopping
                 && !refusing
-                && controller.measured()
                 && controller.fraction() == 0
                 && controller.meanUse() < OffloadController.AIMED_USE;
     }
