Let the choice of gateways decide whether requests of peers are accepted

The condition is now part of OffloadTargets, which tests replace; gateways use the same decision as before.

--- a/src/main/java/org/martenwell/gateway/OffloadDecision.java
+++ b/src/main/java/org/martenwell/gateway/OffloadDecision.java
@@ -80,8 +80,8 @@
         peers.failed(peer, now);
     }
 
-    /** {@return {@code true} if a request of a peer is handled, {@code false} if it is rejected} */
-    boolean acceptsOffloaded() {
+    @Override
+    public boolean acceptsOffloaded() {
         return spare.accepts(refusing.getAsBoolean());
     }
 }
--- a/src/main/java/org/martenwell/gateway/OffloadExchange.java
+++ b/src/main/java/org/martenwell/gateway/OffloadExchange.java
@@ -37,6 +37,7 @@
         this.received =
                 new OffloadedRequests(
                         core, name, links, exchange -> new RequestDispatch(core, exchange).start());
+        received.acceptWhile(targets::acceptsOffloaded);
     }
 
     /** Offloads and accepts no more requests; those in progress continue. */
--- a/src/main/java/org/martenwell/gateway/OffloadTargets.java
+++ b/src/main/java/org/martenwell/gateway/OffloadTargets.java
@@ -29,4 +29,13 @@
      * @param now The current time, in milliseconds.
      */
     void failed(String peer, long now);
+
+    /**
+     * Returns whether a request of a peer is handled here.
+     *
+     * @return {@code false} if it is rejected, since this gateway is beyond its own limit.
+     */
+    default boolean acceptsOffloaded() {
+        return true;
+    }
 }
--- a/src/main/java/org/martenwell/gateway/OffloadedRequests.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedRequests.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.martenwell.exchange.Body;
 import org.martenwell.exchange.CallerExchange;
@@ -15,6 +16,7 @@
 import org.martenwell.peer.ResponsePart;
 import org.martenwell.peer.ResponsePartKind;
 import org.martenwell.service.StepGuard;
+import org.martenwell.settings.GatewayFeature;
 
 /**
  * Handles requests that other gateways have offloaded to this one, as if they had arrived here. A
@@ -64,6 +66,9 @@
     private final Map<String, Sender> senders = new HashMap<>();
 
     /** Set once no more requests are accepted. */
+    /** Returns whether this gateway is below its own limit. */
+    private BooleanSupplier acceptance = () -> true;
+
     private boolean closed;
 
     private boolean checkScheduled;
@@ -84,6 +89,15 @@
         this.handler = handler;
     }
 
+    /**
+     * Limits the requests that are accepted.
+     *
+     * @param condition Returns {@code false} while requests are rejected.
+     */
+    void acceptWhile(BooleanSupplier condition) {
+        acceptance = condition;
+    }
+
     /** Rejects all requests from now on; those in progress continue. */
     void close() {
         closed = true;
@@ -125,8 +139,8 @@
 
     private boolean accepts(OffloadedRequest message) {
         return !closed
-                && core.offloading().isPresent()
-                && core.offloading().get().decision().acceptsOffloaded()
+                && core.enables(GatewayFeature.OFFLOAD)
+                && acceptance.getAsBoolean()
                 && core.configurationVersion() == message.configurationVersion()
                 && !core.heap().nearlyFull()
                 && core.loopLag().refusedFraction() <= 0
