Count retries of lost gateways, and let requests that they had admitted pass

A request that may have run can't be refused for overload without breaking the promise of the status. Change: the first attempt is counted again where the request is retried, as the lost gateway's budget is lost with it; requests that may have run are not refused for overload. Broken responses are logged as request-failed with stream_broken. A connection that is no longer required doesn't count as lost at the other side. Nothing is connected behind a stop.

--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -94,9 +94,25 @@
         metrics.counter("requests_offloaded_rejected").inc();
     }
 
-    /** Counts a request that another gateway didn't complete. */
-    void offloadFailed() {
+    /**
+     * Counts a request that another gateway didn't complete. If its response had begun, nothing
+     * else records it, so that it is recorded as a broken stream.
+     *
+     * @param request Returns the id that the caller gave to the attempt.
+     * @param broken {@code true} if the response had begun.
+     * @param elapsedMillis The time since the request arrived, in milliseconds.
+     */
+    void offloadFailed(Supplier<Optional<String>> request, boolean broken, long elapsedMillis) {
         metrics.counter("requests_offloaded_failed").inc();
+        if (broken) {
+            failed(
+                    request.get().orElse(""),
+                    ErrorKind.STREAM_BROKEN,
+                    "",
+                    "",
+                    new SendHistory(),
+                    elapsedMillis);
+        }
     }
 
     /** Counts a request that another gateway offloaded to this one, which handles it. */
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -219,6 +219,9 @@
 
     /** Opens the connections that the topology and requests require and closes all others. */
     private void connect() {
+        if (stopped) {
+            return;
+        }
         Set<String> reported = topology.requiredPeers(core.now());
         Map<String, String> needed = new HashMap<>(addresses);
         needed.keySet().retainAll(reported);
@@ -319,8 +322,10 @@
     public void peerDisconnected(String peer) {
         if (offload.isPresent()) {
             offload.get().peerLost(peer);
-            // It may not have noticed, as if packets are lost in one direction.
-            network.closeFrom(peer);
+            if (network.requires(peer)) {
+                // It may not have noticed, as if packets are lost in one direction.
+                network.closeFrom(peer);
+            }
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -178,12 +178,7 @@
             }
         }
         dispositionCount.requested(organisation.orElse(""));
-        Optional<RefusalReason> overload =
-                core.overload()
-                        .refusal(
-                                organisation.orElse(""),
-                                metadata.generation().map(GenerationMetadata::cost).orElse(0.0),
-                                core.now());
+        Optional<RefusalReason> overload = overload();
         if (overload.isPresent()) {
             recordRefusedDemand(configuration.get());
             refuse(overload.get(), RetryDelay.ELSEWHERE);
@@ -192,6 +187,19 @@
         accept(configuration.get());
     }
 
+    /** Returns the limit of this gateway that the request exceeds, or empty. */
+    private Optional<RefusalReason> overload() {
+        if (history.mayHaveRun()) {
+            // It was admitted before, and no refusal could promise that it was not run.
+            return Optional.empty();
+        }
+        return core.overload()
+                .refusal(
+                        organisation.orElse(""),
+                        metadata.generation().map(GenerationMetadata::cost).orElse(0.0),
+                        core.now());
+    }
+
     /**
      * Records the demand of a request that is refused before its engine is looked for. The fleet
      * would otherwise lend the share of its organisation to others.
@@ -226,7 +234,7 @@
                         organisation.orElse(""),
                         metadata.generation());
         core.harmful().begin(this);
-        if (history.mayHaveRun() && !(route.repeatable() && mayRetry())) {
+        if (history.mayHaveRun() && !mayRetryHere()) {
             fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
             return;
         }
@@ -789,6 +797,17 @@
                 && core.takeRetry();
     }
 
+    /**
+     * Returns whether a request may be retried whose attempts another gateway made that was lost,
+     * and if so takes the retry from the budget.
+     */
+    private boolean mayRetryHere() {
+        // The budget of the lost gateway, which counted the request, is lost with it. A gateway
+        // that offloads nearly all requests could otherwise retry none.
+        core.countFirstAttempt();
+        return route.repeatable() && mayRetry();
+    }
+
     /** Ends the request, behind the next read if a response to it may have arrived. */
     private void deadlinePassed() {
         if (attempt == null) {
--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -127,9 +127,11 @@
         core.beginRequest();
         exchange.onDisconnect(() -> callerDisconnected(offloaded));
         links.send(peer, message);
-        core.log()
-                .offloaded(
-                        () -> core.dialect().read(request.headers()).requestId(), peer, heldMillis);
+        core.log().offloaded(() -> requestId(exchange), peer, heldMillis);
+    }
+
+    private Optional<String> requestId(CallerExchange exchange) {
+        return core.dialect().read(exchange.request().headers()).requestId();
     }
 
     /**
@@ -247,13 +249,15 @@
 
     /** Ends a request whose response is incomplete, or handles it here if none has begun. */
     private void lost(OffloadedExchange offloaded) {
-        core.log().offloadFailed();
+        CallerExchange exchange = offloaded.exchange();
+        long elapsedMillis = core.now() - exchange.request().arrivedMillis();
+        core.log().offloadFailed(() -> requestId(exchange), exchange.headSent(), elapsedMillis);
         finish(offloaded);
         offloaded.release();
-        if (offloaded.exchange().headSent()) {
-            offloaded.exchange().abort();
+        if (exchange.headSent()) {
+            exchange.abort();
         } else {
-            local.accept(offloaded.exchange(), offloaded.attempts());
+            local.accept(exchange, offloaded.attempts());
         }
     }
 
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -125,6 +125,16 @@
         return connections.containsKey(peer) && connections.get(peer).established();
     }
 
+    /**
+     * Returns whether a peer is in the set of peers.
+     *
+     * @param peer The peer's name.
+     * @return {@code true} if a connection to it is open or is opened.
+     */
+    public boolean requires(String peer) {
+        return connections.containsKey(peer);
+    }
+
     /**
      * Returns the bytes of messages to a peer that are not written yet.
      *
--- a/src/test/java/org/martenwell/peer/PeerNetworkTest.java
+++ b/src/test/java/org/martenwell/peer/PeerNetworkTest.java
@@ -2,11 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.activej.promise.Promise;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.message.PeerMessage;
@@ -21,6 +25,11 @@
     /** The read timeout of the test's socket, in milliseconds. */
     private static final int READ_MILLIS = 30_000;
 
+    /** The messages sent at once, more than a frame can hold. */
+    private static final int LARGE_MESSAGES = 30;
+
+    private static final int LARGE_BYTES = 100_000;
+
     private final EventLoopThread thread = EventLoopThread.start("test-peers");
 
     private final String address = LoopbackPorts.free(1).get(0);
@@ -61,6 +70,109 @@
         }
     }
 
+    /** Guards against a frame that the peer refuses to read for its size. */
+    @Test
+    void testMessagesThatExceedAFrameArriveInOrder() {
+        try (Receiver receiver = new Receiver()) {
+            connectTo(receiver);
+            thread.loop().execute(() -> sendLargeMessages());
+            Conditions.await(() -> receiver.ids().size() == LARGE_MESSAGES);
+            assertThat(receiver.ids()).isSorted();
+        }
+    }
+
+    /** Guards against messages that a process drops when it stops behind its last request. */
+    @Test
+    void testPendingMessagesArriveBeforeTheStop() {
+        try (Receiver receiver = new Receiver()) {
+            connectTo(receiver);
+            thread.call(
+                    () -> {
+                        sendLargeMessages();
+                        return network.stop();
+                    });
+            Conditions.await(() -> receiver.ids().size() == LARGE_MESSAGES);
+        }
+    }
+
+    /** Guards against requests that wait for messages which were lost with a connection. */
+    @Test
+    void testReceiverLearnsWhoseConnectionEnded() {
+        try (Receiver receiver = new Receiver()) {
+            connectTo(receiver);
+            thread.loop().execute(() -> network.send("p", message(1)));
+            Conditions.await(() -> receiver.ids().size() == 1);
+            thread.loop().execute(() -> network.setPeers(Map.of()));
+            Conditions.await(() -> receiver.lost().equals(List.of("sender")));
+        }
+    }
+
+    private void connectTo(Receiver receiver) {
+        thread.loop().execute(() -> network.setPeers(Map.of("p", receiver.address())));
+        Conditions.await(() -> thread.call(() -> Promise.of(network.connected("p"))));
+    }
+
+    private void sendLargeMessages() {
+        for (int id = 0; id < LARGE_MESSAGES; id++) {
+            network.send("p", message(id));
+        }
+    }
+
+    private static PeerMessage message(long id) {
+        ByteBuffer body = ByteBuffer.allocate(LARGE_BYTES).asReadOnlyBuffer();
+        return new OffloadedResponse("sender", List.of(ResponsePart.body(id, body)));
+    }
+
+    /** A network that records what it receives. */
+    private static final class Receiver implements PeerListener, AutoCloseable {
+
+        private final EventLoopThread thread = EventLoopThread.start("test-receiver");
+
+        private final String address = LoopbackPorts.free(1).get(0);
+
+        private final List<Long> ids = new CopyOnWriteArrayList<>();
+
+        private final List<String> lost = new CopyOnWriteArrayList<>();
+
+        private final PeerNetwork network =
+                new PeerNetwork(thread.loop(), address, "key", new Random(1), this);
+
+        Receiver() {
+            thread.call(network::start);
+        }
+
+        String address() {
+            return address;
+        }
+
+        List<Long> ids() {
+            return ids;
+        }
+
+        List<String> lost() {
+            return lost;
+        }
+
+        @Override
+        public void receive(PeerMessage message) {
+            ((OffloadedResponse) message).parts().forEach(each -> ids.add(each.id()));
+        }
+
+        @Override
+        public void peerConnected(String peer) {}
+
+        @Override
+        public void peerDisconnected(String peer) {
+            lost.add(peer);
+        }
+
+        @Override
+        public void close() {
+            thread.call(network::stop);
+            thread.stop();
+        }
+    }
+
     /** Ignores all events. */
     private static final class IgnoringListener implements PeerListener {
 
