Estimate the speed of each engine from samples of all gateways

All engines of a service count as equally fast, so engines that run at 0.55 of the usual speed get as much work as those at 1.2, and requests behind them are late.

TargetLoad holds a TargetSpeed: the upper quartile of the ratios of the expected to the measured time to the first event, of first attempts without backlog, copies or a late loop, decaying over 10 s. EngineChooser divides backlog and prefill by the speed and spreads noise in proportion to it. EngineRouting does the same for the reserve and unreported work. All speeds are 1 without the feature targetSpeeds and while a member knows no notices.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -92,7 +92,7 @@
         for (TargetLoad each : loads) {
             LoadSums sums = each.totalLoad(now);
             if (hasCapacity(each, sums, demand, tier, capacity)
-                    && rate.millis(sums.prefillTokens()) <= maxBacklogMillis) {
+                    && each.prefillMillis(sums.prefillTokens(), rate) <= maxBacklogMillis) {
                 found.add(each);
             }
         }
@@ -127,12 +127,13 @@
         double bestCost = Double.POSITIVE_INFINITY;
         for (TargetLoad each : candidates) {
             LoadSums sums = each.totalLoad(now);
-            double backlog = rate.millis(sums.prefillTokens());
+            double backlog = each.prefillMillis(sums.prefillTokens(), rate);
             Optional<TargetLoad> source =
                     capacity.canCopyCache() ? cacheLookup.copySource(each) : Optional.empty();
             long cached = cacheLookup.cachedTokens(source.orElse(each));
             long prefill = demand.promptTokens() - cached;
-            double prefillMillis = rate.millis(prefill) + (source.isPresent() ? COPY_MILLIS : 0);
+            double prefillMillis =
+                    each.prefillMillis(prefill, rate) + (source.isPresent() ? COPY_MILLIS : 0);
             if (backlog > allowedBacklogMillis(demand, tier, prefillMillis, rate, now)) {
                 continue;
             }
@@ -145,6 +146,7 @@
                                     ? 0
                                     : OTHER_DOMAIN_MILLIS)
                             - (cacheLookup.isPreferred(each) ? affinity : 0)
+                            - unreportedMillis * Math.log(each.speed().factor())
                             + GumbelNoise.sample(unreportedMillis, random);
             if (cost < bestCost) {
                 bestCost = cost;
--- a/src/main/java/org/martenwell/balance/PrefillRate.java
+++ b/src/main/java/org/martenwell/balance/PrefillRate.java
@@ -1,5 +1,7 @@
 package org.martenwell.balance;
 
+import java.util.OptionalDouble;
+
 /**
  * Estimates the prefill rate of a service's engines from the time to the first event of requests
  * that found an engine without a backlog.
@@ -24,6 +26,9 @@
     /** The weight of a new sample in the moving averages. */
     private static final double SMOOTHING = 0.05;
 
+    /** The smallest prefill that is a sample of an engine's speed, relative to the base time. */
+    private static final double MIN_SPEED_SAMPLE_FRACTION = 0.25;
+
     /** The lower bound of the rate, in tokens per millisecond. */
     private static final double MIN_RATE = 5;
 
@@ -69,6 +74,24 @@
         return tokens / rate;
     }
 
+    /**
+     * Compares the time to the first event of a request with the estimate.
+     *
+     * @param request The request.
+     * @param firstEventMillis The time from sending the request to its first event, in
+     *     milliseconds.
+     * @return The speed of its engine relative to the estimate, unlimited; empty if the engine had
+     *     a backlog or the prefill was too short.
+     */
+    public OptionalDouble speed(RunningRequest request, long firstEventMillis) {
+        double prefillMillis = millis(request.prefillTokens());
+        if (request.backlogMillis() > MAX_BACKLOG_MILLIS
+                || prefillMillis < MIN_SPEED_SAMPLE_FRACTION * baseMillis) {
+            return OptionalDouble.empty();
+        }
+        return OptionalDouble.of((baseMillis + prefillMillis) / Math.max(1, firstEventMillis));
+    }
+
     /** {@return the estimated time to the first event of an empty prompt, in milliseconds} */
     public double baseMillis() {
         return baseMillis;
--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -52,6 +52,8 @@
 
     private final WarmUp warmUp = new WarmUp();
 
+    private final TargetSpeed speed = new TargetSpeed();
+
     /**
      * The load reported by a peer.
      *
@@ -120,6 +122,22 @@
         return warmUp;
     }
 
+    /** {@return the speed of the target relative to the others of its service} */
+    public TargetSpeed speed() {
+        return speed;
+    }
+
+    /**
+     * Estimates the time that the target takes for a prefill.
+     *
+     * @param tokens The size of the prefill, in tokens.
+     * @param rate The prefill rate of the service's targets.
+     * @return The time in milliseconds.
+     */
+    public double prefillMillis(long tokens, PrefillRate rate) {
+        return rate.millis(tokens) / speed.factor();
+    }
+
     /**
      * Records a request that was sent to the target.
      *
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.EngineDemand;
@@ -24,6 +25,12 @@
     /** The fraction of the route's latency objective for which a request may wait for capacity. */
     private static final double MAX_WAIT_FRACTION = 0.2;
 
+    /**
+     * The mean lag of the event loop above which the time to the first event is no sample of an
+     * engine's speed, in milliseconds. It is small against the shortest prefill that is one.
+     */
+    private static final double MAX_SAMPLE_LAG_MILLIS = 5;
+
     private final GatewayCore core;
 
     private final EngineDemand demand;
@@ -38,6 +45,12 @@
     /** The cache entries assumed by the current attempt, until its response begins. */
     private Optional<AssumedCacheEntries> assumedEntries = Optional.empty();
 
+    /** Set once the request was sent to an engine. */
+    private boolean sent;
+
+    /** The attempt whose response is a sample of its engine's speed, empty if it is none. */
+    private Optional<SampledAttempt> sampledAttempt = Optional.empty();
+
     /** The charge for the request to its organisation's share, empty if there is none. */
     private Optional<ShareCharge> charge = Optional.empty();
 
@@ -49,6 +62,15 @@
      */
     private record ShareCharge(ShareTier tier, long sentMillis) {}
 
+    /**
+     * An attempt whose response is a sample of its engine's speed.
+     *
+     * @param load The engine.
+     * @param omittedMillis The total time for which the event loop had been late when the request
+     *     was sent, in milliseconds.
+     */
+    private record SampledAttempt(TargetLoad load, long omittedMillis) {}
+
     /**
      * Outcome of a routing decision. Without a choice and a refusal, the request waits.
      *
@@ -135,6 +157,7 @@
      * @return The decision.
      */
     Decision decide(List<TargetLoad> available, int attempts, Route route) {
+        core.targetSpeeds().ifPresent(TargetSpeeds::update);
         long now = core.now();
         ShareUse use = shareUse();
         tier = use.tier();
@@ -244,13 +267,21 @@
             core.shares().sent(demand.organisation(), demand.cost(), tier, core.now());
             charge = Optional.of(new ShareCharge(tier, core.now()));
         }
-        double prefillMillis = core.targets().rate(service).millis(choice.prefillTokens());
+        double prefillMillis =
+                choice.load().prefillMillis(choice.prefillTokens(), core.targets().rate(service));
         core.unreportedWork()
                 .sent(EngineChooser.workMillis(prefillMillis, capacity.slots()), core.now());
         if (first && tier == ShareTier.PROMISED) {
             core.reserve().sent(prefillMillis, demand.cost());
         }
         assumedEntries = Optional.of(AssumedCacheEntries.add(core, choice.load(), demand.chain()));
+        // A copy between engines, or an earlier attempt, changes what the engine has to compute.
+        sampledAttempt =
+                sent || choice.copyFrom().isPresent()
+                        ? Optional.empty()
+                        : Optional.of(
+                                new SampledAttempt(choice.load(), core.clock().omittedMillis()));
+        sent = true;
     }
 
     /**
@@ -280,7 +311,7 @@
 
     /**
      * Records that the first event of the response arrived. This confirms the assumed cache entries
-     * and is a sample of the prefill rate.
+     * and is a sample of the prefill rate, and of the engine's speed if the attempt is the first.
      *
      * @param running The request as it runs at its engine.
      * @param elapsedMillis The time since it was sent, without delays of the event loop, in
@@ -288,7 +319,21 @@
      */
     void recordResponseStart(RunningRequest running, long elapsedMillis) {
         assumedEntries = Optional.empty();
-        core.targets().rate(service).observe(running, elapsedMillis);
+        PrefillRate rate = core.targets().rate(service);
+        core.targetSpeeds()
+                .ifPresent(speeds -> observeSpeed(speeds, rate.speed(running, elapsedMillis)));
+        rate.observe(running, elapsedMillis);
+    }
+
+    /** Records a sample of the engine's speed, unless the event loop was late. */
+    private void observeSpeed(TargetSpeeds speeds, OptionalDouble ratio) {
+        boolean late = core.loopLag().meanMillis() > MAX_SAMPLE_LAG_MILLIS;
+        if (ratio.isPresent() && !late) {
+            sampledAttempt
+                    .filter(each -> each.omittedMillis() == core.clock().omittedMillis())
+                    .ifPresent(each -> speeds.observe(each.load(), ratio.getAsDouble()));
+        }
+        sampledAttempt = Optional.empty();
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -127,6 +127,9 @@
 
     private final Set<GatewayFeature> features;
 
+    /** The speeds of engines, empty if they are not estimated. */
+    private final Optional<TargetSpeeds> targetSpeeds;
+
     /** Bounds the memory of responses that are not complete. */
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
 
@@ -175,6 +178,11 @@
         log.metrics().registerGauge("configuration_version", this::configurationVersion);
         log.metrics().registerGauge("service_time_millis", this::maxServiceMillis);
         log.metrics().registerGauge("prefill_nanos_per_token", targets::maxPrefillNanosPerToken);
+        this.targetSpeeds =
+                enables(GatewayFeature.TARGET_SPEEDS)
+                        ? Optional.of(new TargetSpeeds(reactor, targets, capacities))
+                        : Optional.empty();
+        targetSpeeds.ifPresent(this::registerSpeedGauges);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain(), random);
@@ -203,6 +211,11 @@
                         random);
     }
 
+    private void registerSpeedGauges(TargetSpeeds speeds) {
+        log.metrics().registerGauge("slowest_target_speed", speeds::slowestThousandths);
+        log.metrics().registerGauge("fastest_target_speed", speeds::fastestThousandths);
+    }
+
     /**
      * Activates a configuration.
      *
@@ -247,6 +260,11 @@
         return capacities;
     }
 
+    /** {@return the speeds of engines, empty if they are not estimated} */
+    Optional<TargetSpeeds> targetSpeeds() {
+        return targetSpeeds;
+    }
+
     /** {@return the event loop} */
     NioReactor reactor() {
         return reactor;
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -152,14 +152,19 @@
         metrics.counter("requests_sent").inc();
         metrics.counter("requests_sent_" + use.tier().name().toLowerCase(Locale.ROOT)).inc();
         if (mayWrite()) {
-            write(
+            LogEvent event =
                     sentEvent(request, choice.load().target(), attempt, timing)
                             .with("organisation", organisation)
                             .with("tier", use.tier())
                             .with("promisedUse", use.promised())
                             .with("unreadTokens", choice.prefillTokens())
                             .with("backlogMillis", Math.round(choice.backlogMillis()))
-                            .with("copy", choice.copyFrom().isPresent()));
+                            .with("copy", choice.copyFrom().isPresent());
+            double speed = choice.load().speed().factor();
+            if (speed != 1) {
+                event.with("speed", speed);
+            }
+            write(event);
         }
     }
 
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -168,15 +168,67 @@
         assertThat(choose(large, ShareTier.PROMISED)).isEmpty();
     }
 
+    /** Guards against slow engines that get as long prompts as fast ones. */
+    @Test
+    void testPromptOfASlowEngineGoesToAFasterOne() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        TargetLoad preferred = choose(ShareTier.PROMISED).orElseThrow().load();
+        preferred.speed().factor(0.4);
+        assertThat(choose(ShareTier.PROMISED).orElseThrow().load()).isNotSameAs(preferred);
+        preferred.speed().factor(1);
+        assertThat(choose(ShareTier.PROMISED).orElseThrow().load()).isSameAs(preferred);
+    }
+
+    /** Guards against waiting for a slow engine as if it were a fast one, and the reverse. */
+    @Test
+    void testBacklogIsRelativeToTheSpeed() {
+        add("one", "domain-a");
+        TargetLoad load = loads.get(0);
+        EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
+        load.sent(new RunningRequest(16_000, 0, 0, 0));
+        assertThat(choose(small, ShareTier.PROMISED).orElseThrow().backlogMillis()).isEqualTo(200);
+        load.speed().factor(0.5);
+        assertThat(choose(small, ShareTier.PROMISED)).isEmpty();
+        load.sent(new RunningRequest(10_000, 0, 0, 0));
+        load.speed().factor(1);
+        assertThat(choose(small, ShareTier.PROMISED)).isEmpty();
+        load.speed().factor(1.3);
+        assertThat(choose(small, ShareTier.PROMISED).orElseThrow().backlogMillis()).isEqualTo(250);
+    }
+
+    /** Guards against noise that spreads requests evenly over engines of different speeds. */
+    @Test
+    void testNoiseSpreadsRequestsInProportionToSpeeds() {
+        add("one", "domain-a");
+        add("two", "domain-a");
+        loads.get(0).speed().factor(0.5);
+        EngineDemand empty = new EngineDemand("o", PromptChain.EMPTY, 0, 10, 400, 0);
+        int slow = 0;
+        for (int request = 0; request < 3_000; request++) {
+            slow +=
+                    choose(empty, ShareTier.PROMISED, 1_000).orElseThrow().load() == loads.get(0)
+                            ? 1
+                            : 0;
+        }
+        assertThat(slow).isBetween(900, 1_100);
+    }
+
     private Optional<EngineChoice> choose(ShareTier tier) {
         EngineDemand demand = new EngineDemand("o", chain(), 5_500, 100, 400, 0);
         return choose(demand, tier);
     }
 
     private Optional<EngineChoice> choose(EngineDemand demand, ShareTier tier) {
+        return choose(demand, tier, 0);
+    }
+
+    private Optional<EngineChoice> choose(
+            EngineDemand demand, ShareTier tier, double unreportedMillis) {
         List<TargetLoad> candidates = chooser.withCapacity(demand, tier, loads, CAPACITY, rate, 0);
         PromptCacheLookup cacheLookup = PromptCacheLookup.of(demand.chain(), loads, draining);
-        return chooser.choose(demand, tier, candidates, cacheLookup, CAPACITY, rate, 0, 0);
+        return chooser.choose(
+                demand, tier, candidates, cacheLookup, CAPACITY, rate, unreportedMillis, 0);
     }
 
     private static PromptChain chain() {
