--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -25,7 +25,7 @@
 
     private GatewayCores() {}
 
-    /** Creates a core without a configuration and without targets. */
+    /** Creates a core without a configuration, targets and optional features. */
     static GatewayCore of(NioReactor loop) {
         return of(loop, Set.of());
     }
