--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -112,7 +112,8 @@
                     "",
                     "",
                     new SendHistory(),
-                    elapsedMillis);
+                    elapsedMillis,
+                    Optional.empty());
         }
     }
 
