Let requests wait for an engine by forecast

A request that finds all engines full is refused after a fifth of its objective at any load, although a place may become free in time, and is told to retry in 0.4 to 0.8 s, after which it is mostly late. Each waiting request looks at all engines every 5 to 25 ms.

With the feature waitForecast it waits up to 0.85 of its objective, if a place is forecast by the rate at which this gateway obtained places in the last second, with an allowance of a quarter; else it is refused on arrival, while its retry can still be in time. Once it waits the forecast doesn't end that: its retry would be later than any place. Places are offered to the organisation with the least use, then to the earliest latest time. A pass over the queue looks at the engines only for requests that need less than one that found none, at most eight in vain, and computes the use of shares once for each organisation. A queue holds at most 512 requests. Without the feature nothing changes.

EngineWaitTest 3, EngineRoutingTest 9, ForecastQueueTest 10, WaitForecastTest 10, WaitSimulationTest 4 (2.0 s for all four, beside other runs), ArchitectureTest 7, EngineReserveShareTest 1: passed. Not run on gateways with callers.

--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -3,11 +3,15 @@
 import io.activej.reactor.nio.NioReactor;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.martenwell.admission.ForecastQueue;
 
 /**
  * Requests that wait for capacity at an engine. They are retried periodically, those of the
- * organisations that have used the least of their fair share first.
+ * organisations that have used the least of their fair share first. If requests wait by forecast,
+ * {@link ForecastQueue} determines their order.
  */
 final class EngineQueue {
 
@@ -24,6 +28,9 @@
     /** The waiting requests in the order of their arrival. */
     private final List<RequestDispatch> waiting = new ArrayList<>();
 
+    /** The requests that wait by forecast, by service. */
+    private final Map<String, ForecastQueue<RequestDispatch>> forecastQueues = new HashMap<>();
+
     private boolean retryScheduled;
 
     /**
@@ -35,6 +42,16 @@
         this.reactor = reactor;
     }
 
+    /**
+     * Returns the requests to a service that wait by forecast.
+     *
+     * @param service The name of the service.
+     * @return The queue of the service.
+     */
+    ForecastQueue<RequestDispatch> forecastQueue(String service) {
+        return forecastQueues.computeIfAbsent(service, name -> new ForecastQueue<>());
+    }
+
     /**
      * Adds a request and schedules its retry.
      *
@@ -45,6 +62,17 @@
         scheduleRetry();
     }
 
+    /**
+     * Adds a request that waits by forecast and schedules its retry.
+     *
+     * @param request The request.
+     * @param wait Its place in the order.
+     */
+    void add(RequestDispatch request, EngineWait wait) {
+        wait.add(request, reactor.currentTimeMillis());
+        scheduleRetry();
+    }
+
     /**
      * Removes a request, if it waits.
      *
@@ -52,6 +80,7 @@
      */
     void remove(RequestDispatch request) {
         waiting.remove(request);
+        forecastQueues.values().forEach(each -> each.remove(request, reactor.currentTimeMillis()));
     }
 
     /**
@@ -60,7 +89,7 @@
      * @return {@code true} if no request waits.
      */
     boolean isEmpty() {
-        return waiting.isEmpty();
+        return size() == 0;
     }
 
     /**
@@ -69,11 +98,12 @@
      * @return The number of waiting requests.
      */
     int size() {
-        return waiting.size();
+        return waiting.size()
+                + forecastQueues.values().stream().mapToInt(ForecastQueue::size).sum();
     }
 
     private void scheduleRetry() {
-        if (!retryScheduled && !waiting.isEmpty()) {
+        if (!retryScheduled && !isEmpty()) {
             retryScheduled = true;
             reactor.delayBackground(retryMillis(), this::retryAll);
         }
@@ -81,14 +111,16 @@
 
     /** Returns the retry interval, which grows with the queue to bound the processor time. */
     private long retryMillis() {
-        return Math.min(
-                MAX_RETRY_MILLIS, MIN_RETRY_MILLIS + waiting.size() / REQUESTS_PER_EXTRA_MILLI);
+        return Math.min(MAX_RETRY_MILLIS, MIN_RETRY_MILLIS + size() / REQUESTS_PER_EXTRA_MILLI);
     }
 
     private void retryAll() {
         retryScheduled = false;
         try {
             retryInOrder();
+            for (ForecastQueue<RequestDispatch> each : forecastQueues.values()) {
+                each.offerPlaces(reactor.currentTimeMillis());
+            }
         } finally {
             scheduleRetry();
         }
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.martenwell.admission.WaitRank;
+import org.martenwell.admission.WaitRefusal;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.EngineDemand;
@@ -14,6 +16,7 @@
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.Route;
 import org.martenwell.route.ServiceConfiguration;
+import org.martenwell.settings.GatewayFeature;
 import org.martenwell.share.RefusalReason;
 import org.martenwell.share.ShareTier;
 import org.martenwell.share.ShareUse;
@@ -32,6 +35,12 @@
 
     private final String service;
 
+    /** The waiting by forecast, empty if the feature is off. */
+    private final Optional<EngineWait> wait;
+
+    /** Set if all engines of the service are available to the request. */
+    private boolean seesAllEngines = true;
+
     /** The share tier of the request at the last decision. */
     private ShareTier tier = ShareTier.PROMISED;
 
@@ -55,11 +64,28 @@
      * @param choice The engine to send the request to, or empty.
      * @param refusal The reason for which the request is refused, or empty.
      * @param use The use that the organisation has made of its fair shares.
+     * @param forecast The forecast by which the request is refused, empty if that is not the cause.
      */
-    record Decision(Optional<EngineChoice> choice, Optional<RefusalReason> refusal, ShareUse use) {}
+    record Decision(
+            Optional<EngineChoice> choice,
+            Optional<RefusalReason> refusal,
+            ShareUse use,
+            Optional<WaitRefusal> forecast) {
+
+        /**
+         * Creates a decision without a forecast.
+         *
+         * @param choice The engine to send the request to, or empty.
+         * @param refusal The reason for which the request is refused, or empty.
+         * @param use The use that the organisation has made of its fair shares.
+         */
+        Decision(Optional<EngineChoice> choice, Optional<RefusalReason> refusal, ShareUse use) {
+            this(choice, refusal, use, Optional.empty());
+        }
+    }
 
     /**
-     * Creates the routing of a request.
+     * Creates the routing of a request that does not wait by forecast.
      *
      * @param core The state that all requests share.
      * @param demand The resources that the request needs.
@@ -67,10 +93,29 @@
      * @param service The name of the engines' service.
      */
     EngineRouting(GatewayCore core, EngineDemand demand, EngineCapacity capacity, String service) {
+        this(core, demand, capacity, service, Optional.empty());
+    }
+
+    /**
+     * Creates the routing of a request.
+     *
+     * @param core The state that all requests share.
+     * @param demand The resources that the request needs.
+     * @param capacity The capacity of each engine.
+     * @param service The name of the engines' service.
+     * @param wait The waiting by forecast, empty if the request waits for a fixed time.
+     */
+    EngineRouting(
+            GatewayCore core,
+            EngineDemand demand,
+            EngineCapacity capacity,
+            String service,
+            Optional<EngineWait> wait) {
         this.core = core;
         this.demand = demand;
         this.capacity = capacity;
         this.service = service;
+        this.wait = wait;
     }
 
     /**
@@ -82,6 +127,7 @@
      * @param organisation The caller's organisation or an empty string.
      * @param route The request's route.
      * @param arrivedMillis The time at which it arrived, in milliseconds.
+     * @param deadlineMillis The time at which it times out, in milliseconds.
      * @return The routing, or empty if the service is plain or the caller stated no prompt.
      */
     static Optional<EngineRouting> of(
@@ -90,7 +136,8 @@
             Optional<GenerationMetadata> generation,
             String organisation,
             Route route,
-            long arrivedMillis) {
+            long arrivedMillis,
+            long deadlineMillis) {
         Optional<EngineCapacity> capacity = service.flatMap(ServiceConfiguration::engine);
         if (capacity.isEmpty() || generation.isEmpty()) {
             return Optional.empty();
@@ -104,7 +151,17 @@
                         prompt.responseTokens(),
                         route.objectiveMillis(),
                         arrivedMillis);
-        return Optional.of(new EngineRouting(core, demand, capacity.get(), service.get().name()));
+        String name = service.get().name();
+        Optional<EngineWait> wait =
+                core.enables(GatewayFeature.WAIT_FORECAST)
+                        ? Optional.of(
+                                EngineWait.of(
+                                        core.queue().forecastQueue(name),
+                                        demand,
+                                        core.targets().rate(name),
+                                        deadlineMillis))
+                        : Optional.empty();
+        return Optional.of(new EngineRouting(core, demand, capacity.get(), name, wait));
     }
 
     /** Records the organisation's demand and the prompt parts that the request may share. */
@@ -125,6 +182,29 @@
                 .use(demand.organisation(), demand.cost(), core.windowTokens(), core.now());
     }
 
+    /**
+     * Returns the rank of the request in the queue.
+     *
+     * @return The rank by the present use of its organisation's shares.
+     */
+    WaitRank waitRank() {
+        return EngineWait.rank(shareUse());
+    }
+
+    /** {@return the waiting by forecast, empty if the request waits for a fixed time} */
+    Optional<EngineWait> waiting() {
+        return wait;
+    }
+
+    /**
+     * Sets whether the next decision is given all engines of the service.
+     *
+     * @param all {@code false} if the request may not use some, such as those that it tried.
+     */
+    void seesAllEngines(boolean all) {
+        seesAllEngines = all;
+    }
+
     /**
      * Decides whether the request is sent, waits or is refused. A request that was attempted before
      * neither waits nor is refused: it goes to the least loaded engine if none has capacity.
@@ -142,8 +222,11 @@
             return new Decision(Optional.empty(), Optional.of(RefusalReason.LEAD), use);
         }
         List<TargetLoad> allowed = allowed(available);
+        boolean skips = attempts == 0 && wait.map(each -> each.skipsSearch(use, now)).orElse(false);
         Optional<EngineChoice> choice =
-                choose(available, allowed, now).or(() -> chooseIdle(available, now));
+                skips
+                        ? Optional.empty()
+                        : choose(available, allowed, now).or(() -> chooseIdle(available, now));
         if (choice.isPresent()) {
             return new Decision(choice, Optional.empty(), use);
         }
@@ -156,12 +239,28 @@
         if (allowed.isEmpty()) {
             return new Decision(choice, Optional.of(RefusalReason.RESERVE), use);
         }
+        if (wait.isPresent()) {
+            return decideByForecast(wait.get(), skips, use, now);
+        }
         if (now - demand.arrivedMillis() >= MAX_WAIT_FRACTION * route.objectiveMillis()) {
             return new Decision(choice, Optional.of(RefusalReason.ENGINES_FULL), use);
         }
         return new Decision(choice, Optional.empty(), use);
     }
 
+    /** Decides whether a request that found no engine with capacity waits. */
+    private Decision decideByForecast(EngineWait waiting, boolean skipped, ShareUse use, long now) {
+        if (!skipped) {
+            waiting.searchFailed(seesAllEngines, now);
+        }
+        Optional<WaitRefusal> forecast = waiting.decide(now);
+        return new Decision(
+                Optional.empty(),
+                forecast.map(refusal -> RefusalReason.ENGINES_FULL),
+                use,
+                forecast);
+    }
+
     /**
      * Returns the engines that the request may use.
      *
@@ -239,6 +338,7 @@
      * @param choice The chosen engine.
      */
     void recordSent(EngineChoice choice) {
+        wait.ifPresent(each -> each.recordSent(core.now()));
         boolean first = charge.isEmpty();
         if (first) {
             core.shares().sent(demand.organisation(), demand.cost(), tier, core.now());
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.martenwell.admission.WaitRefusal;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.NoticeSource;
 import org.martenwell.directory.DirectoryTarget;
@@ -80,6 +81,8 @@
      * @param organisation The caller's organisation or an empty string.
      * @param history The attempts.
      * @param elapsedMillis The time since the request arrived, in milliseconds.
+     * @param forecast The forecast by which the request was refused, empty if that is not the
+     *     cause.
      */
     void failed(
             String request,
@@ -87,10 +90,11 @@
             String route,
             String organisation,
             SendHistory history,
-            long elapsedMillis) {
+            long elapsedMillis,
+            Optional<WaitRefusal> forecast) {
         metrics.counter("requests_failed_" + kind.code()).inc();
         if (mayWrite()) {
-            write(
+            LogEvent event =
                     LogEvent.of("request-failed")
                             .with("request", request)
                             .with("kind", kind.code())
@@ -98,7 +102,9 @@
                             .with("organisation", organisation)
                             .with("attempts", history.attempts())
                             .with("writtenAtMillis", history.writtenAtMillis())
-                            .with("heldMillis", elapsedMillis));
+                            .with("heldMillis", elapsedMillis);
+            forecast.ifPresent(refusal -> event.with("forecastMillis", refusal.forecastMillis()));
+            write(event);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/LocalResponder.java
+++ b/src/main/java/org/martenwell/gateway/LocalResponder.java
@@ -13,6 +13,9 @@
     /** The upper limit of the random delay that is added to {@code Retry-After}, in seconds. */
     private static final double MAX_JITTER_SECONDS = 2;
 
+    /** The largest part of a forecast delay that is added at random. */
+    private static final double FORECAST_JITTER = 0.25;
+
     private final GatewayCore core;
 
     private final CallerExchange exchange;
@@ -40,9 +43,24 @@
      *     none. The header holds this delay with random jitter added.
      */
     void respond(ErrorKind kind, double retrySeconds) {
+        respond(kind, retrySeconds, Math.min(retrySeconds, MAX_JITTER_SECONDS));
+    }
+
+    /**
+     * Responds to the request with an empty body and the time after which a place is forecast.
+     *
+     * @param kind The error, which determines the status.
+     * @param retrySeconds The delay after which the caller may retry, in seconds. The header holds
+     *     this delay with up to a quarter added, so that refused callers don't return together.
+     */
+    void respondWithForecast(ErrorKind kind, double retrySeconds) {
+        respond(kind, retrySeconds, FORECAST_JITTER * retrySeconds);
+    }
+
+    private void respond(ErrorKind kind, double retrySeconds, double maxJitterSeconds) {
         HttpHeaders headers = core.dialect().localResponse(metadata);
         if (retrySeconds > 0 && kind.retryability() != Retryability.NEVER) {
-            double jitter = Math.min(retrySeconds, MAX_JITTER_SECONDS) * core.random();
+            double jitter = maxJitterSeconds * core.random();
             headers.set(
                     HttpHeaderNames.RETRY_AFTER,
                     String.format(Locale.ROOT, "%.2f", retrySeconds + jitter));
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -7,6 +7,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.martenwell.admission.WaitRank;
+import org.martenwell.admission.WaitRefusal;
+import org.martenwell.admission.WaitingRequest;
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
@@ -32,7 +35,7 @@
  * and responds to the caller. The caller gets a status that promises that the request was not run
  * only if no target can have run it.
  */
-final class RequestDispatch {
+final class RequestDispatch implements WaitingRequest {
 
     /** The time for which a target that reports to be full is suspended, in milliseconds. */
     private static final long FULL_SUSPENSION_MILLIS = 150;
@@ -96,6 +99,9 @@
 
     private final ResponsePace pace = new ResponsePace();
 
+    /** The forecast by which the request was refused, empty if that is not the cause. */
+    private Optional<WaitRefusal> forecast = Optional.empty();
+
     /** The requests at the target of a plain service when this one was sent, including it. */
     private int loadWhenSent;
 
@@ -266,7 +272,8 @@
                         metadata.generation(),
                         organisation.orElse(""),
                         route,
-                        arrivedMillis);
+                        arrivedMillis,
+                        deadlineMillis);
         engines.ifPresent(EngineRouting::recordDemand);
         trySend();
     }
@@ -280,11 +287,34 @@
         return engines.map(EngineRouting::shareUse).orElse(ShareUse.NONE);
     }
 
+    @Override
+    public String organisationName() {
+        return organisation.orElse("");
+    }
+
+    @Override
+    public WaitRank rank() {
+        return engines.map(EngineRouting::waitRank).orElse(EngineWait.rank(ShareUse.NONE));
+    }
+
     /** Tries again to send a request that waits in the queue. */
-    void tryAgain() {
+    @Override
+    public void tryAgain() {
         guard.run(this::trySend);
     }
 
+    @Override
+    public void refuse(WaitRefusal refusal) {
+        guard.run(() -> refuseFull(refusal));
+    }
+
+    /** Refuses a request for which no engine has capacity in time. */
+    private void refuseFull(WaitRefusal refusal) {
+        forecast = Optional.of(refusal);
+        dispositionCount.refused(organisation.orElse(""), RefusalReason.ENGINES_FULL);
+        fail(RefusalReason.ENGINES_FULL.kind(), refusal.retrySeconds());
+    }
+
     /**
      * Returns whether a response belongs to the request.
      *
@@ -313,14 +343,18 @@
         if (available.isEmpty() && !history.triedTargets().isEmpty() && route.repeatable()) {
             available = core.targets().available(selector, Set.of(), now);
         }
+        boolean all = selector.version().isEmpty() && history.triedTargets().isEmpty();
         if (route.resumable() && selector.version().isEmpty()) {
+            int count = available.size();
             available = core.streams().withoutHeldVersions(available);
+            all = all && available.size() == count;
         }
         if (available.isEmpty()) {
             refuseWithoutTarget(now);
         } else if (engines.isEmpty()) {
             sendToPlainService(available, now);
         } else {
+            engines.get().seesAllEngines(all);
             sendToEngine(engines.get(), available);
         }
     }
@@ -359,12 +393,16 @@
         core.queue().remove(this);
         if (decision.choice().isPresent()) {
             sendToChosenEngine(routing, decision.choice().get(), decision.use());
+        } else if (decision.forecast().isPresent()) {
+            refuseFull(decision.forecast().get());
         } else if (decision.refusal().isPresent()) {
             RefusalReason reason = decision.refusal().get();
             boolean share = reason.kind() == ErrorKind.RATE_EXCEEDED;
             refuse(reason, share ? RetryDelay.SHARE : RetryDelay.CAPACITY);
         } else {
-            core.queue().add(this);
+            routing.waiting()
+                    .ifPresentOrElse(
+                            wait -> core.queue().add(this, wait), () -> core.queue().add(this));
         }
     }
 
@@ -855,7 +893,11 @@
         if (resumption.isPresent()) {
             core.log().resumptionFailed(kind);
         }
-        localResponder.respond(kind, retrySeconds);
+        if (forecast.isPresent()) {
+            localResponder.respondWithForecast(kind, retrySeconds);
+        } else {
+            localResponder.respond(kind, retrySeconds);
+        }
         finish();
     }
 
@@ -872,7 +914,8 @@
                         routeName(),
                         organisation.orElse(""),
                         history,
-                        elapsedMillis());
+                        elapsedMillis(),
+                        forecast);
     }
 
     /** Releases the resources of the request. */
--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.martenwell.exchange.ConnectionLimits;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.GatewayConfiguration;
@@ -13,6 +14,7 @@
 import org.martenwell.route.ServiceConfiguration;
 import org.martenwell.route.WarmUpLimit;
 import org.martenwell.route.WeightedService;
+import org.martenwell.settings.GatewayFeature;
 import org.martenwell.settings.GatewaySettings;
 
 /** Factory of gateway cores and configurations for tests without connections. */
@@ -25,10 +27,15 @@
 
     /** Creates a core without a configuration and without targets. */
     static GatewayCore of(NioReactor loop) {
+        return of(loop, Set.of());
+    }
+
+    /** Creates a core with optional features, without a configuration and without targets. */
+    static GatewayCore of(NioReactor loop, Set<GatewayFeature> features) {
         return new GatewayCore(
                 loop,
                 null,
-                settings("self", "x", "127.0.0.1:1"),
+                settings("self", "x", "127.0.0.1:1", features),
                 new Random(1),
                 new GatewayLog(loop));
     }
@@ -72,6 +79,11 @@
 
     /** Creates gateway settings with unused addresses. */
     static GatewaySettings settings(String name, String failureDomain, String peerAddress) {
+        return settings(name, failureDomain, peerAddress, Set.of());
+    }
+
+    private static GatewaySettings settings(
+            String name, String failureDomain, String peerAddress, Set<GatewayFeature> features) {
         return new GatewaySettings(
                 name,
                 failureDomain,
@@ -88,6 +100,6 @@
                 100,
                 10,
                 4,
-                Optional.empty());
+                Optional.of(features));
     }
 }
