--- a/src/test/java/org/martenwell/admission/WaitSimulation.java
+++ b/src/test/java/org/martenwell/admission/WaitSimulation.java
@@ -307,8 +307,7 @@
                             arrival,
                             kind.objectiveMillis,
                             firstArrival + kind.timeoutMillis,
-                            kind.firstEventMillis
-                                    + (Boolean.getBoolean("known") ? arrival - firstArrival : 0),
+                            kind.firstEventMillis,
                             kind.ownTokens + kind.events);
             shares.requested(organisationName(), kind.cost(), now);
             tryAgain();
