Let unused helping gateways give way to others

Cause: four gateways that took requests lately kept any other from helping for 10 s, also once they had no capacity left or were lost. Change: at the limit the least recently used one without requests in progress gives way. A single message as large as a frame queues no empty frame.

--- a/src/main/java/org/martenwell/gateway/DirectPeers.java
+++ b/src/main/java/org/martenwell/gateway/DirectPeers.java
@@ -1,9 +1,11 @@
 package org.martenwell.gateway;
 
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -138,8 +140,7 @@
 
     @Override
     public boolean prepare(String peer) {
-        if (!capable.contains(peer)
-                || (!helpers.containsKey(peer) && helpers.size() >= MAX_HELPERS)) {
+        if (!capable.contains(peer) || !(helpers.containsKey(peer) || hasHelperPlace())) {
             return false;
         }
         boolean added = helpers.put(peer, clock.getAsLong()) == null;
@@ -149,6 +150,22 @@
         return hasRoom(peer);
     }
 
+    /**
+     * Returns whether another gateway may help, for which the one without requests gives way that
+     * was used least recently.
+     */
+    private boolean hasHelperPlace() {
+        if (helpers.size() < MAX_HELPERS) {
+            return true;
+        }
+        Optional<String> unused =
+                helpers.keySet().stream()
+                        .filter(each -> !inUse.test(each))
+                        .min(Comparator.comparing(helpers::get));
+        unused.ifPresent(helpers::remove);
+        return unused.isPresent();
+    }
+
     @Override
     public boolean keep(String peer) {
         if (!addresses.containsKey(peer)) {
--- a/src/main/java/org/martenwell/peer/PeerConnection.java
+++ b/src/main/java/org/martenwell/peer/PeerConnection.java
@@ -285,7 +285,7 @@
             return;
         }
         byte[] encoded = messageWriter.write(message);
-        if (pending.size() + encoded.length > MAX_PAYLOAD_BYTES) {
+        if (pending.size() > 0 && pending.size() + encoded.length > MAX_PAYLOAD_BYTES) {
             fullPayloadBytes += pending.size();
             fullPayloads.add(pending.takeAll());
         }
