--- a/src/main/java/org/martenwell/service/EventLoopThread.java
+++ b/src/main/java/org/martenwell/service/EventLoopThread.java
@@ -1,5 +1,6 @@
 package org.martenwell.service;
 
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
 import java.util.concurrent.ExecutionException;
@@ -14,8 +15,8 @@
 
     private final Thread thread;
 
-    private EventLoopThread(String name) {
-        loop = EventLoops.named(name);
+    private EventLoopThread(String name, Eventloop loop) {
+        this.loop = loop;
         thread = new Thread(loop, name);
         thread.setDaemon(true);
     }
@@ -27,7 +28,22 @@
      * @return The running event loop.
      */
     public static EventLoopThread start(String name) {
-        EventLoopThread thread = new EventLoopThread(name);
+        return start(name, EventLoops.named(name));
+    }
+
+    /**
+     * Starts an event loop with a clock of its own on a new thread.
+     *
+     * @param name The name of the thread.
+     * @param clock The clock of the event loop, called on its thread.
+     * @return The running event loop.
+     */
+    public static EventLoopThread start(String name, CurrentTimeProvider clock) {
+        return start(name, EventLoops.named(name, clock));
+    }
+
+    private static EventLoopThread start(String name, Eventloop loop) {
+        EventLoopThread thread = new EventLoopThread(name, loop);
         thread.loop.keepAlive(true);
         thread.thread.start();
         return thread;
--- a/src/main/java/org/martenwell/service/EventLoops.java
+++ b/src/main/java/org/martenwell/service/EventLoops.java
@@ -1,5 +1,6 @@
 package org.martenwell.service;
 
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.eventloop.Eventloop;
 import io.activej.net.socket.tcp.TcpSocket;
 import java.util.Optional;
@@ -19,8 +20,20 @@
      * @return The event loop.
      */
     public static Eventloop named(String name) {
+        return named(name, CurrentTimeProvider.ofSystem());
+    }
+
+    /**
+     * Creates an event loop with a clock of its own for a thread that is started later.
+     *
+     * @param name The name of the thread.
+     * @param clock The clock, called on that thread.
+     * @return The event loop.
+     */
+    static Eventloop named(String name, CurrentTimeProvider clock) {
         return Eventloop.builder()
                 .withThreadName(name)
+                .withTimeProvider(clock)
                 .withFatalErrorHandler(EventLoops::log)
                 .build();
     }
--- a/src/test/java/org/martenwell/gateway/RelayedSnapshotsTest.java
+++ b/src/test/java/org/martenwell/gateway/RelayedSnapshotsTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -13,6 +14,7 @@
 import org.martenwell.peer.ReportBatches;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantineUpdate;
+import org.martenwell.service.BoundedStepClock;
 import org.martenwell.share.ShareCounts;
 
 /**
@@ -32,7 +34,8 @@
 
     private static final String KNOWN_CRASHES = "targets_ended_under_requests";
 
-    private final ReporterFleet fleet = new ReporterFleet(SIZE, List.of("x", "y"));
+    private final ReporterFleet fleet =
+            new ReporterFleet(SIZE, List.of("x", "y"), new BoundedStepClock());
 
     @AfterEach
     void stop() {
@@ -43,12 +46,17 @@
     void testRelayForwardsWhatAllGatewaysKnowOnlyOnce() {
         fleet.connect();
         String relay = fleet.relayOf("x");
-        await(() -> gauge(relay, "peers_connected") == GATEWAYS_PER_DOMAIN);
-        List<GatewayReport> snapshots =
+        Set<String> relays = Set.of(relay, fleet.relayOf("y"));
+        await(() -> fleet.running().stream().allMatch(each -> connectedAsUsual(each, relays)));
+        List<String> senders =
                 fleet.running().stream()
                         .filter(each -> each.startsWith("x") && !each.equals(relay))
-                        .map(RelayedSnapshotsTest::snapshot)
                         .toList();
+        // A gateway ignores its own report, so the one whose copy is forwarded knows the crashes.
+        fleet.run(
+                () -> senders.forEach(each -> fleet.core(each).harmful().applyUpdates(crashes())));
+        List<GatewayReport> snapshots =
+                senders.stream().map(RelayedSnapshotsTest::snapshot).toList();
         long snapshotBytes =
                 ReportBatches.of(relay, snapshots).encodedReports().remaining() / snapshots.size();
         long sentBefore = gauge(relay, "peer_bytes_sent");
@@ -61,6 +69,12 @@
                 .isLessThan(MAX_COPIES * snapshotBytes * GATEWAYS_PER_DOMAIN);
     }
 
+    /** Returns whether a gateway has the connections that it has while no relay is suspected. */
+    private boolean connectedAsUsual(String gateway, Set<String> relays) {
+        int usual = relays.contains(gateway) ? GATEWAYS_PER_DOMAIN : 1;
+        return gauge(gateway, "peers_connected") == usual;
+    }
+
     private static GatewayReport snapshot(String gateway) {
         return new GatewayReport(
                 gateway, 1, 0, List.of(), ShareCounts.NONE, List.of(), List.of(), crashes());
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -3,6 +3,7 @@
 import static org.martenwell.service.Conditions.await;
 
 import com.codahale.metrics.Gauge;
+import io.activej.common.time.CurrentTimeProvider;
 import io.activej.promise.Promise;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,7 +39,7 @@
     static final Map<String, DirectoryTarget> ALL_TARGETS =
             Map.of("t", target("t"), "u", target("u"), "v", target("v"));
 
-    private final EventLoopThread thread = EventLoopThread.start("test-reports");
+    private final EventLoopThread thread;
 
     private final Map<String, GatewayMember> members = new LinkedHashMap<>();
 
@@ -54,6 +55,12 @@
      * number, and spread evenly over the domains.
      */
     ReporterFleet(int size, List<String> domains) {
+        this(size, domains, CurrentTimeProvider.ofSystem());
+    }
+
+    /** Starts gateways as above, with a clock of their event loop. */
+    ReporterFleet(int size, List<String> domains, CurrentTimeProvider clock) {
+        thread = EventLoopThread.start("test-reports", clock);
         List<String> addresses = LoopbackPorts.free(size);
         for (int index = 0; index < size; index++) {
             String domain = domains.get(index % domains.size());
