Make the preference of open connections a feature

It changed where requests go on all deployments. The test of a target without an idle connection now enables it, and another one guards against a cost while it is off.

--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -173,6 +173,9 @@
                         settings.name(),
                         new TargetEventHandler(
                                 reactor, dialect, harmful, streams, log, Clock.systemUTC()));
+        if (settings.enables(GatewayFeature.REUSE_CONNECTIONS)) {
+            targets.preferIdleConnections();
+        }
         this.shareWindowMillis = settings.shareWindowMillis();
         this.shares = new FairShares(shareWindowMillis);
         log.metrics().registerGauge("tokens_charged", this::chargedTokens);
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -35,6 +35,9 @@
 
     private final TargetTableListener listener;
 
+    /** Set if targets to which a connection has to be opened are avoided. */
+    private boolean prefersIdleConnections;
+
     /**
      * The availability of targets by incarnation, including targets that are not in the directory.
      */
@@ -88,6 +91,11 @@
         this.listener = listener;
     }
 
+    /** Makes choosers prefer targets to which an idle connection is open. */
+    void preferIdleConnections() {
+        prefersIdleConnections = true;
+    }
+
     /**
      * Replaces the targets by those of the directory. A target that restarted is a new one: it has
      * lost its connections, its requests and its prompt cache.
@@ -511,7 +519,7 @@
                         CONNECT_MILLIS,
                         KeepAlive.NONE,
                         head -> listener.responseReceived(load, head));
-        load.idleConnection(connections::hasIdle);
+        load.idleConnection(() -> !prefersIdleConnections || connections.hasIdle());
         return new KnownTarget(load, connections, new CrashCounts());
     }
 
--- a/src/main/java/org/martenwell/settings/GatewayFeature.java
+++ b/src/main/java/org/martenwell/settings/GatewayFeature.java
@@ -10,6 +10,9 @@
     /** Passes requests to peers while the box lacks processor time. */
     OFFLOAD("offload"),
 
+    /** Prefers engines to which a connection is open. */
+    REUSE_CONNECTIONS("reuseConnections"),
+
     /** Estimates the speed of each engine instead of one for all engines of a service. */
     TARGET_SPEEDS("targetSpeeds"),
 
--- a/src/test/java/org/martenwell/gateway/TargetTableTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetTableTest.java
@@ -35,9 +35,16 @@
         table.markDrainingByPeer("one@1", 0);
     }
 
+    /** Guards against a cost of connections where the feature is off. */
+    @Test
+    void testConnectionsAreNotAskedForUnlessEnabled() {
+        assertThat(table.find("two").orElseThrow().load().hasIdleConnection()).isTrue();
+    }
+
     /** Guards against choosers that take each target for one with an open connection. */
     @Test
     void testListedTargetHasNoIdleConnection() {
+        table.preferIdleConnections();
         assertThat(table.find("two").orElseThrow().load().hasIdleConnection()).isFalse();
     }
 
