Simulate prompts in chunks on uneven engines

What short prompts suffer behind long ones could not be measured: simulated engines were equal, and a prompt did not delay the running requests. PlacementSimulation takes a fleet with uneven speeds, chunks of prompts that take turns with tokens, events and a loss of engines; EngineChooser takes a rule for the placement of prompts, which changes nothing yet.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -108,6 +108,7 @@
      * @param cacheLookup The cached parts of the prompt by engine.
      * @param capacity The capacity of each of the service's engines.
      * @param rate The prefill rate of the service's engines.
+     * @param rule The additional cost and limits of placements.
      * @param unreportedMillis The estimated work that peers have sent to each engine since their
      *     last reports, in milliseconds; 0 disables the noise on costs.
      * @param now The current time, in milliseconds.
@@ -120,11 +121,13 @@
             PromptCacheLookup cacheLookup,
             EngineCapacity capacity,
             PrefillRate rate,
+            PlacementRule rule,
             double unreportedMillis,
             long now) {
         double affinity = affinityMillis(demand, cacheLookup, rate);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
+        boolean bestPermitted = false;
         for (TargetLoad each : candidates) {
             LoadSums sums = each.totalLoad(now);
             double backlog = rate.millis(sums.prefillTokens());
@@ -145,9 +148,12 @@
                                     ? 0
                                     : OTHER_DOMAIN_MILLIS)
                             - (cacheLookup.isPreferred(each) ? affinity : 0)
+                            + rule.costMillis(each, prefillMillis, sums.requests(), backlog)
                             + GumbelNoise.sample(unreportedMillis, random);
-            if (cost < bestCost) {
+            boolean permitted = rule.permits(each, prefillMillis, sums.requests(), backlog);
+            if (permitted == bestPermitted ? cost < bestCost : permitted) {
                 bestCost = cost;
+                bestPermitted = permitted;
                 best = new EngineChoice(each, prefill, backlog, source);
             }
         }
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -10,6 +10,7 @@
 import org.martenwell.balance.PromptCacheLookup;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
+import org.martenwell.balance.UnrestrictedPlacement;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.Route;
@@ -214,7 +215,15 @@
                 PromptCacheLookup.of(demand.chain(), allowed, copySources(available, allowed));
         double unreportedWork = core.unreportedWork().perTarget(available.size(), now);
         return chooser.choose(
-                demand, tier, candidates, cacheLookup, capacity, rate, unreportedWork, now);
+                demand,
+                tier,
+                candidates,
+                cacheLookup,
+                capacity,
+                rate,
+                UnrestrictedPlacement.INSTANCE,
+                unreportedWork,
+                now);
     }
 
     /**
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -176,7 +176,16 @@
     private Optional<EngineChoice> choose(EngineDemand demand, ShareTier tier) {
         List<TargetLoad> candidates = chooser.withCapacity(demand, tier, loads, CAPACITY, rate, 0);
         PromptCacheLookup cacheLookup = PromptCacheLookup.of(demand.chain(), loads, draining);
-        return chooser.choose(demand, tier, candidates, cacheLookup, CAPACITY, rate, 0, 0);
+        return chooser.choose(
+                demand,
+                tier,
+                candidates,
+                cacheLookup,
+                CAPACITY,
+                rate,
+                UnrestrictedPlacement.INSTANCE,
+                0,
+                0);
     }
 
     private static PromptChain chain() {
--- a/src/test/java/org/martenwell/balance/PlacementSimulation.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulation.java
@@ -1,10 +1,10 @@
 package org.martenwell.balance;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.prompt.PromptPart;
@@ -21,10 +22,10 @@
 
 /**
  * A discrete-event simulation of the placement by many gateways. It runs the production classes on
- * a simulated clock; reports between gateways are delayed, and engines process prefills one after
- * the other, run a request per slot, queue a limited number and reject the rest.
+ * a simulated clock; reports between gateways are delayed, and engines run a request per slot,
+ * queue a limited number and reject the rest.
  */
-final class PlacementSimulation {
+final class PlacementSimulation implements SimulationClock {
 
     /** The size of the fleet, its load and the delay of reports. */
     record Scenario(
@@ -36,50 +37,24 @@
             long seconds,
             long seed) {}
 
-    /** The numbers of requests by their outcome. */
-    record Outcome(int total, int inTime, int late, int refused, int rejected) {
-
-        double inTimeShare() {
-            return (double) inTime / total;
-        }
-
-        double rejectedShare() {
-            return (double) rejected / Math.max(1, total);
-        }
-    }
-
-    /** A kind of request: its share of all requests, its sizes in tokens and its objective. */
-    private record Kind(
-            double share,
-            int sharedTokens,
-            int prefixCount,
-            int ownPartTokens,
-            int responseTokens,
-            long objectiveMillis) {}
-
-    /** Reports, questions and classifications. */
-    private static final List<Kind> KINDS =
-            List.of(
-                    new Kind(0.25, 4_900, 980, 6_600, 380, 400),
-                    new Kind(0.20, 200, 800, 630, 290, 200),
-                    new Kind(0.55, 570, 1_450, 1_800, 22, 250));
-
-    private static final EngineCapacity CAPACITY = new EngineCapacity(16, 636_749, true);
-
-    /** The length of the queue of an engine. */
-    private static final int MAX_QUEUED = 33;
-
-    /** The prefill rate of engines, in tokens per millisecond. */
-    private static final double PREFILL_RATE = 157;
-
-    /** The time to the first event of an empty prompt, in milliseconds. */
-    private static final double BASE_MILLIS = 26;
-
-    /** The time per generated token at an idle engine, in milliseconds. */
-    private static final double TOKEN_MILLIS = 3.55;
-
-    /** The increase of that time for each running request, in milliseconds. */
-    private static final double TOKEN_MILLIS_PER_SLOT = 0.046;
+    /** Reports, questions and classifications at engines that process prompts whole. */
+    private static final FleetModel EQUAL_ENGINES =
+            new FleetModel(
+                    List.of(
+                            new RequestKind("report", 4_900, 980, 6_600, 0, 380, 400, 0),
+                            new RequestKind("question", 200, 800, 630, 0, 290, 200, 0),
+                            new RequestKind("classification", 570, 1_450, 1_800, 0, 22, 250, 0)),
+                    List.of(new FleetModel.Phase(0, 1, List.of(0.25, 0.20, 0.55))),
+                    new EngineCapacity(16, 636_749, true),
+                    33,
+                    157,
+                    0,
+                    26,
+                    3.55,
+                    0.046,
+                    List.of(1.0),
+                    false,
+                    0);
 
     /** The network time from the caller to the engine and back, in milliseconds. */
     private static final double NETWORK_MILLIS = 15;
@@ -90,8 +65,17 @@
     /** The interval at which a waiting request is placed again, in milliseconds. */
     private static final long RETRY_MILLIS = 10;
 
+    /** The time after which gateways learn that engines are lost, in milliseconds. */
+    private static final double LOSS_NOTICE_MILLIS = 300;
+
     private final Scenario scenario;
 
+    private final FleetModel model;
+
+    private final EngineCapacity capacity;
+
+    private final Supplier<PlacementRule> rules;
+
     /** Enables the noise on costs by which gateways allow for unreported work. */
     private final boolean addsNoise;
 
@@ -100,7 +84,7 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::order));
 
-    private final List<Engine> engines = new ArrayList<>();
+    private final List<SimulatedEngine> engines = new ArrayList<>();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
@@ -108,41 +92,74 @@
 
     private long order;
 
-    private int total;
-
-    private int inTime;
-
-    private int late;
-
-    private int refused;
+    private final Map<RequestKind, KindResult> results = new LinkedHashMap<>();
 
-    private int rejected;
+    /** The engines whose loss gateways know. */
+    private final Set<Integer> lostEngines = new HashSet<>();
 
     private record Event(double at, long order, Runnable action) {}
 
-    private PlacementSimulation(Scenario scenario, boolean addsNoise) {
+    private PlacementSimulation(
+            Scenario scenario, FleetModel model, boolean addsNoise, Supplier<PlacementRule> rules) {
         this.scenario = scenario;
+        this.model = model;
+        this.capacity = model.capacity();
         this.addsNoise = addsNoise;
+        this.rules = rules;
         this.random = new Random(scenario.seed());
+        model.kinds().forEach(each -> results.put(each, new KindResult()));
         for (int index = 0; index < scenario.engines(); index++) {
-            engines.add(new Engine(index));
+            engines.add(
+                    model.chunkTokens() == 0
+                            ? new SequentialEngine(model, this)
+                            : new ChunkedEngine(index, model, this));
         }
         for (int index = 0; index < scenario.gateways(); index++) {
             gateways.add(new Gateway(index));
         }
     }
 
-    /** Simulates a scenario. */
-    static Outcome simulate(Scenario scenario) {
-        return new PlacementSimulation(scenario, true).simulate();
+    /** Simulates a scenario with equal engines. */
+    static KindResult simulate(Scenario scenario) {
+        return sum(
+                new PlacementSimulation(
+                                scenario, EQUAL_ENGINES, true, () -> UnrestrictedPlacement.INSTANCE)
+                        .simulate());
     }
 
     /** Simulates a scenario in which gateways treat reported loads as current. */
-    static Outcome simulateWithoutNoise(Scenario scenario) {
-        return new PlacementSimulation(scenario, false).simulate();
+    static KindResult simulateWithoutNoise(Scenario scenario) {
+        return sum(
+                new PlacementSimulation(
+                                scenario,
+                                EQUAL_ENGINES,
+                                false,
+                                () -> UnrestrictedPlacement.INSTANCE)
+                        .simulate());
     }
 
-    private Outcome simulate() {
+    /**
+     * Simulates a scenario.
+     *
+     * @param rules Creates the rule of each gateway.
+     * @return The results by the name of the kind.
+     */
+    static Map<String, KindResult> simulate(
+            Scenario scenario, FleetModel model, Supplier<PlacementRule> rules) {
+        Map<String, KindResult> byName = new LinkedHashMap<>();
+        new PlacementSimulation(scenario, model, true, rules)
+                .simulate()
+                .forEach((kind, result) -> byName.put(kind.name(), result));
+        return byName;
+    }
+
+    private static KindResult sum(Map<RequestKind, KindResult> results) {
+        KindResult total = new KindResult();
+        results.values().forEach(total::add);
+        return total;
+    }
+
+    private Map<RequestKind, KindResult> simulate() {
         double end = 1_000.0 * scenario.seconds();
         for (double at = next(0); at < end; at = next(at)) {
             schedule(at, this::arrive);
@@ -150,37 +167,60 @@
         for (Gateway each : gateways) {
             each.reportFrom(random.nextDouble() * scenario.reportMillis(), end);
         }
+        if (model.lossMillis() > 0) {
+            schedule(model.lossMillis(), this::loseEngines);
+        }
         while (!events.isEmpty()) {
             Event event = events.poll();
             now = event.at();
             event.action().run();
         }
-        return new Outcome(total, inTime, late, refused, rejected);
+        return results;
+    }
+
+    private void loseEngines() {
+        for (int index = 0; index < engines.size(); index += 2) {
+            int lost = index;
+            engines.get(lost).lose();
+            schedule(now + LOSS_NOTICE_MILLIS, () -> lostEngines.add(lost));
+        }
     }
 
     private double next(double at) {
-        return at - Math.log(1 - random.nextDouble()) * 1_000 / scenario.requestsPerSecond();
+        return at
+                - Math.log(1 - random.nextDouble())
+                        * 1_000
+                        / scenario.requestsPerSecond()
+                        / model.phase(at).rateFactor();
+    }
+
+    @Override
+    public double now() {
+        return now;
     }
 
-    private void schedule(double at, Runnable action) {
+    @Override
+    public void schedule(double at, Runnable action) {
         events.add(new Event(at, order++, action));
     }
 
     private void arrive() {
-        total++;
         Gateway gateway = gateways.get(random.nextInt(gateways.size()));
-        new Request(gateway, kind()).place();
+        RequestKind kind = kind();
+        results.get(kind).arrived();
+        new Request(gateway, kind).place();
     }
 
-    private Kind kind() {
+    private RequestKind kind() {
+        List<Double> shares = model.phase(now).shares();
         double remaining = random.nextDouble();
-        for (Kind each : KINDS) {
-            remaining -= each.share();
+        for (int index = 0; index < shares.size(); index++) {
+            remaining -= shares.get(index);
             if (remaining < 0) {
-                return each;
+                return model.kinds().get(index);
             }
         }
-        return KINDS.get(0);
+        return model.kinds().get(0);
     }
 
     private static String domain(int index) {
@@ -188,11 +228,13 @@
     }
 
     /** A request and its placement. */
-    private final class Request {
+    private final class Request implements SimulatedRequest {
 
         private final Gateway gateway;
 
-        private final Kind kind;
+        private final RequestKind kind;
+
+        private final KindResult result;
 
         private final EngineDemand demand;
 
@@ -200,12 +242,27 @@
 
         private boolean retried;
 
+        /** Set once the first event has arrived. */
+        private boolean answered;
+
+        private double lastEventAt;
+
+        private boolean paused;
+
+        private TargetLoad target;
+
         private RunningRequest running;
 
-        private Request(Gateway gateway, Kind kind) {
+        /** The tokens of other prompts at the engine when the request was sent to it. */
+        private long tokensAhead;
+
+        private boolean behindLong;
+
+        private Request(Gateway gateway, RequestKind kind) {
             this.gateway = gateway;
             this.kind = kind;
-            this.ownTokens = (int) (kind.ownPartTokens() * (0.5 + random.nextDouble()));
+            this.result = results.get(kind);
+            this.ownTokens = kind.sampleOwnTokens(random);
             String prefix = kind.responseTokens() + "-" + random.nextInt(kind.prefixCount());
             List<PromptPart> parts =
                     List.of(
@@ -225,98 +282,87 @@
             Optional<EngineChoice> choice = gateway.choose(demand);
             if (choice.isPresent()) {
                 send(choice.get().load(), choice.get().prefillTokens());
-            } else if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
+                return;
+            }
+            result.placementFailed(engines.stream().anyMatch(SimulatedEngine::idle));
+            if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
                 schedule(now + RETRY_MILLIS, this::place);
             } else {
-                refused++;
+                result.refused();
             }
         }
 
-        private void send(TargetLoad target, long prefillTokens) {
+        private void send(TargetLoad chosen, long prefillTokens) {
+            target = chosen;
             running =
                     new RunningRequest(
                             prefillTokens, (long) ownTokens + kind.responseTokens(), (long) now, 0);
             target.sent(running);
+            double prefillMillis = prefillTokens / model.effectivePrefillRate();
             gateway.unreported.sent(
-                    EngineChooser.workMillis(prefillTokens / PREFILL_RATE, CAPACITY.slots()),
-                    (long) now);
-            target.promptCache().put(demand.chain(), CAPACITY.memoryTokens() / 2);
-            Engine engine = engines.get(Integer.parseInt(target.target().id()));
+                    EngineChooser.workMillis(prefillMillis, capacity.slots()), (long) now);
+            gateway.rule.sent(prefillMillis, (long) now);
+            target.promptCache().put(demand.chain(), capacity.memoryTokens() / 2);
+            SimulatedEngine engine = engines.get(Integer.parseInt(target.target().id()));
+            tokensAhead = engine.tokensAhead();
+            behindLong = engine.hasLongPrefill();
             if (!engine.accept(this, prefillTokens)) {
                 target.ended(running);
-                rejected++;
-                retry(target);
+                result.rejected();
+                retry();
             }
         }
 
-        private void retry(TargetLoad full) {
-            full.health().suspend((long) now, 150);
+        private void retry() {
+            target.health().suspend((long) now, 150);
             if (retried) {
-                refused++;
+                result.refused();
                 return;
             }
             retried = true;
             gateway.leastLoaded()
-                    .ifPresentOrElse(other -> send(other, demand.promptTokens()), () -> refused++);
-        }
-
-        private void firstEventArrived(Engine engine) {
-            gateway.load(engine).firstEventArrived(running);
-            if (now + NETWORK_MILLIS - demand.arrivedMillis() <= demand.objectiveMillis()) {
-                inTime++;
-            } else {
-                late++;
-            }
+                    .ifPresentOrElse(other -> send(other, demand.promptTokens()), result::refused);
         }
 
-        private void ended(Engine engine) {
-            gateway.load(engine).ended(running);
+        @Override
+        public int responseTokens() {
+            return kind.responseTokens();
         }
-    }
-
-    /** A simulated engine. */
-    private final class Engine {
-
-        private final int index;
-
-        private final Deque<Runnable> waiting = new ArrayDeque<>();
 
-        private int running;
-
-        private double prefillFreeAt;
-
-        private Engine(int index) {
-            this.index = index;
+        @Override
+        public void firstEventArrived() {
+            target.firstEventArrived(running);
+            answered = true;
+            lastEventAt = now;
+            double millis = now + NETWORK_MILLIS - demand.arrivedMillis();
+            result.answered(
+                    millis,
+                    millis <= kind.objectiveMillis(),
+                    running.prefillTokens(),
+                    tokensAhead,
+                    behindLong);
         }
 
-        private boolean accept(Request request, long prefillTokens) {
-            if (waiting.size() >= MAX_QUEUED) {
-                return false;
+        @Override
+        public void eventArrived() {
+            if (!paused && answered && now - lastEventAt > kind.intervalMillis()) {
+                paused = true;
+                result.paused();
             }
-            waiting.add(() -> start(request, prefillTokens));
-            startNext();
-            return true;
+            lastEventAt = now;
         }
 
-        private void startNext() {
-            while (running < CAPACITY.slots() && !waiting.isEmpty()) {
-                running++;
-                waiting.poll().run();
-            }
+        @Override
+        public void ended() {
+            target.ended(running);
         }
 
-        private void start(Request request, long prefillTokens) {
-            prefillFreeAt = Math.max(now, prefillFreeAt) + prefillTokens / PREFILL_RATE;
-            double first = prefillFreeAt + BASE_MILLIS;
-            double tokenMillis = TOKEN_MILLIS + TOKEN_MILLIS_PER_SLOT * running;
-            schedule(first, () -> request.firstEventArrived(this));
-            schedule(
-                    first + tokenMillis * request.kind.responseTokens(),
-                    () -> {
-                        request.ended(this);
-                        running--;
-                        startNext();
-                    });
+        @Override
+        public void lost() {
+            target.ended(running);
+            if (!answered) {
+                retry();
+            }
         }
     }
 
@@ -329,6 +375,8 @@
 
         private final EngineChooser chooser;
 
+        private final PlacementRule rule = rules.get();
+
         private final PrefillRate rate = new PrefillRate();
 
         private final UnreportedWork unreported = new UnreportedWork();
@@ -348,32 +396,32 @@
                                         "s",
                                         IpAddress.of("127.0.0.1:1"),
                                         domain(engine),
-                                        CAPACITY.slots(),
+                                        capacity.slots(),
                                         false)));
             }
             unreported.updateFleet(
                     scenario.gateways() - 1,
                     scenario.reportMillis() / 2.0 + scenario.delayMillis());
             for (int sample = 0; sample < 200; sample++) {
-                rate.observe(new RunningRequest(100, 0, 0, 0), (long) BASE_MILLIS);
+                rate.observe(new RunningRequest(100, 0, 0, 0), (long) model.baseMillis());
                 rate.observe(
                         new RunningRequest(6_000, 0, 0, 0),
-                        (long) (BASE_MILLIS + 6_000 / PREFILL_RATE));
+                        (long) (model.baseMillis() + 6_000 / model.effectivePrefillRate()));
             }
         }
 
-        private TargetLoad load(Engine engine) {
-            return loads.get(engine.index);
-        }
-
         private List<TargetLoad> available() {
-            return loads.stream().filter(each -> each.health().isAvailable((long) now)).toList();
+            return loads.stream()
+                    .filter(each -> each.health().isAvailable((long) now))
+                    .filter(each -> !lostEngines.contains(Integer.valueOf(each.target().id())))
+                    .toList();
         }
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
+            rule.update(available(), (long) now);
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available(), CAPACITY, rate, (long) now);
+                            demand, ShareTier.PROMISED, available(), capacity, rate, (long) now);
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -384,8 +432,9 @@
                     ShareTier.PROMISED,
                     candidates,
                     cacheLookup,
-                    CAPACITY,
+                    capacity,
                     rate,
+                    rule,
                     addsNoise ? unreported.perTarget(scenario.engines(), (long) now) : 0,
                     (long) now);
         }
--- a/src/test/java/org/martenwell/balance/PlacementSimulationTest.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulationTest.java
@@ -23,7 +23,7 @@
 
     @Test
     void testDelayedReportsDoNotOverloadEngines() {
-        PlacementSimulation.Outcome outcome = PlacementSimulation.simulate(LARGE);
+        KindResult outcome = PlacementSimulation.simulate(LARGE);
         assertThat(outcome.inTimeShare()).isGreaterThan(0.97);
         assertThat(outcome.rejectedShare()).isLessThan(0.01);
     }
@@ -31,7 +31,7 @@
     /** Verifies that the simulation reproduces the overload. */
     @Test
     void testDelayedReportsOverloadEnginesWithoutNoise() {
-        PlacementSimulation.Outcome outcome = PlacementSimulation.simulateWithoutNoise(LARGE);
+        KindResult outcome = PlacementSimulation.simulateWithoutNoise(LARGE);
         assertThat(outcome.inTimeShare()).isLessThan(0.85);
     }
 
