Separate long prompts from short ones by the speed of engines

Short prompts wait behind long ones, and peers report a long prompt only after others were sent behind it. PrefillInterference adds a cost to engines of the other class; the classes follow the speed, which all gateways know alike. Speeds are 1 until TargetLoad holds them, and there are no classes then.

--- a/src/main/java/org/martenwell/balance/EngineChoice.java
+++ b/src/main/java/org/martenwell/balance/EngineChoice.java
@@ -11,6 +11,11 @@
  * @param backlogMillis The estimated time for which the engine is busy before the request, in
  *     milliseconds.
  * @param copyFrom The engine from which cached parts of the prompt are copied, or empty if none.
+ * @param interferenceMillis The cost that the {@link PlacementRule} added, in milliseconds.
  */
 public record EngineChoice(
-        TargetLoad load, long prefillTokens, double backlogMillis, Optional<TargetLoad> copyFrom) {}
+        TargetLoad load,
+        long prefillTokens,
+        double backlogMillis,
+        Optional<TargetLoad> copyFrom,
+        double interferenceMillis) {}
--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -108,7 +108,7 @@
      * @param cacheLookup The cached parts of the prompt by engine.
      * @param capacity The capacity of each of the service's engines.
      * @param rate The prefill rate of the service's engines.
-     * @param rule The additional cost and limits of placements.
+     * @param rule The additional cost of placements.
      * @param unreportedMillis The estimated work that peers have sent to each engine since their
      *     last reports, in milliseconds; 0 disables the noise on costs.
      * @param now The current time, in milliseconds.
@@ -127,7 +127,6 @@
         double affinity = affinityMillis(demand, cacheLookup, rate);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
-        boolean bestPermitted = false;
         for (TargetLoad each : candidates) {
             LoadSums sums = each.totalLoad(now);
             double backlog = rate.millis(sums.prefillTokens());
@@ -139,6 +138,8 @@
             if (backlog > allowedBacklogMillis(demand, tier, prefillMillis, rate, now)) {
                 continue;
             }
+            double interference =
+                    rule.costMillis(each, rate.millis(prefill), sums.requests(), backlog);
             double cost =
                     backlog
                             + prefillMillis
@@ -148,13 +149,11 @@
                                     ? 0
                                     : OTHER_DOMAIN_MILLIS)
                             - (cacheLookup.isPreferred(each) ? affinity : 0)
-                            + rule.costMillis(each, prefillMillis, sums.requests(), backlog)
+                            + interference
                             + GumbelNoise.sample(unreportedMillis, random);
-            boolean permitted = rule.permits(each, prefillMillis, sums.requests(), backlog);
-            if (permitted == bestPermitted ? cost < bestCost : permitted) {
+            if (cost < bestCost) {
                 bestCost = cost;
-                bestPermitted = permitted;
-                best = new EngineChoice(each, prefill, backlog, source);
+                best = new EngineChoice(each, prefill, backlog, source, interference);
             }
         }
         return Optional.ofNullable(best);
--- a/src/main/java/org/martenwell/balance/PlacementRule.java
+++ b/src/main/java/org/martenwell/balance/PlacementRule.java
@@ -2,44 +2,35 @@
 
 import java.util.Collection;
 
-/** Additional cost and limits of placing a prompt on an engine, besides those of the chooser. */
+/** Additional cost of placing a prompt on an engine, besides that of the chooser. */
 public interface PlacementRule {
 
     /**
-     * Returns the additional cost of a placement.
+     * Updates the engines among which prompts are placed.
      *
-     * @param load The engine.
-     * @param prefillMillis The time for the prefill of the prompt there, in milliseconds.
-     * @param running The number of requests on the engine.
-     * @param backlogMillis The time for the prefills ahead of the prompt, in milliseconds.
-     * @return The cost in milliseconds, negative for an advantage.
+     * @param engines The engines that accept requests.
+     * @param now The current time, in milliseconds.
      */
-    double costMillis(TargetLoad load, double prefillMillis, int running, double backlogMillis);
+    void update(Collection<TargetLoad> engines, long now);
 
     /**
-     * Returns whether a prompt may be placed on an engine while others have capacity.
+     * Returns the additional cost of a placement.
      *
      * @param load The engine.
-     * @param prefillMillis The time for the prefill of the prompt there, in milliseconds.
+     * @param prefillMillis The time for the prefill of the prompt at an engine of the usual speed,
+     *     in milliseconds.
      * @param running The number of requests on the engine.
      * @param backlogMillis The time for the prefills ahead of the prompt, in milliseconds.
-     * @return {@code false} if any permitted engine is to be chosen instead.
-     */
-    boolean permits(TargetLoad load, double prefillMillis, int running, double backlogMillis);
-
-    /**
-     * Updates the engines among which prompts are placed.
-     *
-     * @param engines The engines that accept requests.
-     * @param now The current time, in milliseconds.
+     * @return The cost in milliseconds, negative for an advantage.
      */
-    default void update(Collection<TargetLoad> engines, long now) {}
+    double costMillis(TargetLoad load, double prefillMillis, int running, double backlogMillis);
 
     /**
      * Records a request that was sent.
      *
-     * @param prefillMillis The time for its prefill, in milliseconds.
+     * @param prefillMillis The time for its prefill at an engine of the usual speed, in
+     *     milliseconds.
      * @param now The current time, in milliseconds.
      */
-    default void sent(double prefillMillis, long now) {}
+    void sent(double prefillMillis, long now);
 }
--- a/src/main/java/org/martenwell/balance/UnrestrictedPlacement.java
+++ b/src/main/java/org/martenwell/balance/UnrestrictedPlacement.java
@@ -1,6 +1,8 @@
 package org.martenwell.balance;
 
-/** The rule that adds no cost and permits all placements. */
+import java.util.Collection;
+
+/** The rule that adds no cost to any placement. */
 public final class UnrestrictedPlacement implements PlacementRule {
 
     /** The only instance. */
@@ -8,6 +10,9 @@
 
     private UnrestrictedPlacement() {}
 
+    @Override
+    public void update(Collection<TargetLoad> engines, long now) {}
+
     @Override
     public double costMillis(
             TargetLoad load, double prefillMillis, int running, double backlogMillis) {
@@ -15,8 +20,5 @@
     }
 
     @Override
-    public boolean permits(
-            TargetLoad load, double prefillMillis, int running, double backlogMillis) {
-        return true;
-    }
+    public void sent(double prefillMillis, long now) {}
 }
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -6,11 +6,11 @@
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.EngineDemand;
+import org.martenwell.balance.PlacementRule;
 import org.martenwell.balance.PrefillRate;
 import org.martenwell.balance.PromptCacheLookup;
 import org.martenwell.balance.RunningRequest;
 import org.martenwell.balance.TargetLoad;
-import org.martenwell.balance.UnrestrictedPlacement;
 import org.martenwell.prompt.PromptChain;
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.route.Route;
@@ -213,17 +213,11 @@
         }
         PromptCacheLookup cacheLookup =
                 PromptCacheLookup.of(demand.chain(), allowed, copySources(available, allowed));
+        PlacementRule rule = core.placements().rule(service);
+        rule.update(available, now);
         double unreportedWork = core.unreportedWork().perTarget(available.size(), now);
         return chooser.choose(
-                demand,
-                tier,
-                candidates,
-                cacheLookup,
-                capacity,
-                rate,
-                UnrestrictedPlacement.INSTANCE,
-                unreportedWork,
-                now);
+                demand, tier, candidates, cacheLookup, capacity, rate, rule, unreportedWork, now);
     }
 
     /**
@@ -256,6 +250,7 @@
         double prefillMillis = core.targets().rate(service).millis(choice.prefillTokens());
         core.unreportedWork()
                 .sent(EngineChooser.workMillis(prefillMillis, capacity.slots()), core.now());
+        core.placements().sent(service, prefillMillis, choice.interferenceMillis(), core.now());
         if (first && tier == ShareTier.PROMISED) {
             core.reserve().sent(prefillMillis, demand.cost());
         }
@@ -343,6 +338,6 @@
                 capacity.canCopyCache() ? cacheLookup.copySource(load) : Optional.empty();
         long cachedTokens = cacheLookup.cachedTokens(source.orElse(load));
         return new EngineChoice(
-                load, demand.promptTokens() - cachedTokens, Double.MAX_VALUE, source);
+                load, demand.promptTokens() - cachedTokens, Double.MAX_VALUE, source, 0);
     }
 }
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -66,6 +66,9 @@
     /** Chooses an engine for each model request. */
     private final EngineChooser engineChooser;
 
+    /** The rules by which prompts of each service are placed. */
+    private final PlacementRules placements;
+
     /** Estimates the work that peers have sent to engines since their last reports. */
     private final UnreportedWork unreportedWork = new UnreportedWork();
 
@@ -176,6 +179,9 @@
         log.metrics().registerGauge("service_time_millis", this::maxServiceMillis);
         log.metrics().registerGauge("prefill_nanos_per_token", targets::maxPrefillNanosPerToken);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
+        this.placements =
+                new PlacementRules(enables(GatewayFeature.SEPARATE_LONG_PROMPTS), load -> 1);
+        log.metrics().registerGauge("prefill_interference_millis", placements::meanMillis);
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain(), random);
         this.retryBudget =
@@ -320,6 +326,11 @@
         return engineChooser;
     }
 
+    /** {@return the rules by which prompts are placed} */
+    PlacementRules placements() {
+        return placements;
+    }
+
     /**
      * {@return the estimate of the work that peers have sent to engines since their last reports}
      */
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -159,6 +159,7 @@
                             .with("promisedUse", use.promised())
                             .with("unreadTokens", choice.prefillTokens())
                             .with("backlogMillis", Math.round(choice.backlogMillis()))
+                            .with("interferenceMillis", Math.round(choice.interferenceMillis()))
                             .with("copy", choice.copyFrom().isPresent()));
         }
     }
--- a/src/test/java/org/martenwell/balance/LongPromptScenarios.java
+++ b/src/test/java/org/martenwell/balance/LongPromptScenarios.java
@@ -17,6 +17,8 @@
     /** The mix of usual times: long prompts, chats and short prompts. */
     private static final List<Double> MIX = List.of(0.25, 0.20, 0.55);
 
+    private static final List<Double> SPEEDS = List.of(0.55, 1.2, 1.2, 1.2);
+
     private static final List<Double> ONLY_LONG = List.of(1.0, 0.0, 0.0);
 
     private static final List<Double> ONLY_SHORT = List.of(0.0, 0.27, 0.73);
@@ -88,9 +90,10 @@
                                 26,
                                 3.55,
                                 0.046,
-                                List.of(0.55, 1.2, 1.2, 1.2),
+                                SPEEDS,
                                 true,
                                 0)));
+        cases.put("equal", fleet(load * 1.1, 6, equalEngines()));
         cases.put("small", new Case(5, 8, load, 12, model(List.of(phase(0, 1, MIX)), 0)));
         return cases;
     }
@@ -105,6 +108,27 @@
         return new FleetModel.Phase(from, factor, shares);
     }
 
+    /** Returns the speed of an engine of these fleets, relative to their mean. */
+    static double speed(TargetLoad load) {
+        return Integer.parseInt(load.target().id()) % SPEEDS.size() == 0 ? 0.53 : 1.16;
+    }
+
+    private static FleetModel equalEngines() {
+        return new FleetModel(
+                kinds(600, 1_200, 300),
+                List.of(phase(0, 1, MIX)),
+                CAPACITY,
+                25,
+                57,
+                1_024,
+                26,
+                3.55,
+                0.046,
+                List.of(1.0),
+                false,
+                0);
+    }
+
     private static FleetModel model(List<FleetModel.Phase> phases, double lossMillis) {
         return new FleetModel(
                 kinds(600, 1_200, 300),
@@ -116,7 +140,7 @@
                 26,
                 3.55,
                 0.046,
-                List.of(0.55, 1.2, 1.2, 1.2),
+                SPEEDS,
                 true,
                 lossMillis);
     }
--- a/src/test/java/org/martenwell/balance/LongPromptStudy.java
+++ b/src/test/java/org/martenwell/balance/LongPromptStudy.java
@@ -10,19 +10,38 @@
     private static final List<Long> BOUNDS =
             List.of(1L, 1_000L, 2_000L, 5_000L, 10_000L, 20_000L, Long.MAX_VALUE);
 
+    private static List<String> selected = List.of();
+
     private LongPromptStudy() {}
 
-    /** Prints the results of all cases. */
+    /** Prints the results: load per engine, seeds, a way or "", and cases or none for all. */
     public static void main(String[] arguments) {
         double load = Double.parseDouble(arguments[0]);
         int seeds = Integer.parseInt(arguments[1]);
-        print("none", load, seeds, () -> UnrestrictedPlacement.INSTANCE);
+        selected =
+                arguments.length > 3
+                        ? List.of(arguments).subList(3, arguments.length)
+                        : List.of();
+        String only = arguments.length > 2 ? arguments[2] : "";
+        for (PlacementAlternative each : PlacementAlternative.values()) {
+            if (only.isEmpty() || only.equals(each.name())) {
+                print(each.name(), load, seeds, () -> each.rule(LongPromptScenarios::speed));
+                print(
+                        each.name() + " speeds",
+                        load,
+                        seeds,
+                        () -> each.withSpeeds(LongPromptScenarios::speed));
+            }
+        }
     }
 
     private static void print(String name, double load, int seeds, Supplier<PlacementRule> rules) {
         LongPromptScenarios.cases(load)
                 .forEach(
                         (title, each) -> {
+                            if (!selected.isEmpty() && !selected.contains(title)) {
+                                return;
+                            }
                             KindResult all = new KindResult();
                             KindResult longs = new KindResult();
                             KindResult shorts = new KindResult();
@@ -39,7 +58,7 @@
                                                         .add(result));
                             }
                             System.out.printf(
-                                    "%-14s %-10s short %5d behind %4d late %4d refused %4d p95 %4.0f"
+                                    "%-28s %-10s short %5d behind %4d late %4d refused %4d p95 %4.0f"
                                             + " paused %4d | long %5d late %4d refused %4d p95 %4.0f"
                                             + " paused %4d | rejected %d waits %d idle %d%n",
                                     name,
@@ -58,7 +77,7 @@
                                     Math.round(all.rejectedShare() * all.total()),
                                     all.waits(),
                                     all.waitsBesideIdle());
-                            if (name.equals("none")) {
+                            if (name.equals("NONE")) {
                                 printTimes(shorts);
                             }
                         });
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -181,7 +181,7 @@
     }
 
     private static EngineChoice choice(TargetLoad load) {
-        return new EngineChoice(load, 5_009, 0, Optional.empty());
+        return new EngineChoice(load, 5_009, 0, Optional.empty(), 0);
     }
 
     private static DirectoryTarget target(String id) {
