--- a/src/test/java/org/martenwell/balance/LongPromptStudy.java
+++ b/src/test/java/org/martenwell/balance/LongPromptStudy.java
@@ -19,9 +19,7 @@
         double load = Double.parseDouble(arguments[0]);
         int seeds = Integer.parseInt(arguments[1]);
         selected =
-                arguments.length > 3
-                        ? List.of(arguments).subList(3, arguments.length)
-                        : List.of();
+                arguments.length > 3 ? List.of(arguments).subList(3, arguments.length) : List.of();
         String only = arguments.length > 2 ? arguments[2] : "";
         for (PlacementAlternative each : PlacementAlternative.values()) {
             if (only.isEmpty() || only.equals(each.name())) {
