--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -114,6 +114,7 @@
      * @param cacheLookup The cached parts of the prompt by engine.
      * @param capacity The capacity of each of the service's engines.
      * @param rate The prefill rate of the service's engines.
+     * @param rule The additional cost of placements.
      * @param unreportedMillis The estimated work that peers have sent to each engine since their
      *     last reports, in milliseconds; 0 disables the noise on costs.
      * @param now The current time, in milliseconds.
@@ -126,6 +127,7 @@
             PromptCacheLookup cacheLookup,
             EngineCapacity capacity,
             PrefillRate rate,
+            PlacementRule rule,
             double unreportedMillis,
             long now) {
         double affinity = affinityMillis(demand, cacheLookup, rate);
@@ -143,6 +145,8 @@
             if (backlog > allowedBacklogMillis(demand, tier, prefillMillis, rate, now)) {
                 continue;
             }
+            double interference =
+                    rule.costMillis(each, rate.millis(prefill), sums.requests(), backlog);
             double cost =
                     backlog
                             + prefillMillis
@@ -154,10 +158,11 @@
                             + (each.hasIdleConnection() ? 0 : NEW_CONNECTION_MILLIS)
                             - (cacheLookup.isPreferred(each) ? affinity : 0)
                             - unreportedMillis * Math.log(each.speed().factor())
+                            + interference
                             + GumbelNoise.sample(unreportedMillis, random);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new EngineChoice(each, prefill, backlog, source);
+                best = new EngineChoice(each, prefill, backlog, source, interference);
             }
         }
         return Optional.ofNullable(best);
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -9,6 +9,7 @@
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.EngineDemand;
+import org.martenwell.balance.PlacementRule;
 import org.martenwell.balance.PrefillRate;
 import org.martenwell.balance.PromptCacheLookup;
 import org.martenwell.balance.RunningRequest;
@@ -334,9 +335,11 @@
         }
         PromptCacheLookup cacheLookup =
                 PromptCacheLookup.of(demand.chain(), allowed, copySources(available, allowed));
+        PlacementRule rule = core.placements().rule(service);
+        rule.update(available, now);
         double unreportedWork = core.unreportedWork().perTarget(available.size(), now);
         return chooser.choose(
-                demand, tier, candidates, cacheLookup, capacity, rate, unreportedWork, now);
+                demand, tier, candidates, cacheLookup, capacity, rate, rule, unreportedWork, now);
     }
 
     /**
@@ -371,6 +374,7 @@
                 choice.load().prefillMillis(choice.prefillTokens(), core.targets().rate(service));
         core.unreportedWork()
                 .sent(EngineChooser.workMillis(prefillMillis, capacity.slots()), core.now());
+        core.placements().sent(service, prefillMillis, choice.interferenceMillis(), core.now());
         if (first && tier == ShareTier.PROMISED) {
             core.reserve().sent(prefillMillis, demand.cost());
         }
@@ -479,6 +483,6 @@
                 capacity.canCopyCache() ? cacheLookup.copySource(load) : Optional.empty();
         long cachedTokens = cacheLookup.cachedTokens(source.orElse(load));
         return new EngineChoice(
-                load, demand.promptTokens() - cachedTokens, Double.MAX_VALUE, source);
+                load, demand.promptTokens() - cachedTokens, Double.MAX_VALUE, source, 0);
     }
 }
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -66,6 +66,9 @@
     /** Chooses an engine for each model request. */
     private final EngineChooser engineChooser;
 
+    /** The rules by which prompts of each service are placed. */
+    private final PlacementRules placements;
+
     /** Estimates the work that peers have sent to engines since their last reports. */
     private final UnreportedWork unreportedWork = new UnreportedWork();
 
@@ -190,6 +193,11 @@
                         : Optional.empty();
         targetSpeeds.ifPresent(this::registerSpeedGauges);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
+        this.placements =
+                new PlacementRules(
+                        enables(GatewayFeature.SEPARATE_LONG_PROMPTS),
+                        load -> load.speed().factor());
+        log.metrics().registerGauge("prefill_interference_millis", placements::meanMillis);
         this.engineChooser = new EngineChooser(settings.failureDomain(), random);
         this.serviceChooser = new ServiceChooser(settings.failureDomain(), random);
         this.retryBudget =
@@ -359,6 +367,11 @@
         return engineChooser;
     }
 
+    /** {@return the rules by which prompts are placed} */
+    PlacementRules placements() {
+        return placements;
+    }
+
     /**
      * {@return the estimate of the work that peers have sent to engines since their last reports}
      */
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -215,6 +215,7 @@
                             .with("promisedUse", use.promised())
                             .with("unreadTokens", choice.prefillTokens())
                             .with("backlogMillis", Math.round(choice.backlogMillis()))
+                            .with("interferenceMillis", Math.round(choice.interferenceMillis()))
                             .with("copy", choice.copyFrom().isPresent());
             double speed = choice.load().speed().factor();
             if (speed != 1) {
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -263,7 +263,15 @@
         List<TargetLoad> candidates = chooser.withCapacity(demand, tier, loads, CAPACITY, rate, 0);
         PromptCacheLookup cacheLookup = PromptCacheLookup.of(demand.chain(), loads, draining);
         return chooser.choose(
-                demand, tier, candidates, cacheLookup, CAPACITY, rate, unreportedMillis, 0);
+                demand,
+                tier,
+                candidates,
+                cacheLookup,
+                CAPACITY,
+                rate,
+                UnrestrictedPlacement.INSTANCE,
+                unreportedMillis,
+                0);
     }
 
     private static PromptChain chain() {
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
@@ -417,6 +417,7 @@
                     PromptCacheLookup.of(demand.chain(), available, List.of()),
                     CAPACITY,
                     rate,
+                    UnrestrictedPlacement.INSTANCE,
                     unreported.perTarget(available.size(), (long) now),
                     (long) now);
         }
--- a/src/test/java/org/martenwell/gateway/TargetSpeedsTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetSpeedsTest.java
@@ -155,7 +155,7 @@
         learn(plain);
         assertThat(load(plain, "one").speed().factor()).isEqualTo(1);
         EngineRouting routing = routing(plain);
-        EngineChoice choice = new EngineChoice(load(plain, "one"), 6_580, 0, Optional.empty());
+        EngineChoice choice = new EngineChoice(load(plain, "one"), 6_580, 0, Optional.empty(), 0);
         routing.recordSent(choice);
         routing.recordResponseStart(routing.running(choice), SLOW_MILLIS);
         assertThat(plain.capacities().next(nowMillis)).isEmpty();
@@ -190,7 +190,7 @@
     }
 
     private EngineChoice choice(double backlogMillis, Optional<TargetLoad> copyFrom) {
-        return new EngineChoice(load(core, "one"), PROMPT_TOKENS, backlogMillis, copyFrom);
+        return new EngineChoice(load(core, "one"), PROMPT_TOKENS, backlogMillis, copyFrom, 0);
     }
 
     private List<TargetSpeedReport> takeReports(GatewayCore owner) {
