--- a/src/test/java/org/martenwell/gateway/RelayedSnapshotsTest.java
+++ b/src/test/java/org/martenwell/gateway/RelayedSnapshotsTest.java
@@ -32,10 +32,15 @@
     /** One, and as many bytes for all other reports meanwhile. */
     private static final long MAX_COPIES = 2;
 
+    /**
+     * The step of the clock; relays are suspected after 700 ms, which is many turns of the loop.
+     */
+    private static final long MAX_STEP_MILLIS = 4;
+
     private static final String KNOWN_CRASHES = "targets_ended_under_requests";
 
     private final ReporterFleet fleet =
-            new ReporterFleet(SIZE, List.of("x", "y"), new BoundedStepClock());
+            new ReporterFleet(SIZE, List.of("x", "y"), new BoundedStepClock(MAX_STEP_MILLIS));
 
     @AfterEach
     void stop() {
