Spread retries over engines when many fail at once

Retries now get the noise that first attempts get, in requests.

Test: 100 retries beside 90 peers use both engines. EngineRoutingTest passes; it was not run against the former code, which chose the engine with the least load without noise. Comments say notified instead of told.

--- a/src/main/java/org/martenwell/admission/ForecastQueue.java
+++ b/src/main/java/org/martenwell/admission/ForecastQueue.java
@@ -72,9 +72,9 @@
     }
 
     /**
-     * Returns whether looking for an engine would most likely be in vain, because the last pass
-     * over the queue found none for a request that needs no more. New requests then wait for the
-     * next pass and don't overtake those that wait.
+     * Returns whether a search for an engine would most likely fail, because the last pass over the
+     * queue found none for a request that needs no more. New requests then wait for the next pass
+     * and don't overtake those that wait.
      *
      * @param demand The request.
      * @param rank The rank of its organisation.
--- a/src/main/java/org/martenwell/admission/ReturningRequests.java
+++ b/src/main/java/org/martenwell/admission/ReturningRequests.java
@@ -4,8 +4,8 @@
 import java.util.Queue;
 
 /**
- * Refused requests whose callers were told to retry later. They take places when they return, so a
- * request that is refused after them is told to return after them.
+ * Refused requests whose callers got a delay for their retry. They take places when they return, so
+ * a request that is refused after them gets a longer delay.
  */
 final class ReturningRequests {
 
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -463,9 +463,23 @@
         return demand.organisation();
     }
 
+    /**
+     * Chooses an engine for a retry, whether it has capacity or not. The failure of many engines at
+     * once makes all gateways retry; noise on the scale of what peers sent since their reports
+     * keeps them from choosing the same engine, which would reject most of the retries.
+     *
+     * @param available The engines that accept requests.
+     * @param now The current time, in milliseconds.
+     * @return The choice, or empty if there are no engines.
+     */
     private Optional<EngineChoice> chooseLeastLoaded(List<TargetLoad> available, long now) {
+        PrefillRate rate = core.targets().rate(service);
+        double requestMillis =
+                EngineChooser.workMillis(rate.millis(demand.ownTokens()), capacity.slots());
+        double unreportedRequests =
+                core.unreportedWork().perTarget(available.size(), now) / requestMillis;
         return core.serviceChooser()
-                .choose(available, 0, now)
+                .choose(available, unreportedRequests, now)
                 .map(load -> choiceWithoutCapacity(load, available));
     }
 
--- a/src/main/java/org/martenwell/gateway/OffloadedExchange.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedExchange.java
@@ -14,7 +14,7 @@
  */
 final class OffloadedExchange {
 
-    /** The bytes written to the caller after which the handling gateway is told, in bytes. */
+    /** The bytes written to the caller after which the handling gateway is notified. */
     private static final long REPORTED_BYTES = 1 << 16;
 
     private final long id;
@@ -147,7 +147,7 @@
 
     /**
      * Returns whether more bytes have arrived than the handling gateway needs to know of, so that
-     * it has to be told once they are written.
+     * it has to be notified once they are written.
      *
      * @return {@code true} if it has.
      */
--- a/src/main/java/org/martenwell/gateway/OffloadedRequests.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedRequests.java
@@ -245,7 +245,7 @@
         }
     }
 
-    /** Gives up a gateway that can't be told of responses, and lets it know that. */
+    /** Gives up a gateway that no responses can be sent to. Closing its connections notifies it. */
     private void disconnect(String peer) {
         peerLost(peer);
         senders.get(peer).outbox.clear();
--- a/src/test/java/org/martenwell/admission/WaitSimulation.java
+++ b/src/test/java/org/martenwell/admission/WaitSimulation.java
@@ -16,7 +16,7 @@
  * A discrete-event simulation of requests that wait for places at engines. It runs the production
  * queue, forecast and shares on a simulated clock. Gateways know the load of their peers by reports
  * that are up to 0.3 s old; requests beyond the places queue in order of arrival. A refused caller
- * retries once, after the delay that it was told.
+ * retries once, after the delay that it got.
  */
 final class WaitSimulation {
 
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -4,10 +4,12 @@
 
 import io.activej.eventloop.Eventloop;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.balance.EngineChoice;
@@ -75,6 +77,20 @@
         assertThat(choice.prefillTokens()).isEqualTo(9);
     }
 
+    /** Guards against retries of all gateways at one engine after the failure of many others. */
+    @Test
+    void testRetriesBesideManyGatewaysUseAllEngines() {
+        fill(loads.get(0), SLOTS);
+        fill(loads.get(1), SLOTS + 1);
+        core.updateFleet(91, 300);
+        routing.recordSent(choice(loads.get(0)));
+        Set<TargetLoad> chosen = new HashSet<>();
+        for (int retry = 0; retry < 100; retry++) {
+            chosen.add(routing.decide(loads, 1, null).choice().orElseThrow().load());
+        }
+        assertThat(chosen).containsExactlyInAnyOrderElementsOf(loads);
+    }
+
     @Test
     void testFirstAttemptWithoutCapacityWaitsAndIsThenRefused() {
         fill(loads.get(0), SLOTS);
--- a/src/test/java/org/martenwell/gateway/OffloadFixture.java
+++ b/src/test/java/org/martenwell/gateway/OffloadFixture.java
@@ -176,7 +176,7 @@
         }
     }
 
-    /** A choice that records what it is told. */
+    /** A choice that records its notifications. */
     static final class Targets implements OffloadTargets {
 
         private final List<String> events = new ArrayList<>();
--- a/src/test/java/org/martenwell/gateway/OffloadedRequestsTest.java
+++ b/src/test/java/org/martenwell/gateway/OffloadedRequestsTest.java
@@ -161,7 +161,7 @@
     }
 
     /**
-     * The other gateway may not have noticed the loss, so it is told which requests it concerns.
+     * The other gateway may not have noticed the loss, so it is notified of the requests concerned.
      */
     @Test
     void testRequestsEndWhenTheirGatewayIsLost() {
--- a/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
+++ b/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
@@ -19,8 +19,8 @@
 import org.martenwell.peer.ResponsePartKind;
 
 /**
- * Guards against responses of other gateways that are lost, changed or told wrongly to the caller,
- * and against requests that run twice or count as active for ever.
+ * Guards against responses of other gateways that are lost, changed or answered wrongly, and
+ * against requests that run twice or count as active for ever.
  */
 final class RequestOffloaderTest {
 
@@ -113,7 +113,7 @@
         assertThat(fixture.core().activeRequests()).isZero();
     }
 
-    /** The caller is told the length, which is known only once all pieces have arrived. */
+    /** The response states its length, which is known only once all pieces have arrived. */
     @Test
     void testLargeWholeResponseIsKeptUntilItIsComplete() {
         long id = offload().id();
--- a/src/test/java/org/martenwell/offload/OffloadSimulation.java
+++ b/src/test/java/org/martenwell/offload/OffloadSimulation.java
@@ -95,7 +95,7 @@
 
     static final double OFFLOADED_MILLIS = 0.7;
 
-    /** The part of a request's cost that is needed on arrival; assumed, not measured. */
+    /** The part of a request's cost that is needed on arrival, an assumption. */
     private static final double ON_ARRIVAL = 0.55;
 
     /** The steps over which the rest is needed. */
