Wait for the reset of a cancelled request in its test

Cause: the JDK closes a channel that is registered with a selector only when the selector runs again. Change: the test waits for the event loop's next turn before it reads; the Javadoc of cancel says when the reset is sent.

--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -181,7 +181,8 @@
 
     /**
      * Closes the connection without notifying the listener; the target sees the disconnect and can
-     * stop its work. With a request in progress the connection is reset.
+     * stop its work. With a request in progress the connection is reset at the event loop's next
+     * turn; until then the system may deliver what it has buffered.
      */
     public void cancel() {
         if (listener != null) {
--- a/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
+++ b/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
@@ -61,7 +61,7 @@
     void testCancelledRequestIsNotDeliveredCompletely() throws Exception {
         TargetConnection connection = send();
         Thread.sleep(SEND_MILLIS);
-        run(connection::cancel);
+        cancel(connection);
         assertThat(received()).doesNotContain(BODY_END);
     }
 
@@ -96,6 +96,22 @@
         return opened.take();
     }
 
+    /**
+     * Cancels a request and waits for the event loop's next turn, since a socket that is registered
+     * with a selector is reset only when the selector runs again.
+     */
+    private void cancel(TargetConnection connection) {
+        long turn =
+                thread.call(
+                        () -> {
+                            connection.cancel();
+                            return Promise.of(thread.loop().tick());
+                        });
+        while (thread.call(() -> Promise.of(thread.loop().tick())) == turn) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void run(Runnable action) {
         thread.call(
                 () -> {
