Estimate speeds from events, and count unreported work at engines

Cause: with targetSpeeds off, slow engines get as much as fast ones, and with it on few requests were samples (first attempts without a backlog), so that none were known under load. And each of 95 gateways filled engines up to what reports 0.3 s old show, by the prefill rate of idle engines, so that all together overfilled them the more, the higher the demand.

Change: the lower quartile of six intervals between the events of a response is a sample of its engine's speed, also behind a backlog (feature targetSpeeds). With the new feature loadForecast, the unreported work of peers counts as backlog, and forecasts are multiplied by an upper quantile of their errors.

Ruled out: other constants for the backlog alone, which changed nothing while reports were taken as current.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -82,7 +82,7 @@
      * @param tier The fair share that it falls within.
      * @param loads The engines.
      * @param capacity The capacity of each of the service's engines.
-     * @param rate The prefill rate of the service's engines.
+     * @param forecast Forecasts the backlog of the engines.
      * @param now The current time, in milliseconds.
      * @return The engines with a free slot, enough memory and an acceptable backlog.
      */
@@ -91,14 +91,16 @@
             ShareTier tier,
             Collection<TargetLoad> loads,
             EngineCapacity capacity,
-            PrefillRate rate,
+            LoadForecast forecast,
             long now) {
+        PrefillRate rate = forecast.rate();
         double maxBacklogMillis = allowedBacklogMillis(demand, tier, 0, rate, now);
         List<TargetLoad> found = new ArrayList<>();
         for (TargetLoad each : loads) {
             LoadSums sums = each.totalLoad(now);
             if (hasCapacity(each, sums, demand, tier, capacity)
-                    && each.prefillMillis(sums.prefillTokens(), rate) <= maxBacklogMillis) {
+                    && forecast.backlogMillis(each.prefillMillis(sums.prefillTokens(), rate))
+                            <= maxBacklogMillis) {
                 found.add(each);
             }
         }
@@ -113,10 +115,8 @@
      * @param candidates The engines selected by {@link #withCapacity}.
      * @param cacheLookup The cached parts of the prompt by engine.
      * @param capacity The capacity of each of the service's engines.
-     * @param rate The prefill rate of the service's engines.
+     * @param forecast Forecasts the backlog of the engines.
      * @param rule The additional cost of placements.
-     * @param unreportedMillis The estimated work that peers have sent to each engine since their
-     *     last reports, in milliseconds; 0 disables the noise on costs.
      * @param now The current time, in milliseconds.
      * @return The choice, or empty if no engine can produce the first event in time.
      */
@@ -126,10 +126,11 @@
             Collection<TargetLoad> candidates,
             PromptCacheLookup cacheLookup,
             EngineCapacity capacity,
-            PrefillRate rate,
+            LoadForecast forecast,
             PlacementRule rule,
-            double unreportedMillis,
             long now) {
+        PrefillRate rate = forecast.rate();
+        double unreportedMillis = forecast.unreportedMillis();
         double affinity = affinityMillis(demand, cacheLookup, rate);
         EngineChoice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -142,7 +143,9 @@
             long prefill = demand.promptTokens() - cached;
             double prefillMillis =
                     each.prefillMillis(prefill, rate) + (source.isPresent() ? COPY_MILLIS : 0);
-            if (backlog > allowedBacklogMillis(demand, tier, prefillMillis, rate, now)) {
+            double ownMillis = forecast.prefillMillis(prefillMillis);
+            if (forecast.backlogMillis(backlog)
+                    > allowedBacklogMillis(demand, tier, ownMillis, rate, now)) {
                 continue;
             }
             double interference =
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -9,6 +9,8 @@
 import org.martenwell.balance.EngineChoice;
 import org.martenwell.balance.EngineChooser;
 import org.martenwell.balance.EngineDemand;
+import org.martenwell.balance.EventIntervals;
+import org.martenwell.balance.LoadForecast;
 import org.martenwell.balance.PlacementRule;
 import org.martenwell.balance.PrefillRate;
 import org.martenwell.balance.PromptCacheLookup;
@@ -61,6 +63,15 @@
     /** The attempt whose response is a sample of its engine's speed, empty if it is none. */
     private Optional<SampledAttempt> sampledAttempt = Optional.empty();
 
+    /** The forecast of the last decision, empty before the first. */
+    private Optional<LoadForecast> forecast = Optional.empty();
+
+    /** The forecast time to the first event of the attempt, in milliseconds, 0 without one. */
+    private double firstEventForecastMillis;
+
+    /** The engine of the attempt, by whose events its speed is estimated; empty before it. */
+    private Optional<MeasuredResponse> measuredResponse = Optional.empty();
+
     /** The charge for the request to its organisation's share, empty if there is none. */
     private Optional<ShareCharge> charge = Optional.empty();
 
@@ -81,6 +92,14 @@
      */
     private record SampledAttempt(TargetLoad load, long omittedMillis) {}
 
+    /**
+     * A response whose events are samples of its engine's speed.
+     *
+     * @param load The engine.
+     * @param intervals The intervals between the events.
+     */
+    private record MeasuredResponse(TargetLoad load, EventIntervals intervals) {}
+
     /**
      * Outcome of a routing decision. Without a choice and a refusal, the request waits.
      *
@@ -328,8 +347,12 @@
             List<TargetLoad> available, List<TargetLoad> allowed, long now) {
         PrefillRate rate = core.targets().rate(service);
         EngineChooser chooser = core.engineChooser();
+        LoadForecast current =
+                core.loadForecasts()
+                        .of(service, rate, core.unreportedWork().perTarget(available.size(), now));
+        forecast = Optional.of(current);
         List<TargetLoad> candidates =
-                chooser.withCapacity(demand, tier, allowed, capacity, rate, now);
+                chooser.withCapacity(demand, tier, allowed, capacity, current, now);
         if (candidates.isEmpty()) {
             return Optional.empty();
         }
@@ -337,9 +360,7 @@
                 PromptCacheLookup.of(demand.chain(), allowed, copySources(available, allowed));
         PlacementRule rule = core.placements().rule(service);
         rule.update(available, now);
-        double unreportedWork = core.unreportedWork().perTarget(available.size(), now);
-        return chooser.choose(
-                demand, tier, candidates, cacheLookup, capacity, rate, rule, unreportedWork, now);
+        return chooser.choose(demand, tier, candidates, cacheLookup, capacity, current, rule, now);
     }
 
     /**
@@ -386,6 +407,13 @@
                         : Optional.of(
                                 new SampledAttempt(choice.load(), core.clock().omittedMillis()));
         sent = true;
+        firstEventForecastMillis =
+                forecast.filter(each -> choice.backlogMillis() < Double.MAX_VALUE)
+                        .map(each -> each.uncorrectedMillis(choice.backlogMillis(), prefillMillis))
+                        .orElse(0.0);
+        measuredResponse =
+                core.targetSpeeds()
+                        .map(each -> new MeasuredResponse(choice.load(), new EventIntervals()));
     }
 
     /**
@@ -427,12 +455,37 @@
         core.targetSpeeds()
                 .ifPresent(speeds -> observeSpeed(speeds, rate.speed(running, elapsedMillis)));
         rate.observe(running, elapsedMillis);
+        if (!loopIsLate()) {
+            core.loadForecasts()
+                    .observe(service, firstEventForecastMillis, elapsedMillis - rate.baseMillis());
+        }
+    }
+
+    /**
+     * Records that events of the response arrived. The intervals between them are samples of the
+     * engine's speed.
+     */
+    void recordEvents() {
+        measuredResponse.ifPresent(
+                each ->
+                        each.intervals()
+                                .received(core.now())
+                                .ifPresent(millis -> observeInterval(each.load(), millis)));
+    }
+
+    private void observeInterval(TargetLoad load, double intervalMillis) {
+        if (!loopIsLate()) {
+            core.targetSpeeds().ifPresent(speeds -> speeds.observeInterval(load, intervalMillis));
+        }
+    }
+
+    private boolean loopIsLate() {
+        return core.loopLag().meanMillis() > MAX_SAMPLE_LAG_MILLIS;
     }
 
     /** Records a sample of the engine's speed, unless the event loop was late. */
     private void observeSpeed(TargetSpeeds speeds, OptionalDouble ratio) {
-        boolean late = core.loopLag().meanMillis() > MAX_SAMPLE_LAG_MILLIS;
-        if (ratio.isPresent() && !late) {
+        if (ratio.isPresent() && !loopIsLate()) {
             sampledAttempt
                     .filter(each -> each.omittedMillis() == core.clock().omittedMillis())
                     .ifPresent(each -> speeds.observe(each.load(), ratio.getAsDouble()));
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -136,6 +136,8 @@
     /** The speeds of engines, empty if they are not estimated. */
     private final Optional<TargetSpeeds> targetSpeeds;
 
+    private final LoadForecasts loadForecasts;
+
     /** Bounds the memory of responses that are not complete. */
     private final ResponseMemory responseMemory = ResponseMemory.ofHeap();
 
@@ -192,6 +194,8 @@
                         ? Optional.of(new TargetSpeeds(reactor, targets, capacities))
                         : Optional.empty();
         targetSpeeds.ifPresent(this::registerSpeedGauges);
+        this.loadForecasts = new LoadForecasts(enables(GatewayFeature.LOAD_FORECAST));
+        log.metrics().registerGauge("load_forecast_percent", loadForecasts::maxFactorPercent);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.placements =
                 new PlacementRules(
@@ -379,6 +383,11 @@
         return unreportedWork;
     }
 
+    /** {@return the forecasts of the load of engines} */
+    LoadForecasts loadForecasts() {
+        return loadForecasts;
+    }
+
     /**
      * Returns the routing of requests to a plain service.
      *
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -592,6 +592,9 @@
      */
     boolean bodyReceived(byte[] chunk) {
         pace.received(elapsedMillis());
+        if (relay.streaming()) {
+            engines.ifPresent(EngineRouting::recordEvents);
+        }
         boolean accepted = relay.receive(chunk, route.resumable());
         if (relay.eventForwarded() && !eventCounted) {
             eventCounted = true;
--- a/src/main/java/org/martenwell/gateway/TargetSpeeds.java
+++ b/src/main/java/org/martenwell/gateway/TargetSpeeds.java
@@ -7,15 +7,16 @@
 import java.util.Map;
 import java.util.stream.DoubleStream;
 import org.martenwell.balance.CapacityNotice;
+import org.martenwell.balance.EventIntervalRate;
 import org.martenwell.balance.RelativeSpeeds;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.TargetSpeed;
 import org.martenwell.balance.TargetSpeedReport;
 
 /**
- * Learns the speeds of engines from samples of this gateway and its peers. All speeds are 1 while
- * the fleet has gateways that exchange no capacity notices: those gateways treat all engines alike,
- * and the samples of one gateway alone are too few.
+ * Estimates the speeds of engines from samples of this gateway and its peers. All speeds are 1
+ * while the fleet has gateways that exchange no capacity notices: those gateways treat all engines
+ * alike, and the samples of one gateway alone are too few.
  */
 final class TargetSpeeds {
 
@@ -30,6 +31,9 @@
 
     private final CapacityExchange capacities;
 
+    /** The usual interval between events, by service. */
+    private final Map<String, EventIntervalRate> intervalRates = new HashMap<>();
+
     /** The time of the last computation, in milliseconds. */
     private long updatedMillis = Long.MIN_VALUE / 2;
 
@@ -60,6 +64,19 @@
         }
     }
 
+    /**
+     * Adds a sample of this gateway from the intervals between the events of a response.
+     *
+     * @param load The engine.
+     * @param intervalMillis The usual interval in the response, in milliseconds.
+     */
+    void observeInterval(TargetLoad load, double intervalMillis) {
+        intervalRates
+                .computeIfAbsent(load.target().service(), service -> new EventIntervalRate())
+                .speed(intervalMillis)
+                .ifPresent(ratio -> observe(load, ratio));
+    }
+
     /** Computes the speeds if that is due. Called before each choice of an engine. */
     void update() {
         long now = reactor.currentTimeMillis();
--- a/src/main/java/org/martenwell/settings/GatewayFeature.java
+++ b/src/main/java/org/martenwell/settings/GatewayFeature.java
@@ -19,6 +19,11 @@
     /** Places long prompts where they delay few other requests. */
     SEPARATE_LONG_PROMPTS("separateLongPrompts"),
 
+    /**
+     * Counts the unreported requests of peers at engines, and corrects forecasts by their errors.
+     */
+    LOAD_FORECAST("loadForecast"),
+
     /** Lets requests wait for an engine as long as they can still be served in time. */
     WAIT_FORECAST("waitForecast");
 
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -163,7 +163,8 @@
         EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
         EngineDemand large = new EngineDemand("o", PromptChain.EMPTY, 30_000, 10, 400, 0);
         assertThat(choose(small, ShareTier.PROMISED)).isPresent();
-        assertThat(chooser.withCapacity(large, ShareTier.PROMISED, loads, CAPACITY, rate, 0))
+        LoadForecast forecast = LoadForecast.ofReports(rate, 0);
+        assertThat(chooser.withCapacity(large, ShareTier.PROMISED, loads, CAPACITY, forecast, 0))
                 .hasSize(1);
         assertThat(choose(large, ShareTier.PROMISED)).isEmpty();
     }
@@ -232,6 +233,36 @@
         assertThat(choose(small, ShareTier.PROMISED).orElseThrow().backlogMillis()).isEqualTo(250);
     }
 
+    /** Guards against gateways that together send an engine more than it can serve in time. */
+    @Test
+    void testUnreportedWorkCountsAsBacklog() {
+        add("one", "domain-a");
+        EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.ofReports(rate, 400)))
+                .isPresent();
+        ForecastError none = new ForecastError();
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 200, none)))
+                .isPresent();
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 400, none)))
+                .isEmpty();
+    }
+
+    /** Guards against forecasts that stay as long as at idle engines. */
+    @Test
+    void testForecastIsCorrectedByItsErrors() {
+        add("one", "domain-a");
+        loads.get(0).sent(new RunningRequest(16_000, 0, 0, 0));
+        EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
+        ForecastError error = new ForecastError();
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, error)))
+                .isPresent();
+        for (int sample = 0; sample < 100; sample++) {
+            error.observe(100, 200);
+        }
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, error)))
+                .isEmpty();
+    }
+
     /** Guards against noise that spreads requests evenly over engines of different speeds. */
     @Test
     void testNoiseSpreadsRequestsInProportionToSpeeds() {
@@ -260,7 +291,13 @@
 
     private Optional<EngineChoice> choose(
             EngineDemand demand, ShareTier tier, double unreportedMillis) {
-        List<TargetLoad> candidates = chooser.withCapacity(demand, tier, loads, CAPACITY, rate, 0);
+        return choose(demand, tier, LoadForecast.ofReports(rate, unreportedMillis));
+    }
+
+    private Optional<EngineChoice> choose(
+            EngineDemand demand, ShareTier tier, LoadForecast forecast) {
+        List<TargetLoad> candidates =
+                chooser.withCapacity(demand, tier, loads, CAPACITY, forecast, 0);
         PromptCacheLookup cacheLookup = PromptCacheLookup.of(demand.chain(), loads, draining);
         return chooser.choose(
                 demand,
@@ -268,9 +305,8 @@
                 candidates,
                 cacheLookup,
                 CAPACITY,
-                rate,
+                forecast,
                 UnrestrictedPlacement.INSTANCE,
-                unreportedMillis,
                 0);
     }
 
--- a/src/test/java/org/martenwell/balance/PlacementSimulation.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulation.java
@@ -37,6 +37,17 @@
             long seconds,
             long seed) {}
 
+    /**
+     * What gateways estimate beside what they report.
+     *
+     * @param speeds {@code true} for the speeds of engines, from the intervals between events.
+     * @param forecasts {@code true} to count unreported work, and to correct forecasts.
+     */
+    record Knowledge(boolean speeds, boolean forecasts) {
+
+        static final Knowledge OF_REPORTS = new Knowledge(false, false);
+    }
+
     /** Reports, questions and classifications at engines that process prompts whole. */
     private static final FleetModel EQUAL_ENGINES =
             new FleetModel(
@@ -65,6 +76,10 @@
     /** The interval at which a waiting request is placed again, in milliseconds. */
     private static final long RETRY_MILLIS = 10;
 
+    private static final double SPEED_UPDATE_MILLIS = 200;
+
+    private static final double SPEED_NOTICE_MILLIS = 400;
+
     /** The time after which gateways learn that engines are lost, in milliseconds. */
     private static final double LOSS_NOTICE_MILLIS = 300;
 
@@ -76,6 +91,8 @@
 
     private final Supplier<PlacementRule> rules;
 
+    private final Knowledge knowledge;
+
     /** Enables the noise on costs by which gateways allow for unreported work. */
     private final boolean addsNoise;
 
@@ -100,8 +117,13 @@
     private record Event(double at, long order, Runnable action) {}
 
     private PlacementSimulation(
-            Scenario scenario, FleetModel model, boolean addsNoise, Supplier<PlacementRule> rules) {
+            Scenario scenario,
+            FleetModel model,
+            Knowledge knowledge,
+            boolean addsNoise,
+            Supplier<PlacementRule> rules) {
         this.scenario = scenario;
+        this.knowledge = knowledge;
         this.model = model;
         this.capacity = model.capacity();
         this.addsNoise = addsNoise;
@@ -123,7 +145,11 @@
     static KindResult simulate(Scenario scenario) {
         return sum(
                 new PlacementSimulation(
-                                scenario, EQUAL_ENGINES, true, () -> UnrestrictedPlacement.INSTANCE)
+                                scenario,
+                                EQUAL_ENGINES,
+                                Knowledge.OF_REPORTS,
+                                true,
+                                () -> UnrestrictedPlacement.INSTANCE)
                         .simulate());
     }
 
@@ -133,6 +159,7 @@
                 new PlacementSimulation(
                                 scenario,
                                 EQUAL_ENGINES,
+                                Knowledge.OF_REPORTS,
                                 false,
                                 () -> UnrestrictedPlacement.INSTANCE)
                         .simulate());
@@ -146,8 +173,23 @@
      */
     static Map<String, KindResult> simulate(
             Scenario scenario, FleetModel model, Supplier<PlacementRule> rules) {
+        return simulate(scenario, model, Knowledge.OF_REPORTS, rules);
+    }
+
+    /**
+     * Simulates a scenario.
+     *
+     * @param knowledge What gateways estimate beside what they report.
+     * @param rules Creates the rule of each gateway.
+     * @return The results by the name of the kind.
+     */
+    static Map<String, KindResult> simulate(
+            Scenario scenario,
+            FleetModel model,
+            Knowledge knowledge,
+            Supplier<PlacementRule> rules) {
         Map<String, KindResult> byName = new LinkedHashMap<>();
-        new PlacementSimulation(scenario, model, true, rules)
+        new PlacementSimulation(scenario, model, knowledge, true, rules)
                 .simulate()
                 .forEach((kind, result) -> byName.put(kind.name(), result));
         return byName;
@@ -247,6 +289,12 @@
 
         private double lastEventAt;
 
+        private double sentAt;
+
+        private double forecastMillis;
+
+        private final EventIntervals intervals = new EventIntervals();
+
         private boolean paused;
 
         private TargetLoad target;
@@ -281,6 +329,16 @@
         private void place() {
             Optional<EngineChoice> choice = gateway.choose(demand);
             if (choice.isPresent()) {
+                sentAt = now;
+                forecastMillis =
+                        gateway.forecast()
+                                .uncorrectedMillis(
+                                        choice.get().backlogMillis(),
+                                        choice.get()
+                                                .load()
+                                                .prefillMillis(
+                                                        choice.get().prefillTokens(),
+                                                        gateway.rate));
                 send(choice.get().load(), choice.get().prefillTokens());
                 return;
             }
@@ -334,6 +392,9 @@
             target.firstEventArrived(running);
             answered = true;
             lastEventAt = now;
+            if (!retried) {
+                gateway.error.observe(forecastMillis, now - sentAt - gateway.rate.baseMillis());
+            }
             double millis = now + NETWORK_MILLIS - demand.arrivedMillis();
             result.answered(
                     millis,
@@ -345,6 +406,9 @@
 
         @Override
         public void eventArrived() {
+            intervals
+                    .received((long) now)
+                    .ifPresent(millis -> gateway.observeInterval(target, millis));
             if (!paused && answered && now - lastEventAt > kind.intervalMillis()) {
                 paused = true;
                 result.paused();
@@ -381,6 +445,14 @@
 
         private final UnreportedWork unreported = new UnreportedWork();
 
+        private final ForecastError error = new ForecastError();
+
+        private final EventIntervalRate intervalRate = new EventIntervalRate();
+
+        private double nextSpeedsAt;
+
+        private double nextNoticeAt;
+
         /** The engines listed in the last report. */
         private Set<Integer> reportedEngines = Set.of();
 
@@ -419,9 +491,16 @@
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
             rule.update(available(), (long) now);
+            updateSpeeds();
+            LoadForecast forecast = forecast();
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available(), capacity, rate, (long) now);
+                            demand,
+                            ShareTier.PROMISED,
+                            available(),
+                            capacity,
+                            forecast,
+                            (long) now);
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -433,12 +512,54 @@
                     candidates,
                     cacheLookup,
                     capacity,
-                    rate,
+                    forecast,
                     rule,
-                    addsNoise ? unreported.perTarget(scenario.engines(), (long) now) : 0,
                     (long) now);
         }
 
+        private LoadForecast forecast() {
+            double unreportedMillis =
+                    addsNoise ? unreported.perTarget(scenario.engines(), (long) now) : 0;
+            return knowledge.forecasts()
+                    ? LoadForecast.corrected(rate, unreportedMillis, error)
+                    : LoadForecast.ofReports(rate, unreportedMillis);
+        }
+
+        private void updateSpeeds() {
+            if (knowledge.speeds() && now >= nextSpeedsAt) {
+                nextSpeedsAt = now + SPEED_UPDATE_MILLIS;
+                RelativeSpeeds.update(loads.stream().map(TargetLoad::speed).toList(), (long) now);
+            }
+        }
+
+        private void observeInterval(TargetLoad load, double millis) {
+            intervalRate.speed(millis).ifPresent(ratio -> load.speed().observe(ratio, (long) now));
+        }
+
+        /** Reports samples of speeds to all others, after the delay. */
+        private void reportSpeeds() {
+            if (!knowledge.speeds() || now < nextNoticeAt) {
+                return;
+            }
+            nextNoticeAt = now + SPEED_NOTICE_MILLIS;
+            List<TargetSpeedReport> reports = new ArrayList<>();
+            for (TargetLoad each : loads) {
+                each.speed().takeReport(each.target().id()).ifPresent(reports::add);
+            }
+            schedule(
+                    now + scenario.delayMillis(),
+                    () ->
+                            gateways.stream()
+                                    .filter(each -> each != this)
+                                    .forEach(each -> each.receiveSpeeds(reports)));
+        }
+
+        private void receiveSpeeds(List<TargetSpeedReport> reports) {
+            for (TargetSpeedReport each : reports) {
+                loads.get(Integer.parseInt(each.target())).speed().apply(each, (long) now);
+            }
+        }
+
         private Optional<TargetLoad> leastLoaded() {
             return available().stream()
                     .min(Comparator.comparingInt(each -> each.totalLoad((long) now).requests()));
@@ -466,6 +587,7 @@
             }
             reportedEngines = Set.copyOf(reported.keySet());
             schedule(now + scenario.delayMillis(), () -> deliver(reported));
+            reportSpeeds();
         }
 
         private void deliver(Map<Integer, LoadSums> reported) {
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
@@ -404,9 +404,12 @@
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
             List<TargetLoad> available = available();
+            LoadForecast forecast =
+                    LoadForecast.ofReports(
+                            rate, unreported.perTarget(available.size(), (long) now));
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available, CAPACITY, rate, (long) now);
+                            demand, ShareTier.PROMISED, available, CAPACITY, forecast, (long) now);
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -416,9 +419,8 @@
                     candidates,
                     PromptCacheLookup.of(demand.chain(), available, List.of()),
                     CAPACITY,
-                    rate,
+                    forecast,
                     UnrestrictedPlacement.INSTANCE,
-                    unreported.perTarget(available.size(), (long) now),
                     (long) now);
         }
 
--- a/src/test/java/org/martenwell/gateway/TargetSpeedsTest.java
+++ b/src/test/java/org/martenwell/gateway/TargetSpeedsTest.java
@@ -110,6 +110,49 @@
         assertThat(takeReports(core)).isEmpty();
     }
 
+    /** Guards against engines that are never free of a backlog and thus have no samples. */
+    @Test
+    void testIntervalsBetweenEventsAreSamples() {
+        for (int response = 0; response < 4; response++) {
+            receiveEvents("two", 25);
+        }
+        takeReports(core);
+        receiveEvents("one", 50);
+        advance(100);
+        List<TargetSpeedReport> reports = takeReports(core);
+        assertThat(reports).hasSize(1);
+        assertThat(reports.get(0).target()).isEqualTo("one@1");
+        assertThat(reports.get(0).samples()).isEqualTo(1);
+        assertThat(reports.get(0).logSumThousandths()).isBetween(-720L, -660L);
+    }
+
+    /** Guards against engines that count as slow because this gateway was late. */
+    @Test
+    void testIntervalsAtABusyLoopAreNoSamples() {
+        for (int response = 0; response < 4; response++) {
+            receiveEvents("two", 25);
+        }
+        takeReports(core);
+        EngineRouting routing = routing(core);
+        routing.recordSent(choice(20, Optional.empty()));
+        for (int event = 0; event <= 20; event++) {
+            routing.recordEvents();
+            turn(STEP_MILLIS + 15);
+        }
+        assertThat(takeReports(core)).isEmpty();
+    }
+
+    /** Receives a response of seven events, which is one sample. */
+    private void receiveEvents(String engine, long intervalMillis) {
+        EngineRouting routing = routing(core);
+        routing.recordSent(
+                new EngineChoice(load(core, engine), PROMPT_TOKENS, 20, Optional.empty(), 0));
+        for (int event = 0; event <= 6; event++) {
+            routing.recordEvents();
+            advance(intervalMillis);
+        }
+    }
+
     @Test
     void testSpeedsAreLearntFromPeersAndShownInMetrics() {
         learn(core);
