Ignore an answer to a request whose server has stopped

Cause: a server that stops closes the connections of requests that are being served without notifying them. A whole response that such a request got later met a connection without an exchange: a NullPointerException, recorded as a defect (seen three times in one run of a test, not traced then). Shown by StoppedServerTest#testAnswerAfterTheStopIsNoDefect, which failed with one defect before. Change: whole responses on closed connections are dropped, as chunks were. Result: the test passes, with CallerServerTest and FailedAnswerTest.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -259,6 +259,10 @@
     }
 
     private void sendWhole(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
+        if (closed) {
+            // The server stopped while the request was served.
+            return;
+        }
         boolean persistent = keepAlive && !server.draining();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         setConnectionHeader(headers, persistent);
--- a/src/test/java/org/martenwell/exchange/StoppedServerTest.java
+++ b/src/test/java/org/martenwell/exchange/StoppedServerTest.java
@@ -9,11 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.martenwell.observe.Defects;
 import org.martenwell.service.BusyLoop;
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
@@ -44,6 +47,9 @@
 
     private final List<String> handled = new CopyOnWriteArrayList<>();
 
+    /** The exchanges that are not answered. */
+    private final BlockingQueue<CallerExchange> held = new LinkedBlockingQueue<>();
+
     private CallerServer server;
 
     @BeforeEach
@@ -140,6 +146,20 @@
         }
     }
 
+    /** Guards against a defect for each request that is answered after the server has stopped. */
+    @Test
+    void testAnswerAfterTheStopIsNoDefect() throws Exception {
+        long before = Defects.count();
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /wait HTTP/1.1|Host: x||");
+            CallerExchange waiting = held.take();
+            thread.call(server::stop);
+            thread.loop().submit(() -> answer(waiting)).get();
+            assertThat(client.readAll()).isIn("", "(reset)");
+        }
+        assertThat(Defects.count()).isEqualTo(before);
+    }
+
     private RawHttpClient usedConnection() throws Exception {
         RawHttpClient client = new RawHttpClient(address);
         client.send("GET /first HTTP/1.1|Host: x||").readUntil("/first");
@@ -174,15 +194,21 @@
         String path = exchange.request().path();
         handled.add(path);
         if (path.equals("/first")) {
-            exchange.respond(
-                    200,
-                    DefaultHttpHeadersFactory.headersFactory().newHeaders(),
-                    path.getBytes(StandardCharsets.UTF_8));
+            answer(exchange);
         } else if (path.equals("/large")) {
             exchange.respond(
                     200,
                     DefaultHttpHeadersFactory.headersFactory().newHeaders(),
                     new byte[LARGE_BYTES]);
+        } else {
+            held.add(exchange);
         }
     }
+
+    private static void answer(CallerExchange exchange) {
+        exchange.respond(
+                200,
+                DefaultHttpHeadersFactory.headersFactory().newHeaders(),
+                exchange.request().path().getBytes(StandardCharsets.UTF_8));
+    }
 }
