Split the log of a gateway by subject

Change: RequestLog, AttemptLog, StreamLog, TargetLog and QuarantineLog hold the lines and metrics of their subjects; RateLimitedLogger holds the limit, which the subjects still share, under the logger's name that the lines contain. GatewayLog keeps the lines about the gateway's state and connections. Events, fields, metrics and limits are unchanged.

--- a/src/main/java/org/martenwell/gateway/CacheChangePoller.java
+++ b/src/main/java/org/martenwell/gateway/CacheChangePoller.java
@@ -123,7 +123,7 @@
         CachedPartChanges changes = core.dialect().parseCacheChanges(response.body());
         since = changes.next();
         changes.parts().forEach(this::applyChange);
-        core.log().cacheChangesReceived(changes.parts().size(), changes.lost());
+        core.log().targets().cacheChangesReceived(changes.parts().size(), changes.lost());
     }
 
     /** Applies a change. Added parts that aren't known to be shared are ignored. */
@@ -135,7 +135,7 @@
         if (!differs || (tokens > 0 && !core.sharedKeys().contains(key))) {
             return;
         }
-        core.log().cacheEntryCorrected(tokens > 0);
+        core.log().targets().cacheEntryCorrected(tokens > 0);
         core.queueCacheUpdate(
                 new CachedPartUpdate(target.load().target().incarnation(), key, tokens));
         if (tokens > 0) {
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -175,7 +175,12 @@
                         reactor,
                         settings.name(),
                         new TargetEventHandler(
-                                reactor, dialect, harmful, streams, log, Clock.systemUTC()));
+                                reactor,
+                                dialect,
+                                harmful,
+                                streams,
+                                log.targets(),
+                                Clock.systemUTC()));
         if (settings.enables(GatewayFeature.REUSE_CONNECTIONS)) {
             targets.preferIdleConnections();
         }
--- a/src/main/java/org/martenwell/gateway/HarmfulRequests.java
+++ b/src/main/java/org/martenwell/gateway/HarmfulRequests.java
@@ -85,7 +85,7 @@
 
         @Override
         public void targetCrashed(String incarnation, CrashSource source) {
-            log.targetCrashed(incarnation, source);
+            log.targets().crashed(incarnation, source);
         }
     }
 
@@ -262,7 +262,7 @@
         }
         Fingerprint fingerprint = identity.fingerprint();
         if (quarantine.clear(fingerprint, reactor.currentTimeMillis())) {
-            log.quarantineChanged("request-released", fingerprint, "served");
+            log.quarantine().changed("request-released", fingerprint, "served");
             directory.ifPresent(each -> each.release(fingerprint));
         }
     }
@@ -286,7 +286,7 @@
                 directory.ifPresent(present -> present.release(part));
             }
             if (suspected) {
-                log.partCleared(each);
+                log.quarantine().partCleared(each);
             }
         }
         sendUrgentUpdates();
@@ -317,7 +317,7 @@
         for (Fingerprint each : stored) {
             if (!entries.containsKey(each)) {
                 quarantine.clear(each, now);
-                log.quarantineChanged("request-released", each, "directory");
+                log.quarantine().changed("request-released", each, "directory");
             }
         }
         stored = Set.copyOf(entries.keySet());
@@ -358,11 +358,15 @@
     private void recordSuspect(SuspectRequest suspect, String incarnation) {
         Fingerprint fingerprint = suspect.fingerprint();
         recordCrash(fingerprint, suspect.summary(), incarnation);
-        log.suspected(suspect, incarnation, quarantine.crashedIncarnations(fingerprint).size());
+        log.quarantine()
+                .suspected(
+                        suspect, incarnation, quarantine.crashedIncarnations(fingerprint).size());
         for (SharedPart each : suspect.parts()) {
             Fingerprint part = each.fingerprint();
             if (recordCrash(part, suspect.summary().withPart(each.id()), incarnation)) {
-                log.partSuspected(each, incarnation, quarantine.crashedIncarnations(part).size());
+                log.quarantine()
+                        .partSuspected(
+                                each, incarnation, quarantine.crashedIncarnations(part).size());
             }
         }
         sendUrgentUpdates();
@@ -397,7 +401,7 @@
      */
     private void quarantined(Fingerprint fingerprint, String source) {
         RequestSummary summary = summaries.get(fingerprint);
-        log.held(fingerprint, Optional.ofNullable(summary), source);
+        log.quarantine().held(fingerprint, Optional.ofNullable(summary), source);
         for (RequestDispatch each : List.copyOf(active)) {
             each.stopIfQuarantined(fingerprint);
         }
--- a/src/main/java/org/martenwell/gateway/OffloadedRequests.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedRequests.java
@@ -128,7 +128,7 @@
         Sender sender = senders.computeIfAbsent(message.sender(), Sender::new);
         scheduleCheck();
         if (accepts(message)) {
-            core.log().receivedOffloaded();
+            core.log().requests().receivedOffloaded();
             StepGuard.of("OffloadedRequests", Optional::empty, thrown -> failed(sender, message))
                     .run(() -> handle(sender, message));
         } else {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -268,7 +268,7 @@
             return;
         }
         ServiceVersion version = lookup.stream().get().version();
-        core.log().streamFound(requestId(), metadata.resumedAttempt(), lookup.stream().get());
+        core.log().streams().found(requestId(), metadata.resumedAttempt(), lookup.stream().get());
         if (!route.leadsTo(version.service())) {
             refuseStream(StreamRefusal.ROUTE_CHANGED);
             return;
@@ -284,8 +284,8 @@
         resumption.ifPresent(
                 lookup ->
                         core.log()
-                                .streamRefused(
-                                        requestId(), metadata.resumedAttempt(), refusal, lookup));
+                                .streams()
+                                .refused(requestId(), metadata.resumedAttempt(), refusal, lookup));
         fail(refusal.kind(), refusal.retryDelay());
     }
 
@@ -435,6 +435,7 @@
 
     private void sendToChosenEngine(EngineRouting routing, EngineChoice choice, ShareUse use) {
         core.log()
+                .attempts()
                 .sentToEngine(
                         requestId(),
                         choice,
@@ -465,7 +466,9 @@
     }
 
     private void sendToChosenTarget(PlainRouting routing, TargetLoad load, long now) {
-        core.log().sent(requestId(), load.target(), history.attempts() + 1, sendTiming());
+        core.log()
+                .attempts()
+                .sent(requestId(), load.target(), history.attempts() + 1, sendTiming());
         routing.recordSent(now);
         loadWhenSent = load.totalLoad(now).requests() + 1;
         send(load, new RunningRequest(0, 0, now, 0), Optional.empty());
@@ -523,7 +526,7 @@
     private void targetSilent(SendAttempt silentAttempt, Silence silence) {
         silentAttempt.target().load().health().failed(core.now());
         if (route.repeatable() && mayRetry()) {
-            core.log().targetSilent(requestId(), targetId(silentAttempt), silence);
+            core.log().attempts().silent(requestId(), targetId(silentAttempt), silence);
             history.markPossiblyRun();
             cancelAttempt();
             trySend();
@@ -571,7 +574,7 @@
      */
     void bodyStarted(SendAttempt from) {
         pace.started(elapsedMillis());
-        core.log().firstChunk(elapsedMillis());
+        core.log().requests().firstChunk(elapsedMillis());
         if (relay.streaming()) {
             engines.ifPresent(
                     routing -> routing.recordResponseStart(from.running(), from.elapsedMillis()));
@@ -595,7 +598,7 @@
         boolean accepted = relay.receive(chunk, route.resumable());
         if (relay.eventForwarded() && !eventCounted) {
             eventCounted = true;
-            core.log().streamStarted(resumption.isPresent());
+            core.log().streams().started(resumption.isPresent());
         }
         if (relay.eventForwarded() && !streamBegan && attempt != null) {
             streamBegan = true;
@@ -678,6 +681,7 @@
             }
             relay.end();
             core.log()
+                    .requests()
                     .ended(
                             requestId(),
                             routeName(),
@@ -703,7 +707,7 @@
     /** Suspends a target that refused the request without running it, and retries elsewhere. */
     private void refusedByTarget(SendAttempt from, int status) {
         boolean misdirected = status == MISDIRECTED_STATUS;
-        core.log().attemptFailed(requestId(), targetId(from), misdirected ? "other" : "full");
+        core.log().attempts().notRun(requestId(), targetId(from), misdirected ? "other" : "full");
         engines.ifPresent(EngineRouting::rollBackSent);
         if (misdirected) {
             core.harmful().targetCrashed(from.target(), CrashSource.ANSWER);
@@ -731,7 +735,7 @@
         attempt = null;
         engines.ifPresent(EngineRouting::rollBackSent);
         if (!failure.sent()) {
-            core.log().attemptFailed(requestId(), targetId(from), failure.name());
+            core.log().attempts().notRun(requestId(), targetId(from), failure.name());
             from.target().load().health().connectFailed(core.now());
             if (failure == ResponseFailure.REFUSED) {
                 core.harmful().targetCrashed(from.target(), CrashSource.CONNECTION);
@@ -740,7 +744,8 @@
             return;
         }
         core.log()
-                .sentAttemptFailed(
+                .attempts()
+                .failed(
                         requestId(),
                         from.target().load().target().incarnation(),
                         failure.name(),
@@ -778,7 +783,7 @@
     void targetUnavailable(SendAttempt from) {
         attempt = null;
         engines.ifPresent(EngineRouting::rollBackSent);
-        core.log().attemptFailed(requestId(), targetId(from), "closed");
+        core.log().attempts().notRun(requestId(), targetId(from), "closed");
         history.withdrawAttempt();
         trySend();
     }
@@ -930,7 +935,7 @@
     private void respond(ErrorKind kind, double retrySeconds) {
         logFailure(kind);
         if (resumption.isPresent()) {
-            core.log().resumptionFailed(kind);
+            core.log().streams().resumptionFailed(kind);
         }
         if (forecast.isPresent()) {
             localResponder.respondWithForecast(kind, retrySeconds);
@@ -947,6 +952,7 @@
     private void logFailure(ErrorKind kind) {
         dispositionCount.ended(organisation.orElse(""), Disposition.of(kind));
         core.log()
+                .requests()
                 .failed(
                         requestId(),
                         kind,
--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -127,7 +127,7 @@
         core.beginRequest();
         exchange.onDisconnect(() -> callerDisconnected(offloaded));
         links.send(peer, message);
-        core.log().offloaded(() -> requestId(exchange), peer, heldMillis);
+        core.log().requests().offloaded(() -> requestId(exchange), peer, heldMillis);
     }
 
     private Optional<String> requestId(CallerExchange exchange) {
@@ -223,7 +223,7 @@
 
     /** Handles a request here that another gateway has not run. */
     private void rejected(OffloadedExchange offloaded) {
-        core.log().offloadRejected();
+        core.log().requests().offloadRejected();
         targets.rejected(offloaded.peer(), core.now());
         finish(offloaded);
         local.accept(offloaded.exchange(), 0);
@@ -251,7 +251,9 @@
     private void lost(OffloadedExchange offloaded) {
         CallerExchange exchange = offloaded.exchange();
         long elapsedMillis = core.now() - exchange.request().arrivedMillis();
-        core.log().offloadFailed(() -> requestId(exchange), exchange.headSent(), elapsedMillis);
+        core.log()
+                .requests()
+                .offloadFailed(() -> requestId(exchange), exchange.headSent(), elapsedMillis);
         finish(offloaded);
         offloaded.release();
         if (exchange.headSent()) {
--- a/src/main/java/org/martenwell/gateway/TargetEventHandler.java
+++ b/src/main/java/org/martenwell/gateway/TargetEventHandler.java
@@ -22,7 +22,7 @@
 
     private final StreamVersions streams;
 
-    private final GatewayLog log;
+    private final TargetLog log;
 
     /** The wall clock, for dates in responses. */
     private final Clock clock;
@@ -42,7 +42,7 @@
             RequestDialect dialect,
             HarmfulRequests harmful,
             StreamVersions streams,
-            GatewayLog log,
+            TargetLog log,
             Clock clock) {
         this.reactor = reactor;
         this.dialect = dialect;
