Share the clock and the events of simulations

Cause: UnevenEnginesSimulation, PlacementSimulation and WaitSimulation each had their own queue of events, clock and repeated events, and the two simulations of quarantines had a fourth one.

Change: SimulatedEvents moves from the quarantine tests to the test package simulation and is used by all five; SimulationClock goes. Times are doubles there, as the placement needs; nowMillis() is the same whole time as before elsewhere. OffloadSimulation advances in steps, and PlainServiceSimulation and SpeedFleet leave the order of simultaneous events to their queues, so they are not the same code and stay as they are.

--- a/src/test/java/org/martenwell/admission/WaitSimulation.java
+++ b/src/test/java/org/martenwell/admission/WaitSimulation.java
@@ -6,11 +6,11 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.martenwell.share.FairShares;
 import org.martenwell.share.ShareTier;
 import org.martenwell.share.ShareUse;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A discrete-event simulation of requests that wait for places at engines. It runs the production
@@ -142,8 +142,7 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparing(Event::order));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
@@ -158,10 +157,6 @@
 
     private int occupied;
 
-    private long now;
-
-    private long order;
-
     private int total;
     private int inTime;
     private int late;
@@ -174,8 +169,6 @@
     private int searches;
     private double value;
 
-    private record Event(long at, long order, Runnable action) {}
-
     private WaitSimulation(Load load, boolean forecasts, long seed) {
         this.load = load;
         this.forecasts = forecasts;
@@ -209,14 +202,14 @@
 
     private Outcome simulate() {
         for (Gateway each : gateways) {
-            each.reportFrom((long) (random.nextDouble() * REPORT_MILLIS));
-        }
-        schedule(0, this::arrive);
-        while (!events.isEmpty()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
+            events.repeat(
+                    Math.floor(random.nextDouble() * REPORT_MILLIS),
+                    REPORT_MILLIS,
+                    END,
+                    each::receiveReports);
         }
+        events.schedule(0, this::arrive);
+        events.run();
         return new Outcome(
                 total,
                 inTime,
@@ -231,12 +224,8 @@
                 (int) Math.round(value));
     }
 
-    private void schedule(long at, Runnable action) {
-        events.add(new Event(at, order++, action));
-    }
-
     private boolean peak() {
-        return now >= PEAK_START && now < PEAK_END;
+        return events.nowMillis() >= PEAK_START && events.nowMillis() < PEAK_END;
     }
 
     /** The number of places that engines have at present. */
@@ -245,7 +234,7 @@
     }
 
     private void arrive() {
-        if (now >= END) {
+        if (events.nowMillis() >= END) {
             return;
         }
         double rate = requestsPerMilli * (peak() ? load.peakLoad() : load.usualLoad());
@@ -258,8 +247,8 @@
         boolean toOne = load.largeFactor() > 1 && organisation == 0;
         Gateway gateway = gateways.get(toOne ? 0 : arrivals.nextInt(GATEWAYS));
         new Request(gateway, organisation, kind()).arrive();
-        schedule(
-                now
+        events.schedule(
+                events.nowMillis()
                         + Math.round(
                                 -Math.log(1 - arrivals.nextDouble()) / rate
                                         + arrivals.nextDouble()
@@ -284,7 +273,7 @@
         private final Gateway gateway;
         private final int organisation;
         private final Kind kind;
-        private final long firstArrival = now;
+        private final long firstArrival = events.nowMillis();
         private long arrival;
         private boolean retried;
         private boolean hasWaited;
@@ -300,7 +289,7 @@
         }
 
         private void arrive() {
-            arrival = now;
+            arrival = events.nowMillis();
             hasWaited = false;
             demand =
                     new WaitDemand(
@@ -309,12 +298,12 @@
                             firstArrival + kind.timeoutMillis,
                             kind.firstEventMillis,
                             kind.ownTokens + kind.events);
-            shares.requested(organisationName(), kind.cost(), now);
+            shares.requested(organisationName(), kind.cost(), events.nowMillis());
             tryAgain();
         }
 
         private ShareUse use() {
-            return shares.use(organisationName(), kind.cost(), windowTokens, now);
+            return shares.use(organisationName(), kind.cost(), windowTokens, events.nowMillis());
         }
 
         @Override
@@ -341,7 +330,8 @@
                 return;
             }
             WaitRank rank = rank();
-            boolean skips = forecasts && gateway.queue.skipsSearch(demand, rank, now);
+            boolean skips =
+                    forecasts && gateway.queue.skipsSearch(demand, rank, events.nowMillis());
             if (!skips) {
                 searches++;
                 if (gateway.seesPlace(use.tier())) {
@@ -353,7 +343,7 @@
                 refuse(2);
             } else if (forecasts) {
                 forecast(rank, skips);
-            } else if (now - arrival >= FIXED_WAIT_FRACTION * kind.objectiveMillis) {
+            } else if (events.nowMillis() - arrival >= FIXED_WAIT_FRACTION * kind.objectiveMillis) {
                 refuse(FIXED_RETRY_SECONDS * (1 + random.nextDouble()));
             } else {
                 await();
@@ -364,14 +354,15 @@
 
         private void forecast(WaitRank rank, boolean skipped) {
             if (!skipped) {
-                gateway.queue.searchFailed(demand, rank, true, now);
+                gateway.queue.searchFailed(demand, rank, true, events.nowMillis());
             }
-            Optional<WaitRefusal> refusal = gateway.queue.decide(demand, rank, hasWaited, now);
+            Optional<WaitRefusal> refusal =
+                    gateway.queue.decide(demand, rank, hasWaited, events.nowMillis());
             if (refusal.isPresent()) {
                 refuse(refusal.get());
             } else {
                 await();
-                gateway.queue.add(this, demand, rank, now);
+                gateway.queue.add(this, demand, rank, events.nowMillis());
                 gateway.scheduleRetry();
             }
         }
@@ -397,13 +388,13 @@
                 return;
             }
             retried = true;
-            schedule(now + Math.round(1_000 * seconds), this::arrive);
+            events.schedule(events.nowMillis() + Math.round(1_000 * seconds), this::arrive);
         }
 
         private void send(ShareTier tier) {
             sent = true;
-            shares.sent(organisationName(), kind.cost(), tier, now);
-            gateway.queue.recordPlace(now);
+            shares.sent(organisationName(), kind.cost(), tier, events.nowMillis());
+            gateway.queue.recordPlace(events.nowMillis());
             gateway.running++;
             unplaced.add(this);
             startNext();
@@ -411,7 +402,7 @@
 
         private void start() {
             occupied++;
-            long first = now + kind.firstEventMillis - firstArrival;
+            long first = events.nowMillis() + kind.firstEventMillis - firstArrival;
             if (first <= kind.objectiveMillis) {
                 inTime++;
                 othersInTime += organisation == 0 ? 0 : 1;
@@ -421,7 +412,7 @@
                 firstLate += retried ? 0 : 1;
                 value += kind.lateValue;
             }
-            schedule(now + Math.round(kind.holdMillis()), this::end);
+            events.schedule(events.nowMillis() + Math.round(kind.holdMillis()), this::end);
         }
 
         private void end() {
@@ -456,30 +447,21 @@
             return running + runningElsewhere < tier.fillFraction() * places();
         }
 
-        private void reportFrom(long at) {
-            if (at < END) {
-                schedule(
-                        at,
-                        () -> {
-                            runningElsewhere =
-                                    gateways.stream().mapToInt(each -> each.running).sum()
-                                            - running;
-                            reportFrom(at + REPORT_MILLIS);
-                        });
-            }
+        private void receiveReports() {
+            runningElsewhere = gateways.stream().mapToInt(each -> each.running).sum() - running;
         }
 
         private void scheduleRetry() {
             int size = queue.size() + waiting.size();
             if (!retryScheduled && size > 0) {
                 retryScheduled = true;
-                schedule(now + Math.min(25, 5 + size / 4), this::retry);
+                events.schedule(events.nowMillis() + Math.min(25, 5 + size / 4), this::retry);
             }
         }
 
         private void retry() {
             retryScheduled = false;
-            queue.offerPlaces(now);
+            queue.offerPlaces(events.nowMillis());
             List<Request> ordered = new ArrayList<>(waiting);
             waiting.clear();
             ordered.sort(Comparator.comparingDouble(each -> each.use().promised()));
--- a/src/test/java/org/martenwell/balance/ChunkedEngine.java
+++ b/src/test/java/org/martenwell/balance/ChunkedEngine.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.stream.Stream;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A simulated engine that processes prompts in order of arrival and in chunks. A chunk and a token
@@ -33,7 +34,7 @@
 
     private final FleetModel model;
 
-    private final SimulationClock clock;
+    private final SimulatedEvents events;
 
     private final Deque<Job> waiting = new ArrayDeque<>();
 
@@ -65,10 +66,10 @@
         }
     }
 
-    ChunkedEngine(int index, FleetModel model, SimulationClock clock) {
+    ChunkedEngine(int index, FleetModel model, SimulatedEvents events) {
         this.index = index;
         this.model = model;
-        this.clock = clock;
+        this.events = events;
     }
 
     @Override
@@ -138,8 +139,8 @@
     }
 
     private void after(double millis, Runnable action) {
-        clock.schedule(
-                clock.now() + millis / speed(),
+        events.schedule(
+                events.now() + millis / speed(),
                 () -> {
                     if (!lost) {
                         action.run();
@@ -154,7 +155,8 @@
         if (job.remainingPrefill <= 0) {
             prefilling.remove(job);
             generating.add(job);
-            clock.schedule(clock.now() + model.baseMillis(), () -> job.request.firstEventArrived());
+            events.schedule(
+                    events.now() + model.baseMillis(), () -> job.request.firstEventArrived());
         }
     }
 
@@ -172,7 +174,7 @@
     }
 
     private double speed() {
-        long period = (long) (clock.now() / PERIOD_MILLIS);
+        long period = (long) (events.now() / PERIOD_MILLIS);
         // Mixes the seed, since the first doubles of neighbouring seeds are alike.
         long mixed = (index * 1_000_003L + period) * 0x9E3779B97F4A7C15L;
         boolean slowed = new Random(mixed).nextDouble() < SLOW_PERIODS;
--- a/src/test/java/org/martenwell/balance/PlacementSimulation.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulation.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -19,13 +18,14 @@
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.service.IpAddress;
 import org.martenwell.share.ShareTier;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A discrete-event simulation of the placement by many gateways. It runs the production classes on
  * a simulated clock; reports between gateways are delayed, and engines run a request per slot,
  * queue a limited number and reject the rest.
  */
-final class PlacementSimulation implements SimulationClock {
+final class PlacementSimulation {
 
     /** The size of the fleet, its load and the delay of reports. */
     record Scenario(
@@ -81,24 +81,17 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::order));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<SimulatedEngine> engines = new ArrayList<>();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
-    private double now;
-
-    private long order;
-
     private final Map<RequestKind, KindResult> results = new LinkedHashMap<>();
 
     /** The engines whose loss gateways know. */
     private final Set<Integer> lostEngines = new HashSet<>();
 
-    private record Event(double at, long order, Runnable action) {}
-
     private PlacementSimulation(
             Scenario scenario, FleetModel model, boolean addsNoise, Supplier<PlacementRule> rules) {
         this.scenario = scenario;
@@ -111,8 +104,8 @@
         for (int index = 0; index < scenario.engines(); index++) {
             engines.add(
                     model.chunkTokens() == 0
-                            ? new SequentialEngine(model, this)
-                            : new ChunkedEngine(index, model, this));
+                            ? new SequentialEngine(model, events)
+                            : new ChunkedEngine(index, model, events));
         }
         for (int index = 0; index < scenario.gateways(); index++) {
             gateways.add(new Gateway(index));
@@ -162,19 +155,19 @@
     private Map<RequestKind, KindResult> simulate() {
         double end = 1_000.0 * scenario.seconds();
         for (double at = next(0); at < end; at = next(at)) {
-            schedule(at, this::arrive);
+            events.schedule(at, this::arrive);
         }
         for (Gateway each : gateways) {
-            each.reportFrom(random.nextDouble() * scenario.reportMillis(), end);
+            events.repeat(
+                    random.nextDouble() * scenario.reportMillis(),
+                    scenario.reportMillis(),
+                    end,
+                    each::report);
         }
         if (model.lossMillis() > 0) {
-            schedule(model.lossMillis(), this::loseEngines);
-        }
-        while (!events.isEmpty()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
+            events.schedule(model.lossMillis(), this::loseEngines);
         }
+        events.run();
         return results;
     }
 
@@ -182,7 +175,7 @@
         for (int index = 0; index < engines.size(); index += 2) {
             int lost = index;
             engines.get(lost).lose();
-            schedule(now + LOSS_NOTICE_MILLIS, () -> lostEngines.add(lost));
+            events.schedule(events.now() + LOSS_NOTICE_MILLIS, () -> lostEngines.add(lost));
         }
     }
 
@@ -194,16 +187,6 @@
                         / model.phase(at).rateFactor();
     }
 
-    @Override
-    public double now() {
-        return now;
-    }
-
-    @Override
-    public void schedule(double at, Runnable action) {
-        events.add(new Event(at, order++, action));
-    }
-
     private void arrive() {
         Gateway gateway = gateways.get(random.nextInt(gateways.size()));
         RequestKind kind = kind();
@@ -212,7 +195,7 @@
     }
 
     private RequestKind kind() {
-        List<Double> shares = model.phase(now).shares();
+        List<Double> shares = model.phase(events.now()).shares();
         double remaining = random.nextDouble();
         for (int index = 0; index < shares.size(); index++) {
             remaining -= shares.get(index);
@@ -275,7 +258,7 @@
                             (long) kind.sharedTokens() + ownTokens,
                             kind.responseTokens(),
                             kind.objectiveMillis(),
-                            (long) now);
+                            events.nowMillis());
         }
 
         private void place() {
@@ -285,8 +268,8 @@
                 return;
             }
             result.placementFailed(engines.stream().anyMatch(SimulatedEngine::idle));
-            if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
-                schedule(now + RETRY_MILLIS, this::place);
+            if (events.now() - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
+                events.schedule(events.now() + RETRY_MILLIS, this::place);
             } else {
                 result.refused();
             }
@@ -296,12 +279,15 @@
             target = chosen;
             running =
                     new RunningRequest(
-                            prefillTokens, (long) ownTokens + kind.responseTokens(), (long) now, 0);
+                            prefillTokens,
+                            (long) ownTokens + kind.responseTokens(),
+                            events.nowMillis(),
+                            0);
             target.sent(running);
             double prefillMillis = prefillTokens / model.effectivePrefillRate();
             gateway.unreported.sent(
-                    EngineChooser.workMillis(prefillMillis, capacity.slots()), (long) now);
-            gateway.rule.sent(prefillMillis, (long) now);
+                    EngineChooser.workMillis(prefillMillis, capacity.slots()), events.nowMillis());
+            gateway.rule.sent(prefillMillis, events.nowMillis());
             target.promptCache().put(demand.chain(), capacity.memoryTokens() / 2);
             SimulatedEngine engine = engines.get(Integer.parseInt(target.target().id()));
             tokensAhead = engine.tokensAhead();
@@ -314,7 +300,7 @@
         }
 
         private void retry() {
-            target.health().suspend((long) now, 150);
+            target.health().suspend(events.nowMillis(), 150);
             if (retried) {
                 result.refused();
                 return;
@@ -333,8 +319,8 @@
         public void firstEventArrived() {
             target.firstEventArrived(running);
             answered = true;
-            lastEventAt = now;
-            double millis = now + NETWORK_MILLIS - demand.arrivedMillis();
+            lastEventAt = events.now();
+            double millis = events.now() + NETWORK_MILLIS - demand.arrivedMillis();
             result.answered(
                     millis,
                     millis <= kind.objectiveMillis(),
@@ -345,11 +331,11 @@
 
         @Override
         public void eventArrived() {
-            if (!paused && answered && now - lastEventAt > kind.intervalMillis()) {
+            if (!paused && answered && events.now() - lastEventAt > kind.intervalMillis()) {
                 paused = true;
                 result.paused();
             }
-            lastEventAt = now;
+            lastEventAt = events.now();
         }
 
         @Override
@@ -412,16 +398,21 @@
 
         private List<TargetLoad> available() {
             return loads.stream()
-                    .filter(each -> each.health().isAvailable((long) now))
+                    .filter(each -> each.health().isAvailable(events.nowMillis()))
                     .filter(each -> !lostEngines.contains(Integer.valueOf(each.target().id())))
                     .toList();
         }
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
-            rule.update(available(), (long) now);
+            rule.update(available(), events.nowMillis());
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available(), capacity, rate, (long) now);
+                            demand,
+                            ShareTier.PROMISED,
+                            available(),
+                            capacity,
+                            rate,
+                            events.nowMillis());
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -435,24 +426,15 @@
                     capacity,
                     rate,
                     rule,
-                    addsNoise ? unreported.perTarget(scenario.engines(), (long) now) : 0,
-                    (long) now);
+                    addsNoise ? unreported.perTarget(scenario.engines(), events.nowMillis()) : 0,
+                    events.nowMillis());
         }
 
         private Optional<TargetLoad> leastLoaded() {
             return available().stream()
-                    .min(Comparator.comparingInt(each -> each.totalLoad((long) now).requests()));
-        }
-
-        private void reportFrom(double at, double end) {
-            if (at < end) {
-                schedule(
-                        at,
-                        () -> {
-                            report();
-                            reportFrom(at + scenario.reportMillis(), end);
-                        });
-            }
+                    .min(
+                            Comparator.comparingInt(
+                                    each -> each.totalLoad(events.nowMillis()).requests()));
         }
 
         /** Reports the loads of this gateway to all others, after the delay. */
@@ -465,7 +447,7 @@
                 }
             }
             reportedEngines = Set.copyOf(reported.keySet());
-            schedule(now + scenario.delayMillis(), () -> deliver(reported));
+            events.schedule(events.now() + scenario.delayMillis(), () -> deliver(reported));
         }
 
         private void deliver(Map<Integer, LoadSums> reported) {
@@ -477,7 +459,7 @@
         }
 
         private void receive(String peer, int engine, LoadSums sums) {
-            loads.get(engine).applyPeerReport(peer, sums, (long) now);
+            loads.get(engine).applyPeerReport(peer, sums, events.nowMillis());
         }
     }
 }
--- a/src/test/java/org/martenwell/balance/SequentialEngine.java
+++ b/src/test/java/org/martenwell/balance/SequentialEngine.java
@@ -2,13 +2,14 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import org.martenwell.simulation.SimulatedEvents;
 
 /** A simulated engine that processes prompts one after the other beside the running requests. */
 final class SequentialEngine implements SimulatedEngine {
 
     private final FleetModel model;
 
-    private final SimulationClock clock;
+    private final SimulatedEvents events;
 
     private final Deque<Runnable> waiting = new ArrayDeque<>();
 
@@ -16,9 +17,9 @@
 
     private double prefillFreeAt;
 
-    SequentialEngine(FleetModel model, SimulationClock clock) {
+    SequentialEngine(FleetModel model, SimulatedEvents events) {
         this.model = model;
-        this.clock = clock;
+        this.events = events;
     }
 
     @Override
@@ -38,7 +39,7 @@
 
     @Override
     public long tokensAhead() {
-        return Math.round(Math.max(0, prefillFreeAt - clock.now()) * model.prefillRate());
+        return Math.round(Math.max(0, prefillFreeAt - events.now()) * model.prefillRate());
     }
 
     @Override
@@ -59,11 +60,11 @@
     }
 
     private void start(SimulatedRequest request, long prefillTokens) {
-        prefillFreeAt = Math.max(clock.now(), prefillFreeAt) + prefillTokens / model.prefillRate();
+        prefillFreeAt = Math.max(events.now(), prefillFreeAt) + prefillTokens / model.prefillRate();
         double first = prefillFreeAt + model.baseMillis();
         double tokenMillis = model.tokenMillis() + model.tokenMillisPerSlot() * running;
-        clock.schedule(first, request::firstEventArrived);
-        clock.schedule(
+        events.schedule(first, request::firstEventArrived);
+        events.schedule(
                 first + tokenMillis * request.responseTokens(),
                 () -> {
                     request.ended();
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.prompt.PromptChain;
@@ -17,6 +15,7 @@
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.service.IpAddress;
 import org.martenwell.share.ShareTier;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A discrete-event simulation of the placement on engines of different speeds. It runs the
@@ -32,7 +31,7 @@
         LEARNT,
         /** All gateways know the speeds. */
         TOLD,
-        /** One gateway knows the speeds and all loads as they are now. */
+        /** One gateway knows the speeds and all loads as they are events.now(). */
         PERFECT
     }
 
@@ -112,25 +111,18 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::order));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<Engine> engines = new ArrayList<>();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
-    private double now;
-
-    private long order;
-
     private int total;
 
     private int inTime;
 
     private int refused;
 
-    private record Event(double at, long order, Runnable action) {}
-
     private UnevenEnginesSimulation(Scenario scenario, Knowledge knowledge) {
         this.scenario = scenario;
         this.knowledge = knowledge;
@@ -150,7 +142,7 @@
 
     private Outcome simulate() {
         for (double at = next(0); at < END_MILLIS; at = next(at)) {
-            schedule(at, this::arrive);
+            events.schedule(at, this::arrive);
         }
         for (Gateway each : gateways) {
             repeat(random.nextInt((int) REPORT_MILLIS), REPORT_MILLIS, each::reportLoads);
@@ -160,11 +152,7 @@
             }
         }
         repeat(0, PERIOD_MILLIS, () -> engines.forEach(Engine::beginPeriod));
-        while (!events.isEmpty()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
-        }
+        events.run();
         return new Outcome(total, inTime, refused);
     }
 
@@ -173,19 +161,8 @@
         return at - Math.log(1 - random.nextDouble()) / perMilli;
     }
 
-    private void schedule(double at, Runnable action) {
-        events.add(new Event(at, order++, action));
-    }
-
     private void repeat(double at, long interval, Runnable action) {
-        if (at < END_MILLIS) {
-            schedule(
-                    at,
-                    () -> {
-                        action.run();
-                        repeat(at + interval, interval, action);
-                    });
-        }
+        events.repeat(at, interval, END_MILLIS, action);
     }
 
     private void arrive() {
@@ -239,7 +216,7 @@
                             (long) kind.sharedTokens() + ownTokens,
                             kind.responseTokens(),
                             kind.objective(),
-                            (long) now);
+                            events.nowMillis());
             total += counted() ? 1 : 0;
         }
 
@@ -251,8 +228,9 @@
             Optional<EngineChoice> choice = gateway.choose(demand);
             if (choice.isPresent()) {
                 send(choice.get());
-            } else if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
-                schedule(now + RETRY_MILLIS, this::place);
+            } else if (events.now() - demand.arrivedMillis()
+                    < WAIT_FRACTION * demand.objectiveMillis()) {
+                events.schedule(events.now() + RETRY_MILLIS, this::place);
             } else {
                 refused += counted() ? 1 : 0;
             }
@@ -261,19 +239,19 @@
         private void send(EngineChoice choice) {
             target = choice.load();
             copied = choice.copyFrom().isPresent();
-            sentAt = now;
+            sentAt = events.now();
             running =
                     new RunningRequest(
                             choice.prefillTokens(),
                             (long) ownTokens + kind.responseTokens(),
-                            (long) now,
+                            events.nowMillis(),
                             choice.backlogMillis());
             target.sent(running);
             gateway.unreported.sent(
                     EngineChooser.workMillis(
                             target.prefillMillis(choice.prefillTokens(), gateway.rate),
                             CAPACITY.slots()),
-                    (long) now);
+                    events.nowMillis());
             for (Gateway each : gateways) {
                 each.loads
                         .get(index(target))
@@ -282,21 +260,21 @@
             }
             if (!engines.get(index(target)).accept(this, choice.prefillTokens())) {
                 target.ended(running);
-                target.health().suspend((long) now, 150);
+                target.health().suspend(events.nowMillis(), 150);
                 refused += counted() ? 1 : 0;
             }
         }
 
         private void firstEventArrived() {
             target.firstEventArrived(running);
-            long elapsed = (long) (now - sentAt);
+            long elapsed = (long) (events.now() - sentAt);
             if (knowledge == Knowledge.LEARNT && !copied) {
                 gateway.rate
                         .speed(running, elapsed)
-                        .ifPresent(ratio -> target.speed().observe(ratio, (long) now));
+                        .ifPresent(ratio -> target.speed().observe(ratio, events.nowMillis()));
             }
             gateway.rate.observe(running, elapsed);
-            if (counted() && now - demand.arrivedMillis() <= demand.objectiveMillis()) {
+            if (counted() && events.now() - demand.arrivedMillis() <= demand.objectiveMillis()) {
                 inTime++;
             }
         }
@@ -349,10 +327,11 @@
         }
 
         private void start(Request request, long prefillTokens) {
-            prefillFreeAt = Math.max(now, prefillFreeAt) + millis(prefillTokens / PREFILL_RATE);
+            prefillFreeAt =
+                    Math.max(events.now(), prefillFreeAt) + millis(prefillTokens / PREFILL_RATE);
             double first = prefillFreeAt + millis(BASE_MILLIS) + NETWORK_MILLIS;
-            schedule(first, request::firstEventArrived);
-            schedule(
+            events.schedule(first, request::firstEventArrived);
+            events.schedule(
                     first + millis(TOKEN_MILLIS) * request.kind.responseTokens(),
                     () -> {
                         request.target.ended(request.running);
@@ -399,14 +378,21 @@
         }
 
         private List<TargetLoad> available() {
-            return loads.stream().filter(each -> each.health().isAvailable((long) now)).toList();
+            return loads.stream()
+                    .filter(each -> each.health().isAvailable(events.nowMillis()))
+                    .toList();
         }
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
             List<TargetLoad> available = available();
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available, CAPACITY, rate, (long) now);
+                            demand,
+                            ShareTier.PROMISED,
+                            available,
+                            CAPACITY,
+                            rate,
+                            events.nowMillis());
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -418,8 +404,8 @@
                     CAPACITY,
                     rate,
                     UnrestrictedPlacement.INSTANCE,
-                    unreported.perTarget(available.size(), (long) now),
-                    (long) now);
+                    unreported.perTarget(available.size(), events.nowMillis()),
+                    events.nowMillis());
         }
 
         /** Reports the loads of this gateway to all others. */
@@ -428,8 +414,8 @@
             for (int engine = 0; engine < loads.size(); engine++) {
                 reported.put(engine, loads.get(engine).own());
             }
-            schedule(
-                    now + DELAY_MILLIS,
+            events.schedule(
+                    events.now() + DELAY_MILLIS,
                     () ->
                             others().forEach(
                                             each ->
@@ -440,7 +426,7 @@
         }
 
         private void receive(String peer, int engine, LoadSums sums) {
-            loads.get(engine).applyPeerReport(peer, sums, (long) now);
+            loads.get(engine).applyPeerReport(peer, sums, events.nowMillis());
         }
 
         /** Reports the samples of this gateway to all others. */
@@ -451,16 +437,25 @@
                         .speed()
                         .takeReport("t")
                         .ifPresent(
-                                report -> schedule(now + DELAY_MILLIS, () -> told(index, report)));
+                                report ->
+                                        events.schedule(
+                                                events.now() + DELAY_MILLIS,
+                                                () -> told(index, report)));
             }
         }
 
         private void told(int engine, TargetSpeedReport report) {
-            others().forEach(each -> each.loads.get(engine).speed().apply(report, (long) now));
+            others().forEach(
+                            each ->
+                                    each.loads
+                                            .get(engine)
+                                            .speed()
+                                            .apply(report, events.nowMillis()));
         }
 
         private void updateSpeeds() {
-            RelativeSpeeds.update(loads.stream().map(TargetLoad::speed).toList(), (long) now);
+            RelativeSpeeds.update(
+                    loads.stream().map(TargetLoad::speed).toList(), events.nowMillis());
         }
 
         private List<Gateway> others() {
--- a/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/PromptPartSimulation.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * Discrete-event simulation of a fleet of gateways in which one part of prompts or several crash
@@ -204,7 +205,10 @@
                 () ->
                         gateways.get(1)
                                 .snapshot()
-                                .forEach(each -> gateways.get(0).applyUpdate(each, events.now())));
+                                .forEach(
+                                        each ->
+                                                gateways.get(0)
+                                                        .applyUpdate(each, events.nowMillis())));
         if (load.restartMillis() > 0) {
             events.schedule(load.restartMillis(), this::restartGateways);
         }
@@ -231,7 +235,7 @@
     private void restartGateways() {
         for (int gateway = 0; gateway < load.gateways(); gateway++) {
             Quarantine fresh = new Quarantine();
-            stored.forEach((each, crashed) -> fresh.quarantine(each, crashed, events.now()));
+            stored.forEach((each, crashed) -> fresh.quarantine(each, crashed, events.nowMillis()));
             gateways.set(gateway, fresh);
         }
         targets.forEach(each -> each.running.clear());
@@ -239,7 +243,7 @@
 
     private void scheduleArrivals() {
         events.schedule(
-                events.now() + 1,
+                events.nowMillis() + 1,
                 () -> {
                     double perMillisecond = load.requestsPerSecond() / 1_000.0;
                     int count =
@@ -274,7 +278,8 @@
                             random.nextInt(load.gateways()),
                             1);
                     scheduleHarmful(
-                            part, events.now() + 1 + random.nextInt(2 * HARMFUL_INTERVAL_MILLIS));
+                            part,
+                            events.nowMillis() + 1 + random.nextInt(2 * HARMFUL_INTERVAL_MILLIS));
                 });
     }
 
@@ -288,7 +293,7 @@
         if (request.harmful() < 0 && attempt == 1) {
             int[] counts =
                     bySecond.computeIfAbsent(
-                            events.now() / 1_000 * 10 + request.kind(), each -> new int[2]);
+                            events.nowMillis() / 1_000 * 10 + request.kind(), each -> new int[2]);
             counts[0]++;
             counts[1] += blocked ? 1 : 0;
             refused += blocked ? 1 : 0;
@@ -303,7 +308,7 @@
             countLate(request.harmful(), gateway);
         }
         int incarnation = target.incarnation;
-        long begins = events.now() + 20 + random.nextInt(MAX_PREFILL_MILLIS);
+        long begins = events.nowMillis() + 20 + random.nextInt(MAX_PREFILL_MILLIS);
         if (request.harmful() >= 0) {
             long delay =
                     (long) MIN_CRASH_MILLIS + random.nextInt(MAX_CRASH_MILLIS - MIN_CRASH_MILLIS);
@@ -314,7 +319,7 @@
                             if (!partitioned(gateway)) {
                                 crashes.computeIfAbsent(
                                                 request.harmful(), each -> new ArrayList<>())
-                                        .add(events.now());
+                                        .add(events.nowMillis());
                             }
                             crash(target);
                         }
@@ -330,7 +335,7 @@
                                 .forEach(
                                         each ->
                                                 gateways.get(gateway)
-                                                        .partServed(each, events.now()));
+                                                        .partServed(each, events.nowMillis()));
                     }
                 });
         events.schedule(
@@ -338,7 +343,7 @@
                 () -> {
                     if (runs(target, incarnation, running)) {
                         target.running.remove(running);
-                        gateways.get(gateway).clear(request.fingerprint(), events.now());
+                        gateways.get(gateway).clear(request.fingerprint(), events.nowMillis());
                     }
                 });
     }
@@ -349,14 +354,14 @@
 
     private boolean partitioned(int gateway) {
         return gateway == 0
-                && events.now() >= PARTITION_START_MILLIS
-                && events.now() < PARTITION_END_MILLIS;
+                && events.nowMillis() >= PARTITION_START_MILLIS
+                && events.nowMillis() < PARTITION_END_MILLIS;
     }
 
     private void countLate(int part, int gateway) {
         List<Long> times = crashes.getOrDefault(part, List.of());
-        boolean inTouch = gateway != 0 || events.now() > PARTITION_END_MILLIS + LATE_MILLIS;
-        if (inTouch && times.size() >= 5 && events.now() > times.get(4) + LATE_MILLIS) {
+        boolean inTouch = gateway != 0 || events.nowMillis() > PARTITION_END_MILLIS + LATE_MILLIS;
+        if (inTouch && times.size() >= 5 && events.nowMillis() > times.get(4) + LATE_MILLIS) {
             lateArrivals.merge(part, 1, Integer::sum);
         }
     }
@@ -375,32 +380,34 @@
         List<Running> interrupted = List.copyOf(target.running);
         target.running.clear();
         events.schedule(
-                events.now() + RESTART_MILLIS,
+                events.nowMillis() + RESTART_MILLIS,
                 () -> {
                     target.incarnation++;
                     target.up = true;
                 });
         for (Running each : interrupted) {
             Quarantine quarantine = gateways.get(each.gateway);
-            boolean added = quarantine.recordCrash(each.request.fingerprint(), name, events.now());
+            boolean added =
+                    quarantine.recordCrash(each.request.fingerprint(), name, events.nowMillis());
             for (Fingerprint part : each.request.parts()) {
-                added |= quarantine.recordCrash(part, name, events.now());
+                added |= quarantine.recordCrash(part, name, events.nowMillis());
             }
             if (added) {
-                events.schedule(events.now() + 5, () -> report(each.gateway));
+                events.schedule(events.nowMillis() + 5, () -> report(each.gateway));
             }
         }
         for (Running each : interrupted) {
             if (each.attempt < MAX_ATTEMPTS) {
                 events.schedule(
-                        events.now() + 3, () -> send(each.request, each.gateway, each.attempt + 1));
+                        events.nowMillis() + 3,
+                        () -> send(each.request, each.gateway, each.attempt + 1));
             }
         }
     }
 
     private void scheduleReport(int gateway) {
         events.schedule(
-                events.now() + 1 + random.nextInt(2 * load.reportMillis()),
+                events.nowMillis() + 1 + random.nextInt(2 * load.reportMillis()),
                 () -> {
                     report(gateway);
                     scheduleReport(gateway);
@@ -409,11 +416,11 @@
 
     private void report(int gateway) {
         Quarantine reporting = gateways.get(gateway);
-        for (Fingerprint each : reporting.decide(events.now())) {
+        for (Fingerprint each : reporting.decide(events.nowMillis())) {
             stored.putIfAbsent(each, reporting.crashedIncarnations(each));
         }
         List<QuarantineUpdate> updates =
-                new ArrayList<>(gateways.get(gateway).takeUpdates(events.now()));
+                new ArrayList<>(gateways.get(gateway).takeUpdates(events.nowMillis()));
         if (random.nextDouble() * load.gateways() * 1_000 < load.reportMillis()) {
             updates.addAll(gateways.get(gateway).quarantinedRequestUpdates());
         }
@@ -430,7 +437,9 @@
             return;
         }
         events.schedule(
-                events.now() + 1 + random.nextInt(load.delayMillis()),
-                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, events.now())));
+                events.nowMillis() + 1 + random.nextInt(load.delayMillis()),
+                () ->
+                        updates.forEach(
+                                each -> gateways.get(peer).applyUpdate(each, events.nowMillis())));
     }
 }
--- a/src/test/java/org/martenwell/quarantine/QuarantineSimulation.java
+++ b/src/test/java/org/martenwell/quarantine/QuarantineSimulation.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * Discrete-event simulation of a fleet of gateways that share {@link Quarantine} updates. Harmful
@@ -167,7 +168,7 @@
 
     private void scheduleArrivals() {
         events.schedule(
-                events.now() + 1,
+                events.nowMillis() + 1,
                 () -> {
                     double perMillisecond = load.requestsPerSecond() / 1_000.0;
                     int count =
@@ -184,7 +185,7 @@
 
     private void scheduleHarmful(int request, int millis) {
         events.schedule(
-                events.now() + millis,
+                events.nowMillis() + millis,
                 () -> {
                     send(request, random.nextInt(load.gateways()), 1);
                     scheduleHarmful(request, HARMFUL_INTERVAL_MILLIS);
@@ -207,14 +208,14 @@
         if (request < 0) {
             boolean partitioned =
                     gateway == 0
-                            && events.now() >= PARTITION_START_MILLIS
-                            && events.now() < PARTITION_END_MILLIS;
+                            && events.nowMillis() >= PARTITION_START_MILLIS
+                            && events.nowMillis() < PARTITION_END_MILLIS;
             events.schedule(
-                    events.now() + CRASH_DELAY_MILLIS,
+                    events.nowMillis() + CRASH_DELAY_MILLIS,
                     () -> crashByRequest(request, target, incarnation, partitioned));
         } else {
             events.schedule(
-                    events.now() + 1 + random.nextInt(2 * RUN_MILLIS),
+                    events.nowMillis() + 1 + random.nextInt(2 * RUN_MILLIS),
                     () -> completed(running, target, incarnation));
         }
     }
@@ -225,14 +226,15 @@
             refusedSince.remove(key);
         } else {
             refused++;
-            long since = refusedSince.computeIfAbsent(key, each -> events.now());
-            longestRefusalMillis = Math.max(longestRefusalMillis, events.now() - since);
+            long since = refusedSince.computeIfAbsent(key, each -> events.nowMillis());
+            longestRefusalMillis = Math.max(longestRefusalMillis, events.nowMillis() - since);
         }
     }
 
     private void completed(Running running, Target target, int incarnation) {
         if (target.incarnation == incarnation && target.up && target.running.remove(running)) {
-            gateways.get(running.gateway()).clear(fingerprint(running.request()), events.now());
+            gateways.get(running.gateway())
+                    .clear(fingerprint(running.request()), events.nowMillis());
         }
     }
 
@@ -242,7 +244,7 @@
             if (!partitioned) {
                 crashesByRequest
                         .computeIfAbsent(request, each -> new ArrayList<>())
-                        .add(events.now());
+                        .add(events.nowMillis());
             }
             crash(target);
         }
@@ -262,21 +264,21 @@
         List<Running> interrupted = List.copyOf(target.running);
         target.running.clear();
         events.schedule(
-                events.now() + RESTART_MILLIS,
+                events.nowMillis() + RESTART_MILLIS,
                 () -> {
                     target.incarnation++;
                     target.up = true;
                 });
         for (Running each : interrupted) {
             if (gateways.get(each.gateway())
-                    .recordCrash(fingerprint(each.request()), name, events.now())) {
-                events.schedule(events.now() + 5, () -> report(each.gateway()));
+                    .recordCrash(fingerprint(each.request()), name, events.nowMillis())) {
+                events.schedule(events.nowMillis() + 5, () -> report(each.gateway()));
             }
         }
         for (Running each : interrupted) {
             if (each.attempt() < MAX_ATTEMPTS) {
                 events.schedule(
-                        events.now() + 3,
+                        events.nowMillis() + 3,
                         () -> send(each.request(), each.gateway(), each.attempt() + 1));
             }
         }
@@ -284,7 +286,7 @@
 
     private void scheduleReport(int gateway) {
         events.schedule(
-                events.now() + 1 + random.nextInt(2 * load.reportMillis()),
+                events.nowMillis() + 1 + random.nextInt(2 * load.reportMillis()),
                 () -> {
                     report(gateway);
                     scheduleReport(gateway);
@@ -292,9 +294,9 @@
     }
 
     private void report(int gateway) {
-        gateways.get(gateway).decide(events.now());
+        gateways.get(gateway).decide(events.nowMillis());
         List<QuarantineUpdate> updates =
-                new ArrayList<>(gateways.get(gateway).takeUpdates(events.now()));
+                new ArrayList<>(gateways.get(gateway).takeUpdates(events.nowMillis()));
         if (random.nextDouble() * load.gateways() * 1_000 < load.reportMillis()) {
             updates.addAll(gateways.get(gateway).quarantinedRequestUpdates());
         }
@@ -305,19 +307,23 @@
 
     private void send(int gateway, int peer, List<QuarantineUpdate> updates) {
         boolean partitioned =
-                events.now() >= PARTITION_START_MILLIS
-                        && events.now() < PARTITION_END_MILLIS
+                events.nowMillis() >= PARTITION_START_MILLIS
+                        && events.nowMillis() < PARTITION_END_MILLIS
                         && (gateway == 0 || peer == 0);
         if (gateway == peer || partitioned || random.nextDouble() < REPORT_LOSS) {
             return;
         }
         events.schedule(
-                events.now() + 1 + random.nextInt(load.delayMillis()),
-                () -> updates.forEach(each -> gateways.get(peer).applyUpdate(each, events.now())));
+                events.nowMillis() + 1 + random.nextInt(load.delayMillis()),
+                () ->
+                        updates.forEach(
+                                each -> gateways.get(peer).applyUpdate(each, events.nowMillis())));
     }
 
     private void sendSnapshotToPartitioned() {
-        gateways.get(1).snapshot().forEach(each -> gateways.get(0).applyUpdate(each, events.now()));
+        gateways.get(1)
+                .snapshot()
+                .forEach(each -> gateways.get(0).applyUpdate(each, events.nowMillis()));
     }
 
     private static Fingerprint fingerprint(int request) {
