--- a/src/test/java/org/martenwell/balance/PlacementSimulation.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulation.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Supplier;
@@ -19,13 +18,14 @@
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.service.IpAddress;
 import org.martenwell.share.ShareTier;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A discrete-event simulation of the placement by many gateways. It runs the production classes on
  * a simulated clock; reports between gateways are delayed, and engines run a request per slot,
  * queue a limited number and reject the rest.
  */
-final class PlacementSimulation implements SimulationClock {
+final class PlacementSimulation {
 
     /** The size of the fleet, its load and the delay of reports. */
     record Scenario(
@@ -98,24 +98,19 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::order));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<SimulatedEngine> engines = new ArrayList<>();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
-    private double now;
-
-    private long order;
+    private final ReportedLoads reports;
 
     private final Map<RequestKind, KindResult> results = new LinkedHashMap<>();
 
     /** The engines whose loss gateways know. */
     private final Set<Integer> lostEngines = new HashSet<>();
 
-    private record Event(double at, long order, Runnable action) {}
-
     private PlacementSimulation(
             Scenario scenario,
             FleetModel model,
@@ -133,9 +128,10 @@
         for (int index = 0; index < scenario.engines(); index++) {
             engines.add(
                     model.chunkTokens() == 0
-                            ? new SequentialEngine(model, this)
-                            : new ChunkedEngine(index, model, this));
+                            ? new SequentialEngine(model, events)
+                            : new ChunkedEngine(index, model, events));
         }
+        reports = new ReportedLoads(scenario.gateways(), scenario.engines());
         for (int index = 0; index < scenario.gateways(); index++) {
             gateways.add(new Gateway(index));
         }
@@ -204,19 +200,19 @@
     private Map<RequestKind, KindResult> simulate() {
         double end = 1_000.0 * scenario.seconds();
         for (double at = next(0); at < end; at = next(at)) {
-            schedule(at, this::arrive);
+            events.schedule(at, this::arrive);
         }
         for (Gateway each : gateways) {
-            each.reportFrom(random.nextDouble() * scenario.reportMillis(), end);
+            events.repeat(
+                    random.nextDouble() * scenario.reportMillis(),
+                    scenario.reportMillis(),
+                    end,
+                    each::report);
         }
         if (model.lossMillis() > 0) {
-            schedule(model.lossMillis(), this::loseEngines);
-        }
-        while (!events.isEmpty()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
+            events.schedule(model.lossMillis(), this::loseEngines);
         }
+        events.run();
         return results;
     }
 
@@ -224,7 +220,7 @@
         for (int index = 0; index < engines.size(); index += 2) {
             int lost = index;
             engines.get(lost).lose();
-            schedule(now + LOSS_NOTICE_MILLIS, () -> lostEngines.add(lost));
+            events.schedule(events.now() + LOSS_NOTICE_MILLIS, () -> lostEngines.add(lost));
         }
     }
 
@@ -236,16 +232,6 @@
                         / model.phase(at).rateFactor();
     }
 
-    @Override
-    public double now() {
-        return now;
-    }
-
-    @Override
-    public void schedule(double at, Runnable action) {
-        events.add(new Event(at, order++, action));
-    }
-
     private void arrive() {
         Gateway gateway = gateways.get(random.nextInt(gateways.size()));
         RequestKind kind = kind();
@@ -254,7 +240,7 @@
     }
 
     private RequestKind kind() {
-        List<Double> shares = model.phase(now).shares();
+        List<Double> shares = model.phase(events.now()).shares();
         double remaining = random.nextDouble();
         for (int index = 0; index < shares.size(); index++) {
             remaining -= shares.get(index);
@@ -323,13 +309,13 @@
                             (long) kind.sharedTokens() + ownTokens,
                             kind.responseTokens(),
                             kind.objectiveMillis(),
-                            (long) now);
+                            events.nowMillis());
         }
 
         private void place() {
             Optional<EngineChoice> choice = gateway.choose(demand);
             if (choice.isPresent()) {
-                sentAt = now;
+                sentAt = events.now();
                 forecastMillis =
                         gateway.forecast()
                                 .uncorrectedMillis(
@@ -343,8 +329,8 @@
                 return;
             }
             result.placementFailed(engines.stream().anyMatch(SimulatedEngine::idle));
-            if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
-                schedule(now + RETRY_MILLIS, this::place);
+            if (events.now() - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
+                events.schedule(events.now() + RETRY_MILLIS, this::place);
             } else {
                 result.refused();
             }
@@ -354,12 +340,15 @@
             target = chosen;
             running =
                     new RunningRequest(
-                            prefillTokens, (long) ownTokens + kind.responseTokens(), (long) now, 0);
+                            prefillTokens,
+                            (long) ownTokens + kind.responseTokens(),
+                            events.nowMillis(),
+                            0);
             target.sent(running);
             double prefillMillis = prefillTokens / model.effectivePrefillRate();
             gateway.unreported.sent(
-                    EngineChooser.workMillis(prefillMillis, capacity.slots()), (long) now);
-            gateway.rule.sent(prefillMillis, (long) now);
+                    EngineChooser.workMillis(prefillMillis, capacity.slots()), events.nowMillis());
+            gateway.rule.sent(prefillMillis, events.nowMillis());
             target.promptCache().put(demand.chain(), capacity.memoryTokens() / 2);
             SimulatedEngine engine = engines.get(Integer.parseInt(target.target().id()));
             tokensAhead = engine.tokensAhead();
@@ -372,7 +361,7 @@
         }
 
         private void retry() {
-            target.health().suspend((long) now, 150);
+            target.health().suspend(events.nowMillis(), 150);
             if (retried) {
                 result.refused();
                 return;
@@ -391,11 +380,12 @@
         public void firstEventArrived() {
             target.firstEventArrived(running);
             answered = true;
-            lastEventAt = now;
+            lastEventAt = events.now();
             if (!retried) {
-                gateway.error.observe(forecastMillis, now - sentAt - gateway.rate.baseMillis());
+                gateway.error.observe(
+                        forecastMillis, events.now() - sentAt - gateway.rate.baseMillis());
             }
-            double millis = now + NETWORK_MILLIS - demand.arrivedMillis();
+            double millis = events.now() + NETWORK_MILLIS - demand.arrivedMillis();
             result.answered(
                     millis,
                     millis <= kind.objectiveMillis(),
@@ -407,13 +397,13 @@
         @Override
         public void eventArrived() {
             intervals
-                    .received((long) now)
+                    .received(events.nowMillis())
                     .ifPresent(millis -> gateway.observeInterval(target, millis));
-            if (!paused && answered && now - lastEventAt > kind.intervalMillis()) {
+            if (!paused && answered && events.now() - lastEventAt > kind.intervalMillis()) {
                 paused = true;
                 result.paused();
             }
-            lastEventAt = now;
+            lastEventAt = events.now();
         }
 
         @Override
@@ -433,7 +423,7 @@
     /** A simulated gateway with its view of the engines. */
     private final class Gateway {
 
-        private final String name;
+        private final int index;
 
         private final List<TargetLoad> loads = new ArrayList<>();
 
@@ -457,7 +447,7 @@
         private Set<Integer> reportedEngines = Set.of();
 
         private Gateway(int index) {
-            this.name = "gateway-" + index;
+            this.index = index;
             this.chooser = new EngineChooser(domain(index), random);
             for (int engine = 0; engine < scenario.engines(); engine++) {
                 loads.add(
@@ -482,30 +472,33 @@
             }
         }
 
+        /** Returns the engines that may be used, with the reports of all other gateways. */
         private List<TargetLoad> available() {
+            reports.apply(index, loads, events.nowMillis());
             return loads.stream()
-                    .filter(each -> each.health().isAvailable((long) now))
+                    .filter(each -> each.health().isAvailable(events.nowMillis()))
                     .filter(each -> !lostEngines.contains(Integer.valueOf(each.target().id())))
                     .toList();
         }
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
-            rule.update(available(), (long) now);
+            List<TargetLoad> available = available();
+            rule.update(available, events.nowMillis());
             updateSpeeds();
             LoadForecast forecast = forecast();
             List<TargetLoad> candidates =
                     chooser.withCapacity(
                             demand,
                             ShareTier.PROMISED,
-                            available(),
+                            available,
                             capacity,
                             forecast,
-                            (long) now);
+                            events.nowMillis());
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
             PromptCacheLookup cacheLookup =
-                    PromptCacheLookup.of(demand.chain(), available(), List.of());
+                    PromptCacheLookup.of(demand.chain(), available, List.of());
             return chooser.choose(
                     demand,
                     ShareTier.PROMISED,
@@ -514,40 +507,43 @@
                     capacity,
                     forecast,
                     rule,
-                    (long) now);
+                    events.nowMillis());
         }
 
         private LoadForecast forecast() {
             double unreportedMillis =
-                    addsNoise ? unreported.perTarget(scenario.engines(), (long) now) : 0;
+                    addsNoise ? unreported.perTarget(scenario.engines(), events.nowMillis()) : 0;
             return knowledge.forecasts()
                     ? LoadForecast.corrected(rate, unreportedMillis, error)
                     : LoadForecast.ofReports(rate, unreportedMillis);
         }
 
         private void updateSpeeds() {
-            if (knowledge.speeds() && now >= nextSpeedsAt) {
-                nextSpeedsAt = now + SPEED_UPDATE_MILLIS;
-                RelativeSpeeds.update(loads.stream().map(TargetLoad::speed).toList(), (long) now);
+            if (knowledge.speeds() && events.now() >= nextSpeedsAt) {
+                nextSpeedsAt = events.now() + SPEED_UPDATE_MILLIS;
+                RelativeSpeeds.update(
+                        loads.stream().map(TargetLoad::speed).toList(), events.nowMillis());
             }
         }
 
         private void observeInterval(TargetLoad load, double millis) {
-            intervalRate.speed(millis).ifPresent(ratio -> load.speed().observe(ratio, (long) now));
+            intervalRate
+                    .speed(millis)
+                    .ifPresent(ratio -> load.speed().observe(ratio, events.nowMillis()));
         }
 
         /** Reports samples of speeds to all others, after the delay. */
         private void reportSpeeds() {
-            if (!knowledge.speeds() || now < nextNoticeAt) {
+            if (!knowledge.speeds() || events.now() < nextNoticeAt) {
                 return;
             }
-            nextNoticeAt = now + SPEED_NOTICE_MILLIS;
+            nextNoticeAt = events.now() + SPEED_NOTICE_MILLIS;
             List<TargetSpeedReport> reports = new ArrayList<>();
             for (TargetLoad each : loads) {
                 each.speed().takeReport(each.target().id()).ifPresent(reports::add);
             }
-            schedule(
-                    now + scenario.delayMillis(),
+            events.schedule(
+                    events.now() + scenario.delayMillis(),
                     () ->
                             gateways.stream()
                                     .filter(each -> each != this)
@@ -556,24 +552,15 @@
 
         private void receiveSpeeds(List<TargetSpeedReport> reports) {
             for (TargetSpeedReport each : reports) {
-                loads.get(Integer.parseInt(each.target())).speed().apply(each, (long) now);
+                loads.get(Integer.parseInt(each.target())).speed().apply(each, events.nowMillis());
             }
         }
 
         private Optional<TargetLoad> leastLoaded() {
             return available().stream()
-                    .min(Comparator.comparingInt(each -> each.totalLoad((long) now).requests()));
-        }
-
-        private void reportFrom(double at, double end) {
-            if (at < end) {
-                schedule(
-                        at,
-                        () -> {
-                            report();
-                            reportFrom(at + scenario.reportMillis(), end);
-                        });
-            }
+                    .min(
+                            Comparator.comparingInt(
+                                    each -> each.totalLoad(events.nowMillis()).requests()));
         }
 
         /** Reports the loads of this gateway to all others, after the delay. */
@@ -586,20 +573,9 @@
                 }
             }
             reportedEngines = Set.copyOf(reported.keySet());
-            schedule(now + scenario.delayMillis(), () -> deliver(reported));
+            events.schedule(
+                    events.now() + scenario.delayMillis(), () -> reports.arrived(index, reported));
             reportSpeeds();
         }
-
-        private void deliver(Map<Integer, LoadSums> reported) {
-            for (Gateway each : gateways) {
-                if (each != this) {
-                    reported.forEach((engine, sums) -> each.receive(name, engine, sums));
-                }
-            }
-        }
-
-        private void receive(String peer, int engine, LoadSums sums) {
-            loads.get(engine).applyPeerReport(peer, sums, (long) now);
-        }
     }
 }
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
@@ -2,14 +2,12 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.prompt.PromptChain;
@@ -17,6 +15,7 @@
 import org.martenwell.route.EngineCapacity;
 import org.martenwell.service.IpAddress;
 import org.martenwell.share.ShareTier;
+import org.martenwell.simulation.SimulatedEvents;
 
 /**
  * A discrete-event simulation of the placement on engines of different speeds. It runs the
@@ -32,7 +31,7 @@
         LEARNT,
         /** All gateways know the speeds. */
         TOLD,
-        /** One gateway knows the speeds and all loads as they are now. */
+        /** One gateway knows the speeds and all loads as they are events.now(). */
         PERFECT
     }
 
@@ -112,16 +111,13 @@
 
     private final Random random;
 
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingDouble(Event::at).thenComparing(Event::order));
+    private final SimulatedEvents events = new SimulatedEvents();
 
     private final List<Engine> engines = new ArrayList<>();
 
     private final List<Gateway> gateways = new ArrayList<>();
 
-    private double now;
-
-    private long order;
+    private final ReportedLoads reports;
 
     private int total;
 
@@ -129,8 +125,6 @@
 
     private int refused;
 
-    private record Event(double at, long order, Runnable action) {}
-
     private UnevenEnginesSimulation(Scenario scenario, Knowledge knowledge) {
         this.scenario = scenario;
         this.knowledge = knowledge;
@@ -139,6 +133,7 @@
             engines.add(new Engine(index));
         }
         int count = knowledge == Knowledge.PERFECT ? 1 : GATEWAYS;
+        reports = new ReportedLoads(count, engines.size());
         for (int index = 0; index < count; index++) {
             gateways.add(new Gateway(index));
         }
@@ -150,7 +145,7 @@
 
     private Outcome simulate() {
         for (double at = next(0); at < END_MILLIS; at = next(at)) {
-            schedule(at, this::arrive);
+            events.schedule(at, this::arrive);
         }
         for (Gateway each : gateways) {
             repeat(random.nextInt((int) REPORT_MILLIS), REPORT_MILLIS, each::reportLoads);
@@ -160,11 +155,7 @@
             }
         }
         repeat(0, PERIOD_MILLIS, () -> engines.forEach(Engine::beginPeriod));
-        while (!events.isEmpty()) {
-            Event event = events.poll();
-            now = event.at();
-            event.action().run();
-        }
+        events.run();
         return new Outcome(total, inTime, refused);
     }
 
@@ -173,19 +164,8 @@
         return at - Math.log(1 - random.nextDouble()) / perMilli;
     }
 
-    private void schedule(double at, Runnable action) {
-        events.add(new Event(at, order++, action));
-    }
-
     private void repeat(double at, long interval, Runnable action) {
-        if (at < END_MILLIS) {
-            schedule(
-                    at,
-                    () -> {
-                        action.run();
-                        repeat(at + interval, interval, action);
-                    });
-        }
+        events.repeat(at, interval, END_MILLIS, action);
     }
 
     private void arrive() {
@@ -239,7 +219,7 @@
                             (long) kind.sharedTokens() + ownTokens,
                             kind.responseTokens(),
                             kind.objective(),
-                            (long) now);
+                            events.nowMillis());
             total += counted() ? 1 : 0;
         }
 
@@ -251,8 +231,9 @@
             Optional<EngineChoice> choice = gateway.choose(demand);
             if (choice.isPresent()) {
                 send(choice.get());
-            } else if (now - demand.arrivedMillis() < WAIT_FRACTION * demand.objectiveMillis()) {
-                schedule(now + RETRY_MILLIS, this::place);
+            } else if (events.now() - demand.arrivedMillis()
+                    < WAIT_FRACTION * demand.objectiveMillis()) {
+                events.schedule(events.now() + RETRY_MILLIS, this::place);
             } else {
                 refused += counted() ? 1 : 0;
             }
@@ -261,19 +242,19 @@
         private void send(EngineChoice choice) {
             target = choice.load();
             copied = choice.copyFrom().isPresent();
-            sentAt = now;
+            sentAt = events.now();
             running =
                     new RunningRequest(
                             choice.prefillTokens(),
                             (long) ownTokens + kind.responseTokens(),
-                            (long) now,
+                            events.nowMillis(),
                             choice.backlogMillis());
             target.sent(running);
             gateway.unreported.sent(
                     EngineChooser.workMillis(
                             target.prefillMillis(choice.prefillTokens(), gateway.rate),
                             CAPACITY.slots()),
-                    (long) now);
+                    events.nowMillis());
             for (Gateway each : gateways) {
                 each.loads
                         .get(index(target))
@@ -282,21 +263,21 @@
             }
             if (!engines.get(index(target)).accept(this, choice.prefillTokens())) {
                 target.ended(running);
-                target.health().suspend((long) now, 150);
+                target.health().suspend(events.nowMillis(), 150);
                 refused += counted() ? 1 : 0;
             }
         }
 
         private void firstEventArrived() {
             target.firstEventArrived(running);
-            long elapsed = (long) (now - sentAt);
+            long elapsed = (long) (events.now() - sentAt);
             if (knowledge == Knowledge.LEARNT && !copied) {
                 gateway.rate
                         .speed(running, elapsed)
-                        .ifPresent(ratio -> target.speed().observe(ratio, (long) now));
+                        .ifPresent(ratio -> target.speed().observe(ratio, events.nowMillis()));
             }
             gateway.rate.observe(running, elapsed);
-            if (counted() && now - demand.arrivedMillis() <= demand.objectiveMillis()) {
+            if (counted() && events.now() - demand.arrivedMillis() <= demand.objectiveMillis()) {
                 inTime++;
             }
         }
@@ -349,10 +330,11 @@
         }
 
         private void start(Request request, long prefillTokens) {
-            prefillFreeAt = Math.max(now, prefillFreeAt) + millis(prefillTokens / PREFILL_RATE);
+            prefillFreeAt =
+                    Math.max(events.now(), prefillFreeAt) + millis(prefillTokens / PREFILL_RATE);
             double first = prefillFreeAt + millis(BASE_MILLIS) + NETWORK_MILLIS;
-            schedule(first, request::firstEventArrived);
-            schedule(
+            events.schedule(first, request::firstEventArrived);
+            events.schedule(
                     first + millis(TOKEN_MILLIS) * request.kind.responseTokens(),
                     () -> {
                         request.target.ended(request.running);
@@ -365,7 +347,7 @@
     /** A simulated gateway with its view of the engines. */
     private final class Gateway {
 
-        private final String name;
+        private final int index;
 
         private final List<TargetLoad> loads = new ArrayList<>();
 
@@ -376,7 +358,7 @@
         private final UnreportedWork unreported = new UnreportedWork();
 
         private Gateway(int index) {
-            this.name = "gateway-" + index;
+            this.index = index;
             this.chooser = new EngineChooser("domain", random);
             for (int engine = 0; engine < scenario.speeds().size(); engine++) {
                 loads.add(
@@ -399,17 +381,25 @@
         }
 
         private List<TargetLoad> available() {
-            return loads.stream().filter(each -> each.health().isAvailable((long) now)).toList();
+            return loads.stream()
+                    .filter(each -> each.health().isAvailable(events.nowMillis()))
+                    .toList();
         }
 
         private Optional<EngineChoice> choose(EngineDemand demand) {
+            reports.apply(index, loads, events.nowMillis());
             List<TargetLoad> available = available();
             LoadForecast forecast =
                     LoadForecast.ofReports(
-                            rate, unreported.perTarget(available.size(), (long) now));
+                            rate, unreported.perTarget(available.size(), events.nowMillis()));
             List<TargetLoad> candidates =
                     chooser.withCapacity(
-                            demand, ShareTier.PROMISED, available, CAPACITY, forecast, (long) now);
+                            demand,
+                            ShareTier.PROMISED,
+                            available,
+                            CAPACITY,
+                            forecast,
+                            events.nowMillis());
             if (candidates.isEmpty()) {
                 return Optional.empty();
             }
@@ -421,7 +411,7 @@
                     CAPACITY,
                     forecast,
                     UnrestrictedPlacement.INSTANCE,
-                    (long) now);
+                    events.nowMillis());
         }
 
         /** Reports the loads of this gateway to all others. */
@@ -430,19 +420,7 @@
             for (int engine = 0; engine < loads.size(); engine++) {
                 reported.put(engine, loads.get(engine).own());
             }
-            schedule(
-                    now + DELAY_MILLIS,
-                    () ->
-                            others().forEach(
-                                            each ->
-                                                    reported.forEach(
-                                                            (engine, sums) ->
-                                                                    each.receive(
-                                                                            name, engine, sums))));
-        }
-
-        private void receive(String peer, int engine, LoadSums sums) {
-            loads.get(engine).applyPeerReport(peer, sums, (long) now);
+            events.schedule(events.now() + DELAY_MILLIS, () -> reports.arrived(index, reported));
         }
 
         /** Reports the samples of this gateway to all others. */
@@ -453,16 +431,25 @@
                         .speed()
                         .takeReport("t")
                         .ifPresent(
-                                report -> schedule(now + DELAY_MILLIS, () -> told(index, report)));
+                                report ->
+                                        events.schedule(
+                                                events.now() + DELAY_MILLIS,
+                                                () -> told(index, report)));
             }
         }
 
         private void told(int engine, TargetSpeedReport report) {
-            others().forEach(each -> each.loads.get(engine).speed().apply(report, (long) now));
+            others().forEach(
+                            each ->
+                                    each.loads
+                                            .get(engine)
+                                            .speed()
+                                            .apply(report, events.nowMillis()));
         }
 
         private void updateSpeeds() {
-            RelativeSpeeds.update(loads.stream().map(TargetLoad::speed).toList(), (long) now);
+            RelativeSpeeds.update(
+                    loads.stream().map(TargetLoad::speed).toList(), events.nowMillis());
         }
 
         private List<Gateway> others() {
