Scale the unreported work of peers by what they run

Cause: the estimate assumes that each peer sends as much as this gateway. Change: the part that counts as backlog is scaled by the requests that peers run by their reports, relative to the own. An idle engine is chosen whatever the forecast.

--- a/src/main/java/org/martenwell/balance/EngineChooser.java
+++ b/src/main/java/org/martenwell/balance/EngineChooser.java
@@ -99,8 +99,10 @@
         for (TargetLoad each : loads) {
             LoadSums sums = each.totalLoad(now);
             if (hasCapacity(each, sums, demand, tier, capacity)
-                    && forecast.backlogMillis(each.prefillMillis(sums.prefillTokens(), rate))
-                            <= maxBacklogMillis) {
+                    && (sums.requests() == 0
+                            || forecast.backlogMillis(
+                                            each.prefillMillis(sums.prefillTokens(), rate))
+                                    <= maxBacklogMillis)) {
                 found.add(each);
             }
         }
@@ -144,8 +146,9 @@
             double prefillMillis =
                     each.prefillMillis(prefill, rate) + (source.isPresent() ? COPY_MILLIS : 0);
             double ownMillis = forecast.prefillMillis(prefillMillis);
-            if (forecast.backlogMillis(backlog)
-                    > allowedBacklogMillis(demand, tier, ownMillis, rate, now)) {
+            if (sums.requests() > 0
+                    && forecast.backlogMillis(backlog)
+                            > allowedBacklogMillis(demand, tier, ownMillis, rate, now)) {
                 continue;
             }
             double interference =
--- a/src/main/java/org/martenwell/balance/LoadForecast.java
+++ b/src/main/java/org/martenwell/balance/LoadForecast.java
@@ -29,13 +29,14 @@
      * Creates a forecast that counts unreported work and is corrected by its former errors.
      *
      * @param rate The prefill rate of the engines.
-     * @param unreportedMillis The estimated unreported work of each engine, in milliseconds.
+     * @param unreportedMillis The scale of the noise on costs, in milliseconds.
+     * @param countedMillis The unreported work that counts as backlog, in milliseconds.
      * @param error The former errors.
      * @return The forecast.
      */
     public static LoadForecast corrected(
-            PrefillRate rate, double unreportedMillis, ForecastError error) {
-        return new LoadForecast(rate, unreportedMillis, unreportedMillis, error.factor());
+            PrefillRate rate, double unreportedMillis, double countedMillis, ForecastError error) {
+        return new LoadForecast(rate, unreportedMillis, countedMillis, error.factor());
     }
 
     /**
--- a/src/main/java/org/martenwell/balance/UnreportedWork.java
+++ b/src/main/java/org/martenwell/balance/UnreportedWork.java
@@ -6,6 +6,9 @@
  */
 public final class UnreportedWork {
 
+    /** The weight of the last observation in the mean numbers of running requests. */
+    private static final double SMOOTHING = 0.05;
+
     /** The time constant of the decaying sum of sent work, in milliseconds. */
     private static final double DECAY_MILLIS = 2_000;
 
@@ -18,6 +21,12 @@
     /** The time at which work was last sent, in milliseconds. */
     private long lastMillis;
 
+    /** The mean number of own requests that have not ended. */
+    private double ownRunning;
+
+    /** The mean number of those of all peers. */
+    private double peersRunning;
+
     /** The number of other gateways. */
     private int otherGateways;
 
@@ -62,6 +71,32 @@
                 : decayedMillis(now) / DECAY_MILLIS * otherGateways * reportAgeMillis / targets;
     }
 
+    /**
+     * Updates the ratio of the requests of peers to those of this gateway.
+     *
+     * @param own The requests of this gateway that have not ended.
+     * @param peers Those of all peers by their reports.
+     */
+    public void observeRunning(long own, long peers) {
+        ownRunning += SMOOTHING * (own - ownRunning);
+        peersRunning += SMOOTHING * (peers - peersRunning);
+    }
+
+    /**
+     * Estimates the unreported work per target, also if this gateway gets more requests than its
+     * peers.
+     *
+     * @param targets The number of targets.
+     * @param now The current time, in milliseconds.
+     * @return The mean work of a target, in milliseconds; 0 if there are no targets.
+     */
+    public double scaledPerTarget(int targets, long now) {
+        double ratio = peersRunning / Math.max(1, ownRunning);
+        return otherGateways == 0
+                ? 0
+                : perTarget(targets, now) * Math.min(1, ratio / otherGateways);
+    }
+
     /**
      * Returns the decaying sum of sent work.
      *
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -347,9 +347,7 @@
             List<TargetLoad> available, List<TargetLoad> allowed, long now) {
         PrefillRate rate = core.targets().rate(service);
         EngineChooser chooser = core.engineChooser();
-        LoadForecast current =
-                core.loadForecasts()
-                        .of(service, rate, core.unreportedWork().perTarget(available.size(), now));
+        LoadForecast current = core.loadForecasts().of(service, available, rate, now);
         forecast = Optional.of(current);
         List<TargetLoad> candidates =
                 chooser.withCapacity(demand, tier, allowed, capacity, current, now);
--- a/src/main/java/org/martenwell/gateway/GatewayCore.java
+++ b/src/main/java/org/martenwell/gateway/GatewayCore.java
@@ -199,7 +199,8 @@
                         ? Optional.of(new TargetSpeeds(reactor, targets, capacities))
                         : Optional.empty();
         targetSpeeds.ifPresent(this::registerSpeedGauges);
-        this.loadForecasts = new LoadForecasts(enables(GatewayFeature.LOAD_FORECAST));
+        this.loadForecasts =
+                new LoadForecasts(enables(GatewayFeature.LOAD_FORECAST), unreportedWork);
         log.metrics().registerGauge("load_forecast_percent", loadForecasts::maxFactorPercent);
         this.fingerprints = new FingerprintFunction(settings.peerKey());
         this.placements =
--- a/src/main/java/org/martenwell/gateway/LoadForecasts.java
+++ b/src/main/java/org/martenwell/gateway/LoadForecasts.java
@@ -1,10 +1,13 @@
 package org.martenwell.gateway;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.martenwell.balance.ForecastError;
 import org.martenwell.balance.LoadForecast;
 import org.martenwell.balance.PrefillRate;
+import org.martenwell.balance.TargetLoad;
+import org.martenwell.balance.UnreportedWork;
 
 /** Forecasts of the load of engines, by service, and their errors. */
 final class LoadForecasts {
@@ -14,6 +17,9 @@
     /** Set if forecasts count unreported work and are corrected by their errors. */
     private final boolean corrected;
 
+    /** Estimates the work that peers have sent since their reports. */
+    private final UnreportedWork unreportedWork;
+
     private final Map<String, ForecastError> errors = new HashMap<>();
 
     /**
@@ -21,23 +27,39 @@
      *
      * @param corrected {@code true} to count unreported work and to correct forecasts by their
      *     errors.
+     * @param unreportedWork Estimates the work that peers have sent since their reports.
      */
-    LoadForecasts(boolean corrected) {
+    LoadForecasts(boolean corrected, UnreportedWork unreportedWork) {
         this.corrected = corrected;
+        this.unreportedWork = unreportedWork;
     }
 
     /**
      * Returns the forecast for a service.
      *
      * @param service The name of the service.
+     * @param engines Its engines that accept requests.
      * @param rate The prefill rate of its engines.
-     * @param unreportedMillis The estimated unreported work of each engine, in milliseconds.
+     * @param now The current time, in milliseconds.
      * @return The forecast.
      */
-    LoadForecast of(String service, PrefillRate rate, double unreportedMillis) {
-        return corrected
-                ? LoadForecast.corrected(rate, unreportedMillis, error(service))
-                : LoadForecast.ofReports(rate, unreportedMillis);
+    LoadForecast of(String service, List<TargetLoad> engines, PrefillRate rate, long now) {
+        double unreportedMillis = unreportedWork.perTarget(engines.size(), now);
+        if (!corrected) {
+            return LoadForecast.ofReports(rate, unreportedMillis);
+        }
+        long own = 0;
+        long all = 0;
+        for (TargetLoad each : engines) {
+            own += each.own().requests();
+            all += each.totalLoad(now).requests();
+        }
+        unreportedWork.observeRunning(own, all - own);
+        return LoadForecast.corrected(
+                rate,
+                unreportedMillis,
+                unreportedWork.scaledPerTarget(engines.size(), now),
+                error(service));
     }
 
     /**
--- a/src/test/java/org/martenwell/balance/EngineChooserTest.java
+++ b/src/test/java/org/martenwell/balance/EngineChooserTest.java
@@ -237,16 +237,26 @@
     @Test
     void testUnreportedWorkCountsAsBacklog() {
         add("one", "domain-a");
+        loads.get(0).sent(new RunningRequest(80, 0, 0, 0));
         EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
         assertThat(choose(small, ShareTier.PROMISED, LoadForecast.ofReports(rate, 400)))
                 .isPresent();
         ForecastError none = new ForecastError();
-        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 200, none)))
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, 200, none)))
                 .isPresent();
-        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 400, none)))
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, 400, none)))
                 .isEmpty();
     }
 
+    /** Guards against requests that wait while an engine is known to be idle. */
+    @Test
+    void testIdleEngineIsChosenWhateverTheForecast() {
+        add("one", "domain-a");
+        EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
+        LoadForecast forecast = LoadForecast.corrected(rate, 0, 4_000, new ForecastError());
+        assertThat(choose(small, ShareTier.PROMISED, forecast)).isPresent();
+    }
+
     /** Guards against forecasts that stay as long as at idle engines. */
     @Test
     void testForecastIsCorrectedByItsErrors() {
@@ -254,12 +264,12 @@
         loads.get(0).sent(new RunningRequest(16_000, 0, 0, 0));
         EngineDemand small = new EngineDemand("o", PromptChain.EMPTY, 10, 10, 400, 0);
         ForecastError error = new ForecastError();
-        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, error)))
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, 0, error)))
                 .isPresent();
         for (int sample = 0; sample < 100; sample++) {
             error.observe(100, 200);
         }
-        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, error)))
+        assertThat(choose(small, ShareTier.PROMISED, LoadForecast.corrected(rate, 0, 0, error)))
                 .isEmpty();
     }
 
--- a/src/test/java/org/martenwell/balance/LoadForecastSimulationTest.java
+++ b/src/test/java/org/martenwell/balance/LoadForecastSimulationTest.java
@@ -47,6 +47,20 @@
         assertThat(after.inTimeShare()).isGreaterThan(before.inTimeShare() - 0.02);
     }
 
+    /**
+     * Guards against a gateway that refuses although engines have capacity, because it takes its
+     * own load for that of each peer.
+     */
+    @Test
+    void testGatewayWithHalfOfTheRequestsRefusesNone() {
+        KindResult result =
+                simulate(
+                        steady(FULL_LOAD / 2).scenario(SEED).withHotPart(0.5),
+                        FULL_LOAD / 2,
+                        FORECASTS);
+        assertThat(result.refusedCount()).isZero();
+    }
+
     /** Guards against generations that pause on slow engines. */
     @Test
     void testSpeedsFromEventsReduceThePausesOfGenerations() {
@@ -56,12 +70,22 @@
         assertThat(after.inTimeShare()).isGreaterThan(before.inTimeShare() - 0.02);
     }
 
+    private static LongPromptScenarios.Case steady(double perEngine) {
+        return LongPromptScenarios.cases(perEngine).get("steady");
+    }
+
     private static KindResult simulate(double perEngine, PlacementSimulation.Knowledge knowledge) {
-        LongPromptScenarios.Case steady = LongPromptScenarios.cases(perEngine).get("steady");
+        return simulate(steady(perEngine).scenario(SEED), perEngine, knowledge);
+    }
+
+    private static KindResult simulate(
+            PlacementSimulation.Scenario scenario,
+            double perEngine,
+            PlacementSimulation.Knowledge knowledge) {
         Map<String, KindResult> results =
                 PlacementSimulation.simulate(
-                        steady.scenario(SEED),
-                        steady.model(),
+                        scenario,
+                        steady(perEngine).model(),
                         knowledge,
                         () -> UnrestrictedPlacement.INSTANCE);
         KindResult total = new KindResult();
--- a/src/test/java/org/martenwell/balance/PlacementSimulation.java
+++ b/src/test/java/org/martenwell/balance/PlacementSimulation.java
@@ -35,7 +35,34 @@
             long reportMillis,
             long delayMillis,
             long seconds,
-            long seed) {}
+            long seed,
+            double hotPart) {
+
+        /** Creates a scenario in which callers are spread evenly over the gateways. */
+        Scenario(
+                int gateways,
+                int engines,
+                double requestsPerSecond,
+                long reportMillis,
+                long delayMillis,
+                long seconds,
+                long seed) {
+            this(gateways, engines, requestsPerSecond, reportMillis, delayMillis, seconds, seed, 0);
+        }
+
+        /** Returns the scenario with a part of the requests at one gateway. */
+        Scenario withHotPart(double part) {
+            return new Scenario(
+                    gateways,
+                    engines,
+                    requestsPerSecond,
+                    reportMillis,
+                    delayMillis,
+                    seconds,
+                    seed,
+                    part);
+        }
+    }
 
     /**
      * What gateways estimate beside what they report.
@@ -233,7 +260,9 @@
     }
 
     private void arrive() {
-        Gateway gateway = gateways.get(random.nextInt(gateways.size()));
+        // Draws no number if callers are spread evenly, so that those results stay the same.
+        boolean hot = scenario.hotPart() > 0 && random.nextDouble() < scenario.hotPart();
+        Gateway gateway = gateways.get(hot ? 0 : random.nextInt(gateways.size()));
         RequestKind kind = kind();
         results.get(kind).arrived();
         new Request(gateway, kind).place();
@@ -513,9 +542,19 @@
         private LoadForecast forecast() {
             double unreportedMillis =
                     addsNoise ? unreported.perTarget(scenario.engines(), events.nowMillis()) : 0;
-            return knowledge.forecasts()
-                    ? LoadForecast.corrected(rate, unreportedMillis, error)
-                    : LoadForecast.ofReports(rate, unreportedMillis);
+            if (!knowledge.forecasts()) {
+                return LoadForecast.ofReports(rate, unreportedMillis);
+            }
+            long own = 0;
+            long all = 0;
+            for (TargetLoad each : loads) {
+                own += each.own().requests();
+                all += each.totalLoad(events.nowMillis()).requests();
+            }
+            unreported.observeRunning(own, all - own);
+            double countedMillis =
+                    unreported.scaledPerTarget(scenario.engines(), events.nowMillis());
+            return LoadForecast.corrected(rate, unreportedMillis, countedMillis, error);
         }
 
         private void updateSpeeds() {
