Give a caller's codec back when its connection closes

Cause: a connection that closes after its response kept its codec until the caller closed it too, and then discarded it. A new codec was created for each request that comes on a connection of its own. Change: the codec is free for other connections as soon as the last response is passed to the socket, unless it has read a part of a further request or the request was rejected.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -611,6 +611,11 @@
     private void rest() {
         enter(ConnectionState.IDLE);
         server.becameIdle(this);
+        giveBackCodec();
+    }
+
+    /** Lets other connections use the codec, unless it holds a part of a further request. */
+    private void giveBackCodec() {
         boolean unused = codec != null && pipelinedBytes == 0 && !decoder.hasParts();
         if (unused && server.codecs().giveBack(codec, codecHeaderBytes)) {
             codec = null;
@@ -661,6 +666,10 @@
         announced = observe(closeReason);
         enter(ConnectionState.CLOSING);
         server.becameActive(this);
+        if (closeReason == CloseReason.RESPONSE_COMPLETE) {
+            // Input is discarded from here on. Behind a rejected request, the codec is unusable.
+            giveBackCodec();
+        }
         read();
         if (unwrittenBytes == 0) {
             closeOutput();
