Encode refusals without a codec

Cause: a response without a body passed through Netty's pipeline, and the delay in Retry-After through a format string, which is parsed each time. Change: EmptyResponse writes complete responses without a body and with a status of 400 or more; the test compares them byte by byte with the codec's for each such status. LocalResponder formats two decimals itself; exact halves of the last decimal may be rounded otherwise than before, which the random jitter covers.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -262,6 +262,11 @@
         boolean persistent = keepAlive && !server.draining();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         setConnectionHeader(headers, persistent);
+        if (content.length == 0 && EmptyResponse.supports(status)) {
+            sendEmpty(status, headers);
+            finishRequest(persistent);
+            return;
+        }
         boolean omitBody = exchange.request().method().name().equals("HEAD");
         send(
                 new DefaultFullHttpResponse(
@@ -631,6 +636,14 @@
         writeBytes(bytes);
     }
 
+    private void sendEmpty(int status, HttpHeaders headers) {
+        if (!closed) {
+            ByteBuf bytes = EmptyResponse.encode(status, headers);
+            responseBegun = true;
+            writeBytes(bytes);
+        }
+    }
+
     private void writeBytes(ByteBuf bytes) {
         if (closed || !bytes.canRead()) {
             bytes.recycle();
--- a/src/main/java/org/martenwell/gateway/LocalResponder.java
+++ b/src/main/java/org/martenwell/gateway/LocalResponder.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import java.util.Locale;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.Retryability;
 import org.martenwell.exchange.CallerExchange;
@@ -16,6 +15,12 @@
     /** The largest part of a forecast delay that is added at random. */
     private static final double FORECAST_JITTER = 0.25;
 
+    private static final int HUNDREDTHS = 100;
+
+    private static final int TENTHS = 10;
+
+    private static final byte[] EMPTY_BODY = new byte[0];
+
     private final GatewayCore core;
 
     private final CallerExchange exchange;
@@ -61,10 +66,20 @@
         HttpHeaders headers = core.dialect().localResponse(metadata);
         if (retrySeconds > 0 && kind.retryability() != Retryability.NEVER) {
             double jitter = maxJitterSeconds * core.random();
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.2f", retrySeconds + jitter));
+            headers.set(HttpHeaderNames.RETRY_AFTER, twoDecimals(retrySeconds + jitter));
         }
-        exchange.respond(kind.status(), headers, new byte[0]);
+        exchange.respond(kind.status(), headers, EMPTY_BODY);
+    }
+
+    /**
+     * Formats a number with two decimals, without the cost of a format string.
+     *
+     * @param number The number, not negative.
+     * @return The rounded number.
+     */
+    static String twoDecimals(double number) {
+        long hundredths = Math.round(number * HUNDREDTHS);
+        long decimals = hundredths % HUNDREDTHS;
+        return hundredths / HUNDREDTHS + (decimals < TENTHS ? ".0" : ".") + decimals;
     }
 }
