Omit two system calls at the close of a caller's connection

Cause: each graceful close selected the graceful linger time, which is the default, and each close behind the end of input asked for unread bytes, of which there are none. Change: the linger time is set back only if a close-delimited response had changed it; behind the end of input no bytes count as unread.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -118,6 +118,12 @@
     /** Set once a response to the request being served is passed to the socket. */
     private boolean responseBegun;
 
+    /** Set once a close-delimited response has begun, until whose end any close is a reset. */
+    private boolean closeAborts;
+
+    /** Set once the caller has ended its output and all of it is read. */
+    private boolean inputRead;
+
     private int pipelinedBytes;
 
     /** Response bytes handed to the socket whose write hasn't completed. */
@@ -297,6 +303,7 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else if (socket instanceof TcpSocket tcp && !closed) {
             AbortiveClose.set(tcp, true);
+            closeAborts = true;
         }
         setConnectionHeader(headers, keepAlive && framing.showsTruncation() && !server.draining());
         send(
@@ -384,6 +391,7 @@
                         (bytes, failure) -> {
                             reading = false;
                             reads++;
+                            inputRead |= failure == null && bytes == null;
                             if (failure != null || bytes == null) {
                                 guard.run(this::disconnected);
                             } else {
@@ -696,7 +704,9 @@
         reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, () -> close(closeReason));
         if (socket instanceof TcpSocket tcp) {
             try {
-                AbortiveClose.set(tcp, false);
+                if (closeAborts) {
+                    AbortiveClose.set(tcp, false);
+                }
                 tcp.getSocketChannel().shutdownOutput();
             } catch (IOException exception) {
                 close(CloseReason.CALLER_LEFT);
@@ -737,7 +747,7 @@
     }
 
     private int unreadBytes() {
-        if (!(socket instanceof TcpSocket tcp) || tcp.isClosed()) {
+        if (inputRead || !(socket instanceof TcpSocket tcp) || tcp.isClosed()) {
             return 0;
         }
         try {
