Encode chunks of responses without a codec

Cause: each piece of a stream, also of an offloaded one, became three buffers in Netty's pipeline and was copied together behind it. The codec still writes heads and the last chunk.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -118,6 +118,9 @@
     /** Set once a response to the request being served is passed to the socket. */
     private boolean responseBegun;
 
+    /** Set while a response in chunks is sent whose pieces need no codec. */
+    private boolean plainChunks;
+
     /** Set once a close-delimited response has begun, until whose end any close is a reset. */
     private boolean closeAborts;
 
@@ -306,6 +309,7 @@
             closeAborts = true;
         }
         setConnectionHeader(headers, keepAlive && framing.showsTruncation() && !server.draining());
+        plainChunks = framing == ResponseFraming.CHUNKED && status == HttpResponseStatus.OK.code();
         send(
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
@@ -313,7 +317,15 @@
 
     @Override
     public void write(byte[] piece) {
-        guard.run(() -> send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece))));
+        guard.run(() -> sendPiece(piece));
+    }
+
+    private void sendPiece(byte[] piece) {
+        if (plainChunks && !closed) {
+            writeBytes(Chunk.encode(piece));
+        } else {
+            send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+        }
     }
 
     @Override
