--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -118,6 +118,15 @@
     /** Set once a response to the request being served is passed to the socket. */
     private boolean responseBegun;
 
+    /** Set while a response in chunks is sent whose pieces need no codec. */
+    private boolean plainChunks;
+
+    /** Set once a close-delimited response has begun, until whose end any close is a reset. */
+    private boolean closeAborts;
+
+    /** Set once the caller has ended its output and all of it is read. */
+    private boolean inputRead;
+
     private int pipelinedBytes;
 
     /** Response bytes handed to the socket whose write hasn't completed. */
@@ -266,6 +275,11 @@
         boolean persistent = keepAlive && !server.draining();
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
         setConnectionHeader(headers, persistent);
+        if (content.length == 0 && EmptyResponse.supports(status)) {
+            sendEmpty(status, headers);
+            finishRequest(persistent);
+            return;
+        }
         boolean omitBody = exchange.request().method().name().equals("HEAD");
         send(
                 new DefaultFullHttpResponse(
@@ -296,8 +310,10 @@
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else if (socket instanceof TcpSocket tcp && !closed) {
             AbortiveClose.set(tcp, true);
+            closeAborts = true;
         }
         setConnectionHeader(headers, keepAlive && framing.showsTruncation() && !server.draining());
+        plainChunks = framing == ResponseFraming.CHUNKED && status == HttpResponseStatus.OK.code();
         send(
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
@@ -305,7 +321,15 @@
 
     @Override
     public void write(byte[] piece) {
-        guard.run(() -> send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece))));
+        guard.run(() -> sendPiece(piece));
+    }
+
+    private void sendPiece(byte[] piece) {
+        if (plainChunks && !closed) {
+            writeBytes(Chunk.encode(piece));
+        } else {
+            send(new DefaultHttpContent(Unpooled.wrappedBuffer(piece)));
+        }
     }
 
     @Override
@@ -383,6 +407,7 @@
                         (bytes, failure) -> {
                             reading = false;
                             reads++;
+                            inputRead |= failure == null && bytes == null;
                             if (failure != null || bytes == null) {
                                 guard.run(this::disconnected);
                             } else {
@@ -615,6 +640,11 @@
     private void rest() {
         enter(ConnectionState.IDLE);
         server.becameIdle(this);
+        giveBackCodec();
+    }
+
+    /** Lets other connections use the codec, unless it holds a part of a further request. */
+    private void giveBackCodec() {
         boolean unused = codec != null && pipelinedBytes == 0 && !decoder.hasParts();
         if (unused && server.codecs().giveBack(codec, codecHeaderBytes)) {
             codec = null;
@@ -630,6 +660,14 @@
         writeBytes(bytes);
     }
 
+    private void sendEmpty(int status, HttpHeaders headers) {
+        if (!closed) {
+            ByteBuf bytes = EmptyResponse.encode(status, headers);
+            responseBegun = true;
+            writeBytes(bytes);
+        }
+    }
+
     private void writeBytes(ByteBuf bytes) {
         if (closed || !bytes.canRead()) {
             bytes.recycle();
@@ -665,6 +703,10 @@
         announced = observe(closeReason);
         enter(ConnectionState.CLOSING);
         server.becameActive(this);
+        if (closeReason == CloseReason.RESPONSE_COMPLETE) {
+            // Input is discarded from here on. Behind a rejected request, the codec is unusable.
+            giveBackCodec();
+        }
         read();
         if (unwrittenBytes == 0) {
             closeOutput();
@@ -678,7 +720,9 @@
         reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, () -> close(closeReason));
         if (socket instanceof TcpSocket tcp) {
             try {
-                AbortiveClose.set(tcp, false);
+                if (closeAborts) {
+                    AbortiveClose.set(tcp, false);
+                }
                 tcp.getSocketChannel().shutdownOutput();
             } catch (IOException exception) {
                 close(CloseReason.CALLER_LEFT);
@@ -719,7 +763,7 @@
     }
 
     private int unreadBytes() {
-        if (!(socket instanceof TcpSocket tcp) || tcp.isClosed()) {
+        if (inputRead || !(socket instanceof TcpSocket tcp) || tcp.isClosed()) {
             return 0;
         }
         try {
