Split the dispatch of a request by responsibility

Change: RequestDispatch selects the route, admits the request and ends it early; RequestSender chooses a target, queues or refuses; AttemptHandler handles the results of attempts and decides on retries; RequestCompletion responds, logs and counts the outcome; RequestStream holds what is known of a resumable stream; AcceptedRequest holds the route, caller and deadline that they share. SendAttempt asks the core itself for the clock, the dialect and the targets, which the dispatch only passed on. RequestSender waits in the queue of engines in place of the dispatch. Behaviour, log lines, metrics and messages are unchanged.

--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -26,10 +26,10 @@
     private final NioReactor reactor;
 
     /** The waiting requests in the order of their arrival. */
-    private final List<RequestDispatch> waiting = new ArrayList<>();
+    private final List<RequestSender> waiting = new ArrayList<>();
 
     /** The requests that wait by forecast, by service. */
-    private final Map<String, ForecastQueue<RequestDispatch>> forecastQueues = new HashMap<>();
+    private final Map<String, ForecastQueue<RequestSender>> forecastQueues = new HashMap<>();
 
     private boolean retryScheduled;
 
@@ -48,7 +48,7 @@
      * @param service The name of the service.
      * @return The queue of the service.
      */
-    ForecastQueue<RequestDispatch> forecastQueue(String service) {
+    ForecastQueue<RequestSender> forecastQueue(String service) {
         return forecastQueues.computeIfAbsent(service, name -> new ForecastQueue<>());
     }
 
@@ -57,7 +57,7 @@
      *
      * @param request The request.
      */
-    void add(RequestDispatch request) {
+    void add(RequestSender request) {
         waiting.add(request);
         scheduleRetry();
     }
@@ -68,7 +68,7 @@
      * @param request The request.
      * @param wait Its place in the order.
      */
-    void add(RequestDispatch request, EngineWait wait) {
+    void add(RequestSender request, EngineWait wait) {
         wait.add(request, reactor.currentTimeMillis());
         scheduleRetry();
     }
@@ -78,7 +78,7 @@
      *
      * @param request The request.
      */
-    void remove(RequestDispatch request) {
+    void remove(RequestSender request) {
         waiting.remove(request);
         forecastQueues.values().forEach(each -> each.remove(request, reactor.currentTimeMillis()));
     }
@@ -118,7 +118,7 @@
         retryScheduled = false;
         try {
             retryInOrder();
-            for (ForecastQueue<RequestDispatch> each : forecastQueues.values()) {
+            for (ForecastQueue<RequestSender> each : forecastQueues.values()) {
                 each.offerPlaces(reactor.currentTimeMillis());
             }
         } finally {
@@ -127,9 +127,9 @@
     }
 
     private void retryInOrder() {
-        List<RequestDispatch> order = new ArrayList<>(waiting);
+        List<RequestSender> order = new ArrayList<>(waiting);
         order.sort(Comparator.comparingDouble(each -> each.shareUse().promised()));
-        for (RequestDispatch each : order) {
+        for (RequestSender each : order) {
             if (waiting.contains(each)) {
                 each.tryAgain();
             }
--- a/src/main/java/org/martenwell/gateway/EngineWait.java
+++ b/src/main/java/org/martenwell/gateway/EngineWait.java
@@ -13,7 +13,7 @@
 /** Waiting of one model request by forecast: what it needs, and its rank at the last decision. */
 final class EngineWait {
 
-    private final ForecastQueue<RequestDispatch> queue;
+    private final ForecastQueue<RequestSender> queue;
 
     private final WaitDemand demand;
 
@@ -28,7 +28,7 @@
      * @param queue The queue of its service.
      * @param demand What it needs.
      */
-    EngineWait(ForecastQueue<RequestDispatch> queue, WaitDemand demand) {
+    EngineWait(ForecastQueue<RequestSender> queue, WaitDemand demand) {
         this.queue = queue;
         this.demand = demand;
     }
@@ -44,7 +44,7 @@
      * @return The waiting.
      */
     static EngineWait of(
-            ForecastQueue<RequestDispatch> queue,
+            ForecastQueue<RequestSender> queue,
             EngineDemand demand,
             PrefillRate rate,
             long deadlineMillis) {
@@ -120,7 +120,7 @@
      * @param request The request.
      * @param now The current time, in milliseconds.
      */
-    void add(RequestDispatch request, long now) {
+    void add(RequestSender request, long now) {
         waited = true;
         queue.add(request, demand, rank, now);
     }
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -33,7 +33,11 @@
     /** The most bytes of an ignored response that are read so that its connection can be reused. */
     private static final int MAX_IGNORED_BYTES = 65_536;
 
-    private final RequestDispatch dispatch;
+    private final GatewayCore core;
+
+    private final AcceptedRequest request;
+
+    private final AttemptHandler handler;
 
     private final KnownTarget target;
 
@@ -59,27 +63,34 @@
     /** The time at which the first chunk of the body arrived on the responsive clock. */
     private long bodyStartedMillis;
 
-    /** Set once the dispatch was notified that the target survived the start of its response. */
+    /** Set once the handler was notified that the target survived the start of its response. */
     private boolean survived;
 
     /** The bytes of the response that arrived since it is ignored. */
     private int ignoredBytes;
 
-    /** Set once the dispatch ignores further events of this attempt. */
+    /** Set once the handler ignores further events of this attempt. */
     private boolean over;
 
     /**
      * Creates an attempt.
      *
-     * @param dispatch The request.
+     * @param request The request.
+     * @param handler Handles the events of the attempt.
      * @param target The target.
      * @param running The load that the request puts on the target.
      */
-    SendAttempt(RequestDispatch dispatch, KnownTarget target, RunningRequest running) {
-        this.dispatch = dispatch;
+    SendAttempt(
+            AcceptedRequest request,
+            AttemptHandler handler,
+            KnownTarget target,
+            RunningRequest running) {
+        this.core = request.core();
+        this.request = request;
+        this.handler = handler;
         this.target = target;
         this.running = running;
-        this.begunMillis = dispatch.responsiveMillis();
+        this.begunMillis = core.clock().millis();
         this.lastReceivedMillis = begunMillis;
     }
 
@@ -126,7 +137,7 @@
      * @return The time in milliseconds.
      */
     long elapsedMillis() {
-        return dispatch.responsiveMillis() - begunMillis;
+        return core.clock().millis() - begunMillis;
     }
 
     /**
@@ -135,7 +146,7 @@
      * @return The time in milliseconds, counted from sending before the first chunk.
      */
     long silentMillis() {
-        return dispatch.responsiveMillis() - lastReceivedMillis;
+        return core.clock().millis() - lastReceivedMillis;
     }
 
     /**
@@ -176,7 +187,7 @@
 
     @Override
     public boolean belongs(HttpResponse head) {
-        return dispatch.belongs(head);
+        return core.dialect().belongs(head, request.metadata());
     }
 
     @Override
@@ -187,15 +198,15 @@
             idleMillis = Math.max(1, statedMillis - IDLE_MARGIN_MILLIS);
         }
         if (!over) {
-            dispatch.guard().run(() -> dispatch.responseStarted(this, head));
+            request.guard().run(() -> handler.responseStarted(this, head));
         }
     }
 
     @Override
     public void bodyPartReceived(byte[] piece) {
-        lastReceivedMillis = dispatch.responsiveMillis();
+        lastReceivedMillis = core.clock().millis();
         if (!over) {
-            dispatch.guard().run(() -> forward(piece));
+            request.guard().run(() -> forward(piece));
         } else {
             ignoredBytes += piece.length;
             if (ignoredBytes > MAX_IGNORED_BYTES) {
@@ -206,9 +217,9 @@
 
     private void forward(byte[] piece) {
         recordBodyProgress();
-        if (!dispatch.bodyReceived(piece) && !over) {
+        if (!handler.bodyReceived(piece) && !over) {
             cancel();
-            dispatch.attemptFailed(this, ResponseFailure.TOO_LARGE);
+            handler.attemptFailed(this, ResponseFailure.TOO_LARGE);
         }
     }
 
@@ -219,7 +230,7 @@
         target.load().ended(running);
         target.connections().release(connection, idleMillis);
         if (active) {
-            dispatch.guard().run(() -> dispatch.responseEnded(this, framing));
+            request.guard().run(() -> handler.responseEnded(this, framing));
         }
     }
 
@@ -228,7 +239,7 @@
         if (!over) {
             over = true;
             target.load().ended(running);
-            dispatch.guard().run(() -> dispatch.attemptFailed(this, failure));
+            request.guard().run(() -> handler.attemptFailed(this, failure));
         }
     }
 
@@ -241,30 +252,30 @@
             bodyStarted = true;
             bodyStartedMillis = lastReceivedMillis;
             target.load().firstEventArrived(running);
-            dispatch.bodyStarted(this);
+            handler.bodyStarted(this);
         } else if (!survived
                 && lastReceivedMillis - bodyStartedMillis >= HarmfulRequests.SURVIVAL_MILLIS) {
             survived = true;
-            dispatch.responseContinues();
+            handler.responseContinues();
         }
     }
 
     private void opened(TargetConnection opened) {
         connection = opened;
         run = TargetRun.current(target);
-        dispatch.guard().run(() -> checkOpened(opened));
+        request.guard().run(() -> checkOpened(opened));
     }
 
     private void checkOpened(TargetConnection opened) {
         if (over) {
             opened.cancel();
-        } else if (!dispatch.acceptsRequests(target)) {
+        } else if (!core.targets().acceptsRequests(target.load(), core.now())) {
             // The target may have started to drain, asked for a pause or been evacuated while the
             // connection opened, which takes up to 400 ms.
             cancel();
-            dispatch.targetUnavailable(this);
+            handler.targetUnavailable(this);
         } else {
-            dispatch.requestWritten();
+            handler.requestWritten();
         }
     }
 }
