--- a/src/test/java/org/martenwell/balance/TargetSpeedTest.java
+++ b/src/test/java/org/martenwell/balance/TargetSpeedTest.java
@@ -111,7 +111,7 @@
         assertThat(fleet.factor(0, 0)).isGreaterThan(1.1);
     }
 
-    /** Guards against a speed that outlives the reports it was learnt from. */
+    /** Guards against a speed that outlives the reports it was estimated from. */
     @Test
     void testSpeedsDecayToOneWithoutReports() {
         SpeedFleet fleet = fleet(0, 0, 0, SpeedFleet.uneven(ENGINES));
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulation.java
@@ -27,7 +27,7 @@
     enum Knowledge {
         /** All engines count as equally fast. */
         NONE,
-        /** Speeds are learnt from samples and notices. */
+        /** Speeds are estimated from samples and notices. */
         LEARNT,
         /** All gateways know the speeds. */
         TOLD,
--- a/src/test/java/org/martenwell/balance/UnevenEnginesSimulationTest.java
+++ b/src/test/java/org/martenwell/balance/UnevenEnginesSimulationTest.java
@@ -33,7 +33,7 @@
         assertThat(latePart(SpeedFleet.uneven(ENGINES), Knowledge.PERFECT)).isLessThan(0.005);
     }
 
-    /** Guards against learnt speeds that harm equal engines. */
+    /** Guards against estimated speeds that harm equal engines. */
     @Test
     void testLearningDoesNotHarmEqualEngines() {
         double[] speeds = SpeedFleet.even(ENGINES);
