--- a/src/main/java/org/martenwell/balance/TargetSpeed.java
+++ b/src/main/java/org/martenwell/balance/TargetSpeed.java
@@ -5,9 +5,10 @@
 
 /**
  * Estimates the speed of a target from samples of this gateway and of its peers, each the ratio of
- * the expected to the measured time to a first event. The estimate is the upper quartile of recent
- * samples, since whatever disturbs a sample makes it slower: a short period in which the target is
- * slow, work of peers that was not reported yet, a new connection. A mean would follow them.
+ * an expected to a measured time, to a first event or between events. The estimate is the upper
+ * quartile of recent samples, since whatever disturbs a sample makes it slower: a short period in
+ * which the target is slow, work of peers that was not reported yet, a new connection. A mean would
+ * follow them.
  *
  * <p>The estimate is relative to what each gateway expects; {@link RelativeSpeeds} relates it to
  * the other targets of the service.
--- a/src/test/java/org/martenwell/balance/UnreportedWorkTest.java
+++ b/src/test/java/org/martenwell/balance/UnreportedWorkTest.java
@@ -32,4 +32,38 @@
         unreported.sent(1_000, 0);
         assertThat(unreported.perTarget(1, 20_000)).isLessThan(0.1);
     }
+
+    /** Guards against a gateway with most of the requests that expects as many from each peer. */
+    @Test
+    void testScaledWorkFollowsWhatPeersRun() {
+        unreported.updateFleet(10, 300);
+        unreported.sent(1_000, 0);
+        double assumed = unreported.perTarget(100, 0);
+        observe(50, 50);
+        assertThat(unreported.scaledPerTarget(100, 0)).isCloseTo(assumed / 10, within(1e-6));
+        observe(10, 100);
+        assertThat(unreported.scaledPerTarget(100, 0)).isCloseTo(assumed, within(1e-3));
+    }
+
+    /** Guards against more unreported work than by an even spread, as when no own request runs. */
+    @Test
+    void testScaledWorkIsBounded() {
+        unreported.updateFleet(10, 300);
+        unreported.sent(1_000, 0);
+        observe(0, 500);
+        assertThat(unreported.scaledPerTarget(100, 0)).isEqualTo(unreported.perTarget(100, 0));
+    }
+
+    @Test
+    void testSingleGatewayHasNoScaledWork() {
+        unreported.sent(100, 0);
+        observe(5, 0);
+        assertThat(unreported.scaledPerTarget(10, 0)).isZero();
+    }
+
+    private void observe(long own, long peers) {
+        for (int count = 0; count < 1_000; count++) {
+            unreported.observeRunning(own, peers);
+        }
+    }
 }
