--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -46,6 +46,9 @@
 
     private final long startNanos = System.nanoTime();
 
+    /** Set once no process may be started any more. */
+    private boolean ended;
+
     Lab(Path folder) throws IOException {
         root = Path.of("").toAbsolutePath();
         temporary = Files.createTempDirectory("martenwell-review");
@@ -96,7 +99,8 @@
         return created;
     }
 
-    void endProcesses() {
+    synchronized void endProcesses() {
+        ended = true;
         for (Gateway each : gateways) {
             each.destroy();
         }
@@ -177,7 +181,12 @@
             builder.environment().put("MARTENWELL_BOOT", file.toString());
             builder.redirectErrorStream(true);
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-            process = builder.start();
+            synchronized (lab) {
+                if (lab.ended) {
+                    return;
+                }
+                process = builder.start();
+            }
             lab.log("gateway %s starts, process %d, callers at %d", name, process.pid(), callerPort);
         }
 
