--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -3,6 +3,8 @@
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -18,6 +20,8 @@
  */
 final class StateLog implements ManagedService {
 
+    private static final double PERCENT = 100;
+
     private static final Logger LOGGER = LogManager.getLogger(StateLog.class);
 
     /**
@@ -128,9 +132,19 @@
                     LogEvent.of("refusals")
                             .with("gateway", gateway)
                             .with("sharesAgeMillis", core.shares().oldestReportMillis(now))
+                            .with("usedPercent", usedPercent(refused.keySet()))
                             .with("tokens", refused)
                             .message());
         }
         writtenMillis = now;
     }
+
+    /** Returns how much organisations have used of their shares of the observed capacity. */
+    private Map<String, Long> usedPercent(Set<String> organisations) {
+        Map<String, Long> percent = new TreeMap<>();
+        for (String each : organisations) {
+            percent.put(each, Math.round(PERCENT * core.shares().observedUse(each)));
+        }
+        return percent;
+    }
 }
--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -265,6 +265,17 @@
         return promisedDemand;
     }
 
+    /**
+     * Returns how much of its share of the observed capacity an organisation had used at the last
+     * computation.
+     *
+     * @param organisation The organisation.
+     * @return The used fraction, above 1 beyond the share; 0 if the capacity covers all demands.
+     */
+    public double observedUse(String organisation) {
+        return fleetSums.getOrDefault(organisation, ShareSums.NONE).sent() / observedLevel;
+    }
+
     /**
      * Summarises the last computation for the log.
      *
--- a/src/test/java/org/martenwell/share/FairSharesTest.java
+++ b/src/test/java/org/martenwell/share/FairSharesTest.java
@@ -37,6 +37,19 @@
         assertThat(shares.use("a", 10, 1_000, 3_900).tier()).isEqualTo(ShareTier.PROMISED);
     }
 
+    @Test
+    void testUseOfTheObservedShareIsReported() {
+        FairShares shares = new FairShares(WINDOW);
+        shares.requested("flood", 10_000, 0);
+        shares.sent("flood", 3_000, ShareTier.PROMISED, 0);
+        shares.requested("small", 500, 0);
+        shares.sent("small", 100, ShareTier.PROMISED, 0);
+        shares.use("small", 1, 1_000, 0);
+        assertThat(shares.observedUse("flood")).isGreaterThan(1);
+        assertThat(shares.observedUse("small")).isLessThan(0.2);
+        assertThat(shares.observedUse("none")).isZero();
+    }
+
     @Test
     void testRefreshIntervalGrowsWithTheNumberOfPeers() {
         FairShares shares = new FairShares(WINDOW);
