Let the credit of organisations beyond their shares accrue with time

Class: a share that is granted in proportion to demand.

Cause: credits were a fraction of each request, of sums over the last 4 s. What it could not spend at full engines added up to a second's worth and was spent as soon as one had room, before the others' requests.

Credit accrues at the rate of the share now, whatever is asked for, and 50 ms of it, or the cost of a request, are kept while it is not spent.

--- a/src/main/java/org/martenwell/share/FairShares.java
+++ b/src/main/java/org/martenwell/share/FairShares.java
@@ -47,10 +47,10 @@
     private Map<String, ShareSums> fleetSums = Map.of();
 
     /** The credits within shares of the promised capacity. */
-    private final ShareCredits promisedCredits = new ShareCredits(ShareSums::withinShare);
+    private final ShareCredits promisedCredits;
 
     /** The credits within shares of the observed capacity. */
-    private final ShareCredits observedCredits = new ShareCredits(ShareSums::sent);
+    private final ShareCredits observedCredits;
 
     /** The limit on organisations that are ahead of one that is held up. */
     private final ShareLead lead;
@@ -94,6 +94,8 @@
      */
     public FairShares(long windowMillis) {
         this.windowMillis = windowMillis;
+        this.promisedCredits = new ShareCredits(windowMillis, ShareSums::withinShare);
+        this.observedCredits = new ShareCredits(windowMillis, ShareSums::sent);
         this.lead = new ShareLead(windowMillis);
     }
 
@@ -112,8 +114,6 @@
         requested
                 .computeIfAbsent(organisation, name -> new SlidingSum(windowMillis))
                 .add(tokens, now);
-        promisedCredits.add(organisation, tokens);
-        observedCredits.add(organisation, tokens);
     }
 
     /**
@@ -215,9 +215,9 @@
         // Requests sent beyond the promised share used idle capacity; they don't count against it.
         return new ShareUse(
                 promisedCredits.limit(
-                        organisation, tokens, (sums.withinShare() + tokens / 2) / level),
+                        organisation, tokens, (sums.withinShare() + tokens / 2) / level, now),
                 observedCredits.limit(
-                        organisation, tokens, (sums.sent() + tokens / 2) / observedLevel),
+                        organisation, tokens, (sums.sent() + tokens / 2) / observedLevel, now),
                 lead.exceeds(sums.sent() + tokens / 2));
     }
 
@@ -304,8 +304,8 @@
         }
         computeLevels(all, capacity * countedFraction(counted));
         lead.update(all, level, now);
-        promisedCredits.update(all, own.sums(), level);
-        observedCredits.update(all, own.sums(), observedLevel);
+        promisedCredits.update(all, own.sums(), level, now);
+        observedCredits.update(all, own.sums(), observedLevel, now);
         fleetSums = all;
         computedMillis = now;
     }
--- a/src/main/java/org/martenwell/share/ShareCredits.java
+++ b/src/main/java/org/martenwell/share/ShareCredits.java
@@ -5,18 +5,27 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Spreads the share of an organisation that requests more than its share evenly over its requests.
- * A fraction of the cost of each request is credited, and requests sent within the share spend the
- * credit. The sums of the fleet are out of date by a report interval; since they only change the
- * fraction, gateways don't all let the organisation in until the next report and then all stop it.
+ * Spreads the share of an organisation that requests more than its share evenly over time. Each
+ * gateway credits its part of the share at a constant rate, and requests sent within the share
+ * spend the credit. The sums of the fleet are out of date by a report interval; since they only
+ * change the rate, gateways don't all let the organisation in until the next report and then all
+ * stop it.
+ *
+ * <p>The rate doesn't depend on the present demand. It would otherwise exceed the share while the
+ * demand rises, because the sums cover a window in which it was lower.
  */
 final class ShareCredits {
 
-    /** The relative change of the fraction for a share that is unused or used twice. */
+    /** The relative change of the rate for a share that is unused or used twice. */
     private static final double GAIN = 2;
 
-    /** The largest credit that requests add up, as a fraction of the gateway's part of a share. */
-    private static final double MAX_BALANCE_FRACTION = 0.25;
+    /**
+     * The time whose credit adds up while it is not spent, in milliseconds; short, since engines
+     * that are full keep it from being spent until the demand of others has risen.
+     */
+    private static final double MAX_UNSPENT_MILLIS = 50;
+
+    private final long windowMillis;
 
     /** The part of a share that counts as used. */
     private final ToDoubleFunction<ShareSums> used;
@@ -27,75 +36,78 @@
     /** The credit of one organisation at this gateway. */
     private static final class Credit {
 
-        /** The fraction of the cost of each request that is credited, from 0 to 1. */
-        private final double fraction;
+        /** The credit per millisecond, in tokens. */
+        private final double rate;
 
-        /** The largest balance that requests add up, in tokens. */
-        private final double maxBalance;
+        /** The largest balance that adds up while nothing is sent, in tokens. */
+        private final double maxUnspent;
 
         /** The credit, negative after a large request, in tokens. */
         private double balance;
 
-        private Credit(double fraction, double maxBalance, double balance) {
-            this.fraction = fraction;
-            this.maxBalance = maxBalance;
+        /** The time up to which the balance is computed, in milliseconds. */
+        private long computedMillis;
+
+        private Credit(double rate, double maxUnspent, double balance, long computedMillis) {
+            this.rate = rate;
+            this.maxUnspent = maxUnspent;
             this.balance = balance;
+            this.computedMillis = computedMillis;
+        }
+
+        /** Returns the balance, which may add up to the cost of one request in any case. */
+        private double balance(double tokens, long now) {
+            double most = Math.max(balance, Math.max(maxUnspent, tokens));
+            balance = Math.min(most, balance + rate * (now - computedMillis));
+            computedMillis = now;
+            return balance;
         }
     }
 
     /**
      * Creates credits without any organisation.
      *
+     * @param windowMillis The length of the window of the sums, in milliseconds.
      * @param used Returns the part of the sums that counts as used, in tokens.
      */
-    ShareCredits(ToDoubleFunction<ShareSums> used) {
+    ShareCredits(long windowMillis, ToDoubleFunction<ShareSums> used) {
+        this.windowMillis = windowMillis;
         this.used = used;
     }
 
     /**
-     * Recomputes the fractions. An organisation that begins to request more than its share starts
-     * with the gateway's part of what is unused; the credit of one that no longer does expires.
+     * Recomputes the rates. An organisation that begins to request more than its share starts with
+     * the gateway's part of what is unused; the credit of one that no longer does expires.
      *
      * @param fleet The sums of the whole fleet, by organisation.
      * @param own The sums of this gateway, by organisation.
      * @param level The share, in tokens; infinite if the capacity covers all demands.
+     * @param now The current time, in milliseconds.
      */
-    void update(Map<String, ShareSums> fleet, Map<String, ShareSums> own, double level) {
+    void update(Map<String, ShareSums> fleet, Map<String, ShareSums> own, double level, long now) {
         Map<String, Credit> updated = new HashMap<>();
         own.forEach(
                 (name, sums) -> {
                     ShareSums all = fleet.get(name);
                     if (all.requested() > level && sums.requested() > 0) {
-                        updated.put(name, credit(name, all, sums.requested(), level));
+                        double ownPart = sums.requested() / all.requested();
+                        updated.put(name, credit(name, all, ownPart, level, now));
                     }
                 });
         credits = updated;
     }
 
-    private Credit credit(String organisation, ShareSums all, double ownRequested, double level) {
+    private Credit credit(
+            String organisation, ShareSums all, double ownPart, double level, long now) {
         double unused = level - used.applyAsDouble(all);
-        double fraction = level / all.requested() * (1 + GAIN * unused / level);
-        double ownPart = ownRequested / all.requested();
+        double share = ownPart * level / windowMillis;
+        double maxUnspent = MAX_UNSPENT_MILLIS * share;
         Credit former = credits.get(organisation);
         return new Credit(
-                Math.max(0, Math.min(1, fraction)),
-                MAX_BALANCE_FRACTION * ownPart * level,
-                former == null ? ownPart * unused : former.balance);
-    }
-
-    /**
-     * Credits a fraction of a request that arrived.
-     *
-     * @param organisation The organisation.
-     * @param tokens The cost of the request, in tokens.
-     */
-    void add(String organisation, double tokens) {
-        Credit credit = credits.get(organisation);
-        if (credit != null) {
-            double added = credit.fraction * tokens;
-            double most = Math.max(credit.balance, Math.max(credit.maxBalance, added));
-            credit.balance = Math.min(most, credit.balance + added);
-        }
+                share * Math.max(0, 1 + GAIN * unused / level),
+                maxUnspent,
+                former == null ? ownPart * unused : former.balance(0, now),
+                now);
     }
 
     /**
@@ -112,21 +124,22 @@
     }
 
     /**
-     * Limits the used fraction of a share by the credit. A request has credit if what it added is
-     * left, whatever its size.
+     * Limits the used fraction of a share by the credit. A request has credit if any is left,
+     * whatever its size.
      *
      * @param organisation The organisation.
      * @param tokens The cost of the request, in tokens.
      * @param use The used fraction according to the sums of the fleet.
+     * @param now The current time, in milliseconds.
      * @return At most 1 with credit and above 1 without; the used fraction for an organisation that
      *     has no credits, because it requests no more than its share.
      */
-    double limit(String organisation, double tokens, double use) {
+    double limit(String organisation, double tokens, double use, long now) {
         Credit credit = credits.get(organisation);
         if (credit == null) {
             return use;
         }
-        return credit.balance >= credit.fraction * tokens
+        return credit.balance(tokens, now) >= 0
                 ? Math.min(1, use)
                 : Math.max(Math.nextUp(1.0), use);
     }
