Begin no stream at a version without a record while others have one

It happens here where the store refuses the record of a new version for more than 2 s: streams began there all the same, and behind the loss of all gateways, once that version's entries had lapsed, the records named the other version alone, whose targets wrote the rest.

Cause: the time for which streams were kept from a version without a record was limited to 2 s, though the record is all that tells later gateways of a second version. It is not limited any more, as long as targets of recorded versions take requests. The gateway that is to write a record repeats a failed write after 1 s instead of 4 s.

RejoinedStreamsTest: 17 cases of losses of all gateways around a release; testNewVersionLapsesWhoseRecordTheStoreHasRefused mixed a stream before (v1.1 went on at v1) and passes now, the 16 others passed before. StreamVersionTest, StreamsBehindRestartsTest and StreamVersionsTest pass.

--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -36,12 +36,6 @@
     /** The time after which a gateway writes a record that another one should have written. */
     private static final long TAKE_OVER_MILLIS = 1_000;
 
-    /**
-     * The longest time for which no stream begins at a version whose record is being written, in
-     * milliseconds.
-     */
-    private static final long MAX_HOLD_MILLIS = 2_000;
-
     /** The least interval of reads, in milliseconds. */
     private static final long READ_INTERVAL_MILLIS = 300;
 
@@ -54,8 +48,11 @@
      */
     private static final long EVER_MILLIS = 24 * 3_600_000L;
 
-    /** The delay of a write after one that failed, in milliseconds. */
-    private static final long WRITE_RETRY_MILLIS = 4_000;
+    /** The delay after which the gateway that is to write a record repeats a failed write. */
+    private static final long OWN_RETRY_MILLIS = 1_000;
+
+    /** The delay after which any other gateway repeats a failed write, in milliseconds. */
+    private static final long OTHER_RETRY_MILLIS = 4_000;
 
     private final NioReactor reactor;
 
@@ -165,10 +162,10 @@
     }
 
     private void writeIfMissing(ServiceVersion version, long now) {
-        boolean due = peers.owns(version) || now - seenMillis.get(version) >= TAKE_OVER_MILLIS;
-        boolean failed =
-                now - failedMillis.getOrDefault(version, now - WRITE_RETRY_MILLIS)
-                        < WRITE_RETRY_MILLIS;
+        boolean owned = peers.owns(version);
+        boolean due = owned || now - seenMillis.get(version) >= TAKE_OVER_MILLIS;
+        long retryMillis = owned ? OWN_RETRY_MILLIS : OTHER_RETRY_MILLIS;
+        boolean failed = now - failedMillis.getOrDefault(version, now - retryMillis) < retryMillis;
         if (due && !failed && !recorded.contains(version) && writing.add(version)) {
             peers.record(version)
                     .whenResult(
@@ -279,17 +276,15 @@
     }
 
     /**
-     * Returns whether no stream should begin at a version yet. Its record is being written, and
-     * others of the service are recorded, so that they would be taken for the only ones if all
-     * gateways were lost.
+     * Returns whether no stream should begin at a version yet. It has no record, and others of the
+     * service have one, so that they would be taken for the only ones if all gateways were lost and
+     * the version was not listed any more.
      *
      * @param version The version.
      * @return {@code true} if streams should begin at others, if there are any.
      */
     boolean isHeld(ServiceVersion version) {
-        return !recorded.contains(version)
-                && now() - seenMillis.getOrDefault(version, now()) < MAX_HOLD_MILLIS
-                && services(recorded).contains(version.service());
+        return !recorded.contains(version) && services(recorded).contains(version.service());
     }
 
     private long now() {
