Send offloaded requests before the event loop goes on

Cause: messages to peers are written at the end of the loop's iteration.

Offloaded requests, and the news that their callers left, are written at once. Each is a frame of its own then; on a box whose iterations are short there is mostly one in an iteration anyway. Cost in processor time: not measured.

PeerNetworkTest#testMessageArrivesBeforeTheEndOfASlowPassOfTheLoop fails without the write and passes with it.

--- a/src/main/java/org/martenwell/gateway/DirectPeers.java
+++ b/src/main/java/org/martenwell/gateway/DirectPeers.java
@@ -194,6 +194,11 @@
         network.send(peer, message);
     }
 
+    @Override
+    public void sendNow(String peer, PeerMessage message) {
+        network.sendNow(peer, message);
+    }
+
     @Override
     public void closeFrom(String peer) {
         network.closeFrom(peer);
--- a/src/main/java/org/martenwell/gateway/OffloadLinks.java
+++ b/src/main/java/org/martenwell/gateway/OffloadLinks.java
@@ -45,6 +45,15 @@
      */
     void send(String peer, PeerMessage message);
 
+    /**
+     * Sends a message at once, before the event loop goes on. It is lost if the gateway is not
+     * connected.
+     *
+     * @param peer The gateway's name.
+     * @param message The message.
+     */
+    void sendNow(String peer, PeerMessage message);
+
     /**
      * Closes the connections over which a gateway has sent requests, so that it learns that they
      * may have been lost.
--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -126,7 +126,8 @@
         exchanges.put(message.id(), offloaded);
         core.beginRequest();
         exchange.onDisconnect(() -> callerDisconnected(offloaded));
-        links.send(peer, message);
+        // The caller may leave, and the deadline pass, until a slow pass of the event loop ends.
+        links.sendNow(peer, message);
         core.log().requests().offloaded(() -> requestId(exchange), peer, heldMillis);
     }
 
@@ -285,7 +286,7 @@
     }
 
     private void cancel(OffloadedExchange offloaded) {
-        links.send(offloaded.peer(), new OffloadedRequestCancelled(name, offloaded.id()));
+        links.sendNow(offloaded.peer(), new OffloadedRequestCancelled(name, offloaded.id()));
     }
 
     /** Removes a request that is over for the other gateway. */
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -94,6 +94,21 @@
         }
     }
 
+    /**
+     * Sends a message at once instead of at the end of the event loop's iteration, which may take
+     * over a second on a busy box.
+     *
+     * @param peer The peer's name.
+     * @param message The message.
+     */
+    public void sendNow(String peer, PeerMessage message) {
+        PeerConnection connection = connections.get(peer);
+        if (connection != null) {
+            connection.send(message);
+            connection.flush();
+        }
+    }
+
     /**
      * Writes the messages to all peers now instead of at the end of the event loop's iteration, in
      * which the process may end.
--- a/src/test/java/org/martenwell/gateway/OffloadFixture.java
+++ b/src/test/java/org/martenwell/gateway/OffloadFixture.java
@@ -170,6 +170,11 @@
             }
         }
 
+        @Override
+        public void sendNow(String peer, PeerMessage message) {
+            send(peer, message);
+        }
+
         @Override
         public void closeFrom(String peer) {
             closedFrom.add(peer);
--- a/src/test/java/org/martenwell/peer/PeerNetworkTest.java
+++ b/src/test/java/org/martenwell/peer/PeerNetworkTest.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.message.PeerMessage;
@@ -30,6 +32,8 @@
 
     private static final int LARGE_BYTES = 100_000;
 
+    private static final long SLOW_PASS_MILLIS = 5_000;
+
     private final EventLoopThread thread = EventLoopThread.start("test-peers");
 
     private final String address = LoopbackPorts.free(1).get(0);
@@ -81,6 +85,21 @@
         }
     }
 
+    /** Guards against requests that are offloaded when their callers have already left. */
+    @Test
+    void testMessageArrivesBeforeTheEndOfASlowPassOfTheLoop() {
+        try (Receiver receiver = new Receiver()) {
+            connectTo(receiver);
+            boolean arrived =
+                    thread.call(
+                            () -> {
+                                network.sendNow("p", message(1));
+                                return Promise.of(receiver.arrivesWithin(SLOW_PASS_MILLIS));
+                            });
+            assertThat(arrived).isTrue();
+        }
+    }
+
     /** Guards against messages that a process drops when it stops behind its last request. */
     @Test
     void testPendingMessagesArriveBeforeTheStop() {
@@ -132,6 +151,8 @@
 
         private final List<Long> ids = new CopyOnWriteArrayList<>();
 
+        private final CountDownLatch first = new CountDownLatch(1);
+
         private final List<String> lost = new CopyOnWriteArrayList<>();
 
         private final PeerNetwork network =
@@ -149,6 +170,15 @@
             return ids;
         }
 
+        /** Blocks until a message has arrived, or until a time has passed. */
+        boolean arrivesWithin(long millis) {
+            try {
+                return first.await(millis, TimeUnit.MILLISECONDS);
+            } catch (InterruptedException exception) {
+                throw new AssertionError(exception);
+            }
+        }
+
         List<String> lost() {
             return lost;
         }
@@ -156,6 +186,7 @@
         @Override
         public void receive(PeerMessage message) {
             ((OffloadedResponse) message).parts().forEach(each -> ids.add(each.id()));
+            first.countDown();
         }
 
         @Override
