Answer an offloaded request at its deadline

Requests went on to a gateway that had been silent for up to 1.5 s.

Cause: the gateway that holds the caller left the deadline to the one that helps.

It has a timer of its own now, 150 ms behind the deadline, so that an answer of the helping gateway to the same end arrives before; the request is cancelled there and answered with 504, since it may have run. A gateway whose last notice is older than 900 ms gets no new requests. It costs a timer and a read of the request's headers for each offloaded request; its processor time is not measured.

--- a/src/main/java/org/martenwell/gateway/OffloadedExchange.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedExchange.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -25,6 +26,9 @@
 
     private final ResponseMemory memory;
 
+    /** The timer for the deadline of the request. */
+    private ScheduledRunnable timeout;
+
     /** The head of a response that is kept until it is complete, or {@code null}. */
     private ResponsePart keptHead;
 
@@ -67,6 +71,20 @@
         return exchange;
     }
 
+    /**
+     * Sets the timer for the deadline of the request; called once.
+     *
+     * @param timer The timer.
+     */
+    void timeout(ScheduledRunnable timer) {
+        timeout = timer;
+    }
+
+    /** Cancels that timer. */
+    void cancelTimeout() {
+        timeout.cancel();
+    }
+
     /** {@return the number of targets that the request may have been sent to, at least 1} */
     int attempts() {
         return attempts;
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -174,6 +174,10 @@
                                 Math.max(1, request.remainingMillis()),
                                 guard.guarded(this::deadlinePassed));
         core.harmful().begin(this);
+        if (history.mayHaveRun() && request.remainingMillis() <= 0) {
+            sender.timedOut();
+            return;
+        }
         if (history.mayHaveRun() && !mayRetryHere()) {
             completion.fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
             return;
--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import io.activej.reactor.schedule.ScheduledRunnable;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -17,6 +18,7 @@
 import org.martenwell.peer.OffloadedResponse;
 import org.martenwell.peer.OffloadedResponseReceived;
 import org.martenwell.peer.ResponsePart;
+import org.martenwell.route.Route;
 import org.martenwell.service.StepGuard;
 import org.martenwell.settings.GatewayFeature;
 
@@ -35,6 +37,15 @@
     /** The interval at which the progress of slow callers is checked, in milliseconds. */
     private static final long BACKLOG_CHECK_MILLIS = 20;
 
+    /**
+     * The time after the deadline of a request in which the other gateway may still answer that it
+     * has passed, in milliseconds.
+     */
+    private static final long RESPONSE_MARGIN_MILLIS = 150;
+
+    /** The timeout of a request without a route, in milliseconds. */
+    private static final long DEFAULT_TIMEOUT_MILLIS = 2_000;
+
     private final GatewayCore core;
 
     private final String name;
@@ -126,11 +137,43 @@
         exchanges.put(message.id(), offloaded);
         core.beginRequest();
         exchange.onDisconnect(() -> callerDisconnected(offloaded));
+        offloaded.timeout(timeout(offloaded));
         // The caller may leave, and the deadline pass, until a slow pass of the event loop ends.
         links.sendNow(peer, message);
         core.log().requests().offloaded(() -> requestId(exchange), peer, heldMillis);
     }
 
+    /** Starts the timer for the deadline of a request, at which the other gateway may be silent. */
+    private ScheduledRunnable timeout(OffloadedExchange offloaded) {
+        CallerRequest request = offloaded.exchange().request();
+        RequestMetadata metadata = core.dialect().read(request.headers());
+        long timeoutMillis =
+                core.routes()
+                        .find(metadata.host(), request.path())
+                        .map(Route::timeoutMillis)
+                        .orElse(DEFAULT_TIMEOUT_MILLIS);
+        long deadlineMillis =
+                request.arrivedMillis()
+                        + Math.min(timeoutMillis, metadata.timeoutMillis().orElse(Long.MAX_VALUE));
+        return core.reactor()
+                .delayBackground(
+                        Math.max(1, deadlineMillis - core.now()) + RESPONSE_MARGIN_MILLIS,
+                        () ->
+                                StepGuard.of(
+                                                "RequestOffloader",
+                                                Optional::empty,
+                                                thrown -> failed(offloaded))
+                                        .run(() -> timedOut(offloaded)));
+    }
+
+    /** Ends a request whose deadline has passed without an answer of the other gateway. */
+    private void timedOut(OffloadedExchange offloaded) {
+        if (exchanges.containsKey(offloaded.id())) {
+            cancel(offloaded);
+            lost(offloaded);
+        }
+    }
+
     private Optional<String> requestId(CallerExchange exchange) {
         return core.dialect().read(exchange.request().headers()).requestId();
     }
@@ -292,6 +335,7 @@
     /** Removes a request that is over for the other gateway. */
     private void finish(OffloadedExchange offloaded) {
         if (exchanges.remove(offloaded.id()) != null) {
+            offloaded.cancelTimeout();
             backlogged.remove(offloaded);
             core.endRequest();
         }
--- a/src/main/java/org/martenwell/offload/HelpingPeer.java
+++ b/src/main/java/org/martenwell/offload/HelpingPeer.java
@@ -10,8 +10,8 @@
  */
 final class HelpingPeer {
 
-    /** The time for which a notice counts, in milliseconds; nearly four notices. */
-    private static final long NOTICE_MILLIS = 1_500;
+    /** The time for which a notice counts, in milliseconds; two notices and a delay. */
+    private static final long NOTICE_MILLIS = 900;
 
     /**
      * The time constant of the rate that a notice covers, in milliseconds: the age of a notice, the
