--- a/src/main/java/org/martenwell/share/ShareCredits.java
+++ b/src/main/java/org/martenwell/share/ShareCredits.java
@@ -23,7 +23,7 @@
      * The time whose credit adds up while it is not spent, in milliseconds; short, since engines
      * that are full keep it from being spent until the demand of others has risen.
      */
-    private static final double MAX_UNSPENT_MILLIS = 50;
+    private static final double MAX_UNSPENT_MILLIS = 100;
 
     private final long windowMillis;
 
