Correct the order of a timer and comments behind a read of the diff

An offloaded request has its timer before its listener for a disconnect, which cancels it. No behaviour that a test sees changed.

--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -136,8 +136,8 @@
                 new OffloadedExchange(message.id(), peer, exchange, core.responseMemory());
         exchanges.put(message.id(), offloaded);
         core.beginRequest();
-        exchange.onDisconnect(() -> callerDisconnected(offloaded));
         offloaded.timeout(timeout(offloaded));
+        exchange.onDisconnect(() -> callerDisconnected(offloaded));
         // The caller may leave, and the deadline pass, until a slow pass of the event loop ends.
         links.sendNow(peer, message);
         core.log().requests().offloaded(() -> requestId(exchange), peer, heldMillis);
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -20,8 +20,6 @@
  */
 final class StateLog implements ManagedService {
 
-    private static final double PERCENT = 100;
-
     private static final Logger LOGGER = LogManager.getLogger(StateLog.class);
 
     /**
@@ -36,6 +34,8 @@
     /** The number of organisations in a line, those with the highest demand. */
     private static final int TOP_ORGANISATIONS = 3;
 
+    private static final double PERCENT = 100;
+
     private final NioReactor reactor;
 
     private final GatewayCore core;
--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -48,7 +48,10 @@
      */
     private static final long EVER_MILLIS = 24 * 3_600_000L;
 
-    /** The delay after which the gateway that is to write a record repeats a failed write. */
+    /**
+     * The delay after which the gateway that is to write a record repeats a failed write, in
+     * milliseconds.
+     */
     private static final long OWN_RETRY_MILLIS = 1_000;
 
     /** The delay after which any other gateway repeats a failed write, in milliseconds. */
--- a/src/main/java/org/martenwell/share/ShareCredits.java
+++ b/src/main/java/org/martenwell/share/ShareCredits.java
@@ -55,7 +55,10 @@
             this.computedMillis = computedMillis;
         }
 
-        /** Returns the balance, which may add up to the cost of one request in any case. */
+        /**
+         * Returns the balance. What adds up since the last computation may exceed the limit up to
+         * the cost of the request at hand.
+         */
         private double balance(double tokens, long now) {
             double most = Math.max(balance, Math.max(maxUnspent, tokens));
             balance = Math.min(most, balance + rate * (now - computedMillis));
