Store at which of several versions streams began

Cause: the version at which a stream began was kept in the memory of gateways alone.

While a service has several versions, one gateway of a mesh, or each relay of a large fleet, stores the origins that it knows in batches, a write each 0.5 s at the most; gateways that no peer told what was listed read them, and deny no stream before. An identifier that carries the version can't come back, since callers name the id that they chose; most targets forget a request whose connection broke, so asking them does not help; docs/design/streams.md has the ways that were weighed.

Five cases of StreamsBehindRestartsTest failed on the code before (of 16) and pass; all their streams go on.

Costs two calls a second and mesh or relay while a service has several versions, by reckoning.

--- a/src/main/java/org/martenwell/directory/EntryReader.java
+++ b/src/main/java/org/martenwell/directory/EntryReader.java
@@ -33,6 +33,9 @@
     /** {@return the kind of records of versions, which gateways write themselves} */
     String versionKind();
 
+    /** {@return the kind of objects with origins of streams, which gateways write themselves} */
+    String originKind();
+
     /**
      * Parses a configuration.
      *
--- a/src/main/java/org/martenwell/directory/FleetDirectory.java
+++ b/src/main/java/org/martenwell/directory/FleetDirectory.java
@@ -1,12 +1,15 @@
 package org.martenwell.directory;
 
 import io.activej.promise.Promise;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.service.ManagedService;
+import org.martenwell.version.OriginBatch;
 import org.martenwell.version.ServiceVersion;
+import org.martenwell.version.StreamOrigin;
 
 /**
  * Source of the configuration, the targets and the gateways of a fleet. Changes are reported to a
@@ -81,6 +84,27 @@
      */
     Promise<Optional<Set<ServiceVersion>>> versionsEverListed();
 
+    /**
+     * Stores the versions at which streams began, so that gateways that start without any peer know
+     * them.
+     *
+     * @param batch The origins.
+     * @return A promise that completes when all of them are stored.
+     */
+    Promise<Void> storeOrigins(OriginBatch batch);
+
+    /** {@return the origins of streams that are stored} */
+    Promise<List<StreamOrigin>> storedOrigins();
+
+    /**
+     * Removes the batches of origins that have not changed since an earlier call of this method.
+     *
+     * @param now The current time, in milliseconds.
+     * @param ageMillis The time that must have passed since that call, in milliseconds.
+     * @return A promise of the number of batches that are left.
+     */
+    Promise<Integer> removeUnchangedOrigins(long now, long ageMillis);
+
     /** Removes this gateway's entry before it shuts down. */
     void leave();
 }
--- a/src/main/java/org/martenwell/directory/ObjectStore.java
+++ b/src/main/java/org/martenwell/directory/ObjectStore.java
@@ -47,6 +47,17 @@
      */
     Promise<Void> put(String kind, String name, JsonNode value);
 
+    /**
+     * Replaces the value of an object that exists, with fewer calls than {@link #put}.
+     *
+     * @param kind The kind.
+     * @param name The name.
+     * @param value The value.
+     * @return A promise that completes when the store has applied the write, and fails if the
+     *     object doesn't exist.
+     */
+    Promise<Void> replace(String kind, String name, JsonNode value);
+
     /**
      * Creates an object, unless one with its name exists.
      *
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -20,7 +21,9 @@
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.version.OriginBatch;
 import org.martenwell.version.ServiceVersion;
+import org.martenwell.version.StreamOrigin;
 
 /**
  * Fleet directory backed by an {@link ObjectStore}. The version of the active configuration never
@@ -73,6 +76,8 @@
 
     private final VersionRecordStore versionRecords;
 
+    private final StreamOriginStore streamOrigins;
+
     private final TargetVersionHistory versionHistory;
 
     /** The version of the active configuration. */
@@ -151,6 +156,7 @@
                         PollInterval.GATEWAYS,
                         this::applyGateways);
         this.versionRecords = new VersionRecordStore(store, reader.versionKind());
+        this.streamOrigins = new StreamOriginStore(store, reader.originKind());
         this.versionHistory = new TargetVersionHistory(store, reader);
         this.quarantinedRequests =
                 new QuarantinedRequestStore(
@@ -246,6 +252,21 @@
         return versionHistory.read();
     }
 
+    @Override
+    public Promise<Void> storeOrigins(OriginBatch batch) {
+        return streamOrigins.write(batch);
+    }
+
+    @Override
+    public Promise<List<StreamOrigin>> storedOrigins() {
+        return streamOrigins.read();
+    }
+
+    @Override
+    public Promise<Integer> removeUnchangedOrigins(long now, long ageMillis) {
+        return streamOrigins.removeUnchanged(now, ageMillis);
+    }
+
     @Override
     public void leave() {
         leaving = true;
--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -344,6 +344,10 @@
         }
         List<Long> unknown = new ArrayList<>(request.attempts());
         known.forEach(each -> unknown.remove(each.attempt()));
+        if (core.streams().records().isIncomplete()) {
+            // The gateway asks again until this one can tell.
+            return;
+        }
         if (topology.isRelay(core.now())) {
             unknown.forEach(each -> search(request.asker(), each));
         } else if (!unknown.isEmpty()) {
--- a/src/main/java/org/martenwell/gateway/OriginNotices.java
+++ b/src/main/java/org/martenwell/gateway/OriginNotices.java
@@ -134,6 +134,11 @@
         }
     }
 
+    /** {@return the services that have several versions} */
+    Set<String> mixedServices() {
+        return mixedServices;
+    }
+
     /** {@return and removes the origins of which peers have not been notified yet} */
     List<StreamOrigin> takeUnsent() {
         List<StreamOrigin> taken = unsent;
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -162,6 +162,9 @@
     void directory(FleetDirectory fleetDirectory) {
         directory = fleetDirectory;
         origins.directory(fleetDirectory);
+        core.streams()
+                .storage(
+                        new DirectoryOriginStorage(fleetDirectory, topology, livePeers, core::now));
     }
 
     /** {@return the connections for offloaded requests} */
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -55,6 +55,8 @@
 
     private final OriginInquiries inquiries;
 
+    private final StoredOrigins stored;
+
     private final VersionRecords records;
 
     /** The time of the last request to read the targets again, in milliseconds. */
@@ -68,7 +70,8 @@
     StreamVersions(NioReactor reactor) {
         this.reactor = reactor;
         this.inquiries = new OriginInquiries(reactor, peers);
-        this.records = new VersionRecords(reactor, window, peers);
+        this.stored = new StoredOrigins(reactor, known, window);
+        this.records = new VersionRecords(reactor, window, stored, peers);
     }
 
     /**
@@ -82,6 +85,16 @@
         records.start(sources, inquiries::resolve);
     }
 
+    /**
+     * Sets the storage of origins for the case that all gateways are lost; called at most once,
+     * before the start.
+     *
+     * @param storage The storage.
+     */
+    void storage(OriginStorage storage) {
+        stored.storage(storage);
+    }
+
     /**
      * Adapts the retention to the longest time that a stream may last.
      *
@@ -156,6 +169,9 @@
      */
     void learn(List<StreamOrigin> origins, boolean fromDomain) {
         known.learn(origins, fromDomain, now());
+        if (fromDomain) {
+            stored.add(origins, notices.mixedServices());
+        }
         inquiries.resolve();
     }
 
@@ -206,7 +222,9 @@
 
     /** {@return and removes the origins of which peers have not been notified yet} */
     List<StreamOrigin> takeUnsent() {
-        return notices.takeUnsent();
+        List<StreamOrigin> taken = notices.takeUnsent();
+        stored.add(taken, notices.mixedServices());
+        return taken;
     }
 
     /** {@return the origins of this gateway's streams of which peers were notified} */
--- a/src/main/java/org/martenwell/gateway/VersionRecords.java
+++ b/src/main/java/org/martenwell/gateway/VersionRecords.java
@@ -61,6 +61,8 @@
 
     private final VersionWindow window;
 
+    private final StoredOrigins origins;
+
     private OriginPeers peers;
 
     /** The versions that the directory holds a record of. */
@@ -98,11 +100,14 @@
      *
      * @param reactor The event loop.
      * @param window The versions that were listed of late.
+     * @param origins The origins of streams in the directory.
      * @param peers The peers and the directory.
      */
-    VersionRecords(NioReactor reactor, VersionWindow window, OriginPeers peers) {
+    VersionRecords(
+            NioReactor reactor, VersionWindow window, StoredOrigins origins, OriginPeers peers) {
         this.reactor = reactor;
         this.window = window;
+        this.origins = origins;
         this.peers = peers;
     }
 
@@ -122,6 +127,7 @@
         if (!peers.stopped()) {
             reactor.delayBackground(CHECK_MILLIS, this::checkPeriodically);
             check();
+            origins.check();
         }
     }
 
@@ -143,11 +149,18 @@
                     .filter(each -> !listed.contains(each))
                     .toList()
                     .forEach(each -> removeIfGone(each, now));
-        } else if (now - startedMillis >= READ_AFTER_MILLIS || severalVersions(listed)) {
+        }
+        boolean needed = now - startedMillis >= READ_AFTER_MILLIS || severalVersions(listed);
+        if (needed && !isComplete(now)) {
             readLater(now);
         }
     }
 
+    /** Returns whether nothing in the directory is needed that this gateway doesn't know. */
+    private boolean isComplete(long now) {
+        return window.isCovered(now) && !origins.isMissing();
+    }
+
     /** Reads the records, less often the longer they don't tell what was listed. */
     private void readLater(long now) {
         if (now - readMillis >= readDelayMillis) {
@@ -201,9 +214,9 @@
         }
     }
 
-    /** Reads the records, unless this gateway knows what was listed. */
+    /** Reads the records, unless this gateway knows what was listed and where streams began. */
     void read() {
-        if (reading || window.isCovered(now()) || now() - readMillis < READ_INTERVAL_MILLIS) {
+        if (reading || isComplete(now()) || now() - readMillis < READ_INTERVAL_MILLIS) {
             return;
         }
         reading = true;
@@ -211,6 +224,7 @@
         peers.readRecords()
                 .whenResult(this::apply)
                 .then(found -> readHistory())
+                .then(ignored -> readOrigins())
                 .whenComplete(
                         () -> {
                             reading = false;
@@ -218,11 +232,19 @@
                         });
     }
 
-    /** {@return {@code true} while the records are read} */
+    /** {@return {@code true} while records and origins are read} */
     boolean isReading() {
         return reading;
     }
 
+    /**
+     * {@return {@code true} while the directory may hold origins that this gateway doesn't know, so
+     * that it can't say that a stream is unknown}
+     */
+    boolean isIncomplete() {
+        return reading || origins.isMissing();
+    }
+
     /**
      * Takes the records for what was listed, if there is one of each service. Fleets that have not
      * written any yet have no records of versions that have gone.
@@ -242,6 +264,11 @@
         return peers.readHistory().whenResult(this::applyHistory).toVoid();
     }
 
+    /** Reads at which versions streams began if there were several. */
+    private Promise<Void> readOrigins() {
+        return severalVersions(window.all()) ? origins.read() : Promise.complete();
+    }
+
     private void applyHistory(Optional<Set<ServiceVersion>> found) {
         historyLost = found.isEmpty();
         found.filter(each -> !each.isEmpty())
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -146,6 +146,11 @@
             return Promise.ofException(new IllegalStateException("Replacements are not expected."));
         }
 
+        @Override
+        public Promise<Void> replace(String kind, String name, JsonNode value) {
+            return Promise.ofException(new IllegalStateException("Replacements are not expected."));
+        }
+
         @Override
         public Promise<Void> create(String kind, String name, JsonNode value) {
             if (failures > 0) {
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -142,6 +142,11 @@
         return Promise.complete();
     }
 
+    @Override
+    public Promise<Void> replace(String kind, String name, JsonNode value) {
+        return Promise.complete();
+    }
+
     @Override
     public Promise<Void> create(String kind, String name, JsonNode value) {
         return Promise.complete();
--- a/src/test/java/org/martenwell/directory/TargetVersionHistoryTest.java
+++ b/src/test/java/org/martenwell/directory/TargetVersionHistoryTest.java
@@ -156,6 +156,11 @@
             throw new UnsupportedOperationException();
         }
 
+        @Override
+        public Promise<Void> replace(String kind, String name, JsonNode value) {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public Promise<Void> create(String kind, String name, JsonNode value) {
             throw new UnsupportedOperationException();
@@ -203,6 +208,11 @@
             return "requests";
         }
 
+        @Override
+        public String originKind() {
+            throw new UnsupportedOperationException();
+        }
+
         @Override
         public String versionKind() {
             return "versions";
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -27,7 +27,9 @@
 import org.martenwell.service.LoopbackPorts;
 import org.martenwell.service.ReleasedPorts;
 import org.martenwell.settings.GatewaySettings;
+import org.martenwell.version.OriginBatch;
 import org.martenwell.version.ServiceVersion;
+import org.martenwell.version.StreamOrigin;
 
 /**
  * The reporters of a fleet of gateways on loopback, all on one event loop, without a store. Tests
@@ -290,6 +292,21 @@
             return Promise.of(Optional.empty());
         }
 
+        @Override
+        public Promise<Void> storeOrigins(OriginBatch batch) {
+            return Promise.complete();
+        }
+
+        @Override
+        public Promise<List<StreamOrigin>> storedOrigins() {
+            return Promise.of(List.of());
+        }
+
+        @Override
+        public Promise<Integer> removeUnchangedOrigins(long now, long ageMillis) {
+            return Promise.of(0);
+        }
+
         @Override
         public void leave() {}
     }
