Read a few new connections in an iteration of the event loop

Cause: the loop accepts all connections that have arrived in one iteration and reads and handles all of their requests in the next.

Accepted connections wait in a queue of which 16 are read an iteration. Since the loop is punctual then, the age of the oldest one counts as its lag for the limiter, so that as much is refused as before. A stop reads all that wait, so that requests that arrived are refused instead of cut. At the limit of connections nothing waits.

--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -67,6 +67,9 @@
 
     private final PeriodicTask timeoutChecks;
 
+    /** The accepted connections that are not read yet. */
+    private final AcceptQueue acceptQueue;
+
     private final Set<CallerConnection> connections = new HashSet<>();
 
     /** The connections beyond the limit whose requests were refused, the oldest first. */
@@ -131,6 +134,7 @@
         this.clock = clock;
         this.ownsClock = ownsClock;
         this.timeoutChecks = new PeriodicTask(reactor, TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
+        this.acceptQueue = new AcceptQueue(reactor, this::receive);
         this.server =
                 SimpleServer.builder(reactor, this::accepted).withListenAddress(address).build();
     }
@@ -152,6 +156,7 @@
 
     /** Closes all connections; those with a refusal may take {@link #STOP_MILLIS}. */
     private Promise<Void> closeConnections() {
+        acceptQueue.passOnAll();
         Set.copyOf(connections).forEach(CallerConnection::stop);
         completeIfAllClosed();
         ResponseTimeout timeout =
@@ -248,7 +253,12 @@
 
     /** {@return the number of open connections} */
     public int connections() {
-        return connections.size();
+        return connections.size() + acceptQueue.size();
+    }
+
+    /** {@return the time for which an accepted connection has not been read, in milliseconds} */
+    public long unreadMillis() {
+        return acceptQueue.ageMillis();
     }
 
     /** {@return the current limits} */
@@ -338,6 +348,14 @@
     }
 
     private void accepted(ITcpSocket socket) {
+        if (connections() < maxConnections) {
+            acceptQueue.add(socket);
+        } else {
+            receive(socket);
+        }
+    }
+
+    private void receive(ITcpSocket socket) {
         boolean room = makeRoom(maxConnections - 1);
         CallerConnection connection = new CallerConnection(reactor, socket, this);
         if (room) {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -156,6 +156,7 @@
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
         log.metrics().registerGauge("defects", Defects::count);
         callers.onClose(log::connectionClosed);
+        core.loopLag().observeUnread(callers::unreadMillis);
         this.readiness =
                 new CallerServer(
                         reactor,
--- a/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
+++ b/src/main/java/org/martenwell/gateway/LoopLagLimiter.java
@@ -2,13 +2,14 @@
 
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import java.util.function.LongSupplier;
 import org.martenwell.service.ManagedService;
 
 /**
- * Refuses a fraction of new requests while the event loop lags. Without it, a small box with many
- * callers accepts more requests than it has processor time for and serves all of them late. Refused
- * callers may retry at other gateways. The fraction grows with the lag, so it settles where the box
- * keeps up.
+ * Refuses a fraction of new requests while the event loop lags, or while accepted connections wait
+ * to be read. Without it, a small box with many callers accepts more requests than it has processor
+ * time for and serves all of them late. Refused callers may retry at other gateways. The fraction
+ * grows with the lag, so it settles where the box keeps up.
  */
 final class LoopLagLimiter implements ManagedService {
 
@@ -38,6 +39,9 @@
 
     private final NioReactor reactor;
 
+    /** Returns the time for which an accepted connection has not been read, in milliseconds. */
+    private LongSupplier unreadMillis = () -> 0;
+
     /** The time for which the next sample is scheduled, in milliseconds. */
     private long dueMillis;
 
@@ -58,6 +62,17 @@
         this.reactor = reactor;
     }
 
+    /**
+     * Sets the source of the time for which connections wait; called at most once, before the
+     * start.
+     *
+     * @param source Returns the time for which an accepted connection has not been read, in
+     *     milliseconds.
+     */
+    void observeUnread(LongSupplier source) {
+        unreadMillis = source;
+    }
+
     @Override
     public Promise<Void> start() {
         scheduleSample();
@@ -99,7 +114,8 @@
         if (stopped) {
             return;
         }
-        long lagMillis = Math.max(0, reactor.currentTimeMillis() - dueMillis);
+        long lateMillis = Math.max(0, reactor.currentTimeMillis() - dueMillis);
+        long lagMillis = Math.max(lateMillis, unreadMillis.getAsLong());
         meanLagMillis += SMOOTHING_FACTOR * (lagMillis - meanLagMillis);
         maxLagMillis = Math.max(maxLagMillis, lagMillis);
         scheduleSample();
--- a/src/test/java/org/martenwell/gateway/LoopLagLimiterTest.java
+++ b/src/test/java/org/martenwell/gateway/LoopLagLimiterTest.java
@@ -39,6 +39,17 @@
         assertThat(limiter.takeMaxLagMillis()).isZero();
     }
 
+    /** The loop itself is punctual while connections wait, since it reads a few an iteration. */
+    @Test
+    void testRefusalsGrowWithTheWaitOfNewConnections() {
+        limiter.observeUnread(() -> 80);
+        run(60, 0);
+        assertThat(limiter.refusedFraction()).isCloseTo(0.5, within(0.02));
+        limiter.observeUnread(() -> 0);
+        run(60, 0);
+        assertThat(limiter.refusedFraction()).isZero();
+    }
+
     @Test
     void testRefusalsGrowWithTheLag() {
         run(60, 80);
