Divide the tokens of late log lines among the seconds that they cover

Cause: a line of tokens counts for one second, and only windows count in which an organisation was unserved in each second. A busy gateway's lines are 1.1 to 1.3 s apart, so seconds are left without a line, and just the windows of an organisation at one busy gateway were left out. The least shares told so far by this command are too high for these.

Lines say what time they cover, and the parser divides their tokens among the seconds since the line before. TokenLogParserTest#testLateLinesLeaveNoSecondOut.

--- a/src/main/java/org/martenwell/fairness/TokenCounts.java
+++ b/src/main/java/org/martenwell/fairness/TokenCounts.java
@@ -45,6 +45,18 @@
         return ended.getOrDefault(disposition, 0L);
     }
 
+    /**
+     * Divides the counts among equal parts.
+     *
+     * @param parts The number of parts.
+     * @return The counts of one part, rounded down.
+     */
+    public TokenCounts dividedBy(long parts) {
+        Map<Disposition, Long> quotients = new EnumMap<>(Disposition.class);
+        ended.forEach((disposition, tokens) -> quotients.put(disposition, tokens / parts));
+        return new TokenCounts(requested / parts, quotients);
+    }
+
     /**
      * Adds other counts.
      *
--- a/src/main/java/org/martenwell/fairness/TokenLogParser.java
+++ b/src/main/java/org/martenwell/fairness/TokenLogParser.java
@@ -25,14 +25,18 @@
     /** The start of the JSON object; a log collector may write a prefix before it. */
     private static final String START = "{\"time\"";
 
-    /** Half of the interval that a line covers, in milliseconds. */
+    /** The field of the time that a line covers, in milliseconds. */
+    private static final String COVERED = "overMillis";
+
+    /** Half of the interval that a line covers unless the gateway is late, in milliseconds. */
     private static final long HALF_INTERVAL_MILLIS = 500;
 
     private static final long MILLIS_PER_SECOND = 1_000;
 
     /**
      * Parses a line. The entries belong to the second in which the middle of the covered interval
-     * lies.
+     * lies. If the gateway was late, its tokens are divided among all seconds since its line
+     * before, so that there is no second without them.
      *
      * @param line The line, with or without a prefix.
      * @return The entries; none if the line is of another event or incomplete.
@@ -51,18 +55,25 @@
 
     private static List<ServiceHistory.Entry> entries(JsonNode root) {
         long endMillis = Instant.parse(root.path("time").asText("")).toEpochMilli();
-        long second = Math.floorDiv(endMillis - HALF_INTERVAL_MILLIS, MILLIS_PER_SECOND);
         JsonNode data = root.path("data");
+        long coveredMillis = data.path(COVERED).asLong(MILLIS_PER_SECOND);
+        long last = second(endMillis);
+        long first = Math.min(last, second(endMillis - coveredMillis) + 1);
         String gateway = data.path("gateway").asText("");
         List<ServiceHistory.Entry> entries = new ArrayList<>();
         for (Map.Entry<String, JsonNode> each : data.path("tokens").properties()) {
-            entries.add(
-                    new ServiceHistory.Entry(
-                            second, gateway, each.getKey(), counts(each.getValue())));
+            TokenCounts counts = counts(each.getValue()).dividedBy(last - first + 1);
+            for (long second = first; second <= last; second++) {
+                entries.add(new ServiceHistory.Entry(second, gateway, each.getKey(), counts));
+            }
         }
         return entries;
     }
 
+    private static long second(long endMillis) {
+        return Math.floorDiv(endMillis - HALF_INTERVAL_MILLIS, MILLIS_PER_SECOND);
+    }
+
     private static TokenCounts counts(JsonNode tokens) {
         Map<Disposition, Long> ended = new EnumMap<>(Disposition.class);
         for (Disposition each : Disposition.values()) {
--- a/src/main/java/org/martenwell/gateway/StateLog.java
+++ b/src/main/java/org/martenwell/gateway/StateLog.java
@@ -123,6 +123,7 @@
             LOGGER.info(
                     LogEvent.of("organisations")
                             .with("gateway", gateway)
+                            .with("overMillis", now - writtenMillis)
                             .with("tokens", tokens)
                             .message());
         }
--- a/src/test/java/org/martenwell/fairness/TokenLogParserTest.java
+++ b/src/test/java/org/martenwell/fairness/TokenLogParserTest.java
@@ -42,6 +42,27 @@
         assertThat(counted.take()).isEmpty();
     }
 
+    /** A window with a second that no line covers would not count. */
+    @Test
+    void testLateLinesLeaveNoSecondOut() {
+        String data =
+                "{\"event\":\"organisations\",\"overMillis\":%d,"
+                        + "\"tokens\":{\"o\":{\"requested\":90,\"overloaded\":60}}}";
+        assertThat(TokenLogParser.INSTANCE.parse(String.format(LINE, String.format(data, 2_600))))
+                .extracting(ServiceHistory.Entry::second)
+                .containsExactly(10L, 11L);
+        assertThat(TokenLogParser.INSTANCE.parse(String.format(LINE, String.format(data, 3_300))))
+                .allSatisfy(
+                        entry -> {
+                            assertThat(entry.counts().requested()).isEqualTo(30);
+                            assertThat(entry.counts().unserved()).isEqualTo(20);
+                        })
+                .hasSize(3);
+        assertThat(TokenLogParser.INSTANCE.parse(String.format(LINE, String.format(data, 700))))
+                .extracting(ServiceHistory.Entry::second)
+                .containsExactly(11L);
+    }
+
     @Test
     void testOtherAndIncompleteLinesAreSkipped() {
         String line = String.format(LINE, "{\"event\":\"organisations\",\"tokens\":{\"o\":{}}}");
