Refuse by the larger of two limits of one overload

Cause, in part: the lag of the loop and the processor time both rise with one overload, and the fractions that they refuse were combined as if they were independent: 0.95 and 0.9 refused 0.995 of the requests, so the box spent all of its time on refusals with 30 requests in progress.

The larger fraction counts.

--- a/src/main/java/org/martenwell/gateway/OverloadLimiter.java
+++ b/src/main/java/org/martenwell/gateway/OverloadLimiter.java
@@ -9,7 +9,8 @@
 
 /**
  * Refuses new requests of a gateway at its limits. Its heap, the lag of its event loop and its
- * processor time determine the fraction; the organisations that request the most bear it.
+ * processor time determine the fraction, of which the largest counts, since one overload shows in
+ * each of them; the organisations that request the most bear it.
  */
 final class OverloadLimiter {
 
@@ -71,7 +72,7 @@
         }
         double lag = lagFraction.getAsDouble();
         double processor = processorFraction.getAsDouble();
-        double refused = shares.refusedFraction(organisation, 1 - (1 - lag) * (1 - processor), now);
+        double refused = shares.refusedFraction(organisation, Math.max(lag, processor), now);
         if (refused <= 0 || random.nextDouble() >= refused) {
             return Optional.empty();
         }
