Close the connections of callers that a full gateway refuses

A box of 0.36 cores that got 1,150 requests a second held 2,850 connections, nearly all of callers that it had refused. They outlived the young generation, so that collections took up to a quarter of its processor time, and each new connection was searched for one to replace.

Callers retry on a new connection, so the refusals of a full gateway (router_full) close theirs. OverloadedGatewayTest #testCallersThatAreRefusedKeepNoConnections failed before.

--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -118,6 +118,23 @@
         channel.respond(status, headers, body, keepAlive);
     }
 
+    /**
+     * Sends a complete response and closes the connection behind it, also if the caller would keep
+     * it open.
+     *
+     * @param status The status code.
+     * @param headers The headers, without those that frame the body.
+     * @param body The body.
+     */
+    public void respondAndClose(int status, HttpHeaders headers, byte[] body) {
+        if (finished) {
+            return;
+        }
+        finished = true;
+        headSent = true;
+        channel.respond(status, headers, body, false);
+    }
+
     /**
      * Sends a close-delimited response, which doesn't state that its body is complete.
      *
--- a/src/main/java/org/martenwell/gateway/LocalResponder.java
+++ b/src/main/java/org/martenwell/gateway/LocalResponder.java
@@ -68,7 +68,12 @@
             double jitter = maxJitterSeconds * core.random();
             headers.set(HttpHeaderNames.RETRY_AFTER, twoDecimals(retrySeconds + jitter));
         }
-        exchange.respond(kind.status(), headers, EMPTY_BODY);
+        if (kind == ErrorKind.ROUTER_FULL) {
+            // The caller retries on a new connection; this one would only take memory.
+            exchange.respondAndClose(kind.status(), headers, EMPTY_BODY);
+        } else {
+            exchange.respond(kind.status(), headers, EMPTY_BODY);
+        }
     }
 
     /**
