Refuse connections unread that have waited for too long

The search for a connection to replace at the limit copies no list any more, and the timer of a graceful close is cancelled with the connection. AcceptQueueTest, BurstOfConnectionsTest#testCallersOfABusyServerAreRefusedUnread.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -4,6 +4,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -61,6 +62,10 @@
     /** The response to a request that was lost before it was processed. */
     private static final byte[] REFUSAL = emptyResponse("503 Service Unavailable");
 
+    /** The response on a connection that is not read since too many others wait. */
+    private static final byte[] UNREAD_REFUSAL =
+            emptyResponse("503 Service Unavailable\r\nretry-after: 0.1");
+
     /** The response to a request whose processing failed. */
     private static final byte[] FAILURE = emptyResponse("500 Internal Server Error");
 
@@ -134,6 +139,9 @@
 
     private boolean closed;
 
+    /** The end of a graceful close whose caller doesn't close, or {@code null}. */
+    private ScheduledRunnable closeTimer;
+
     /** The reason for which requests that become complete are refused, or {@code null}. */
     private CloseReason refusalReason;
 
@@ -245,6 +253,13 @@
         endWithRefusal(reason);
     }
 
+    /** Refuses whatever request arrives on a new connection, and closes it gracefully. */
+    void refuseUnread() {
+        closeReason = CloseReason.UNREAD;
+        writeBytes(ByteBuf.wrapForReading(UNREAD_REFUSAL.clone()));
+        closeGracefully();
+    }
+
     /**
      * Closes the connection. A request that has arrived and wasn't passed on is refused, and the
      * close is graceful then.
@@ -717,7 +732,7 @@
         if (closed) {
             return;
         }
-        reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, () -> close(closeReason));
+        closeTimer = reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, () -> close(closeReason));
         if (socket instanceof TcpSocket tcp) {
             try {
                 if (closeAborts) {
@@ -751,6 +766,9 @@
             decoder.release();
             socket.close();
             releaseCodec();
+            if (closeTimer != null) {
+                closeTimer.cancel();
+            }
             server.closed(this, connection);
         }
     }
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -89,6 +89,9 @@
     /** The number of connections that were closed or not accepted at the limit. */
     private long closedAtLimit;
 
+    /** The number of connections that were refused without a read. */
+    private long refusedUnread;
+
     private ConnectionLimits limits = ConnectionLimits.DEFAULTS;
 
     private Consumer<ClosedConnection> closeListener = closed -> {};
@@ -134,7 +137,7 @@
         this.clock = clock;
         this.ownsClock = ownsClock;
         this.timeoutChecks = new PeriodicTask(reactor, TIMEOUT_CHECK_MILLIS, this::checkTimeouts);
-        this.acceptQueue = new AcceptQueue(reactor, this::receive);
+        this.acceptQueue = new AcceptQueue(reactor, clock::millis, new QueueReceiver());
         this.server =
                 SimpleServer.builder(reactor, this::accepted).withListenAddress(address).build();
     }
@@ -156,7 +159,7 @@
 
     /** Closes all connections; those with a refusal may take {@link #STOP_MILLIS}. */
     private Promise<Void> closeConnections() {
-        acceptQueue.passOnAll();
+        acceptQueue.readAll();
         Set.copyOf(connections).forEach(CallerConnection::stop);
         completeIfAllClosed();
         ResponseTimeout timeout =
@@ -207,13 +210,10 @@
      * @return {@code true} if no more than these remain.
      */
     private boolean makeRoom(int count) {
-        if (connections.size() > count) {
-            for (CallerConnection each : List.copyOf(idleConnections)) {
-                each.closeIfSilent(CloseReason.CONNECTION_LIMIT);
-                if (connections.size() <= count) {
-                    break;
-                }
-            }
+        while (connections.size() > count && !idleConnections.isEmpty()) {
+            CallerConnection oldest = idleConnections.iterator().next();
+            idleConnections.remove(oldest);
+            oldest.closeIfSilent(CloseReason.CONNECTION_LIMIT);
         }
         return connections.size() <= count;
     }
@@ -342,6 +342,11 @@
         idleConnections.remove(connection);
     }
 
+    /** {@return the number of connections that were refused since they had waited for too long} */
+    public long refusedUnread() {
+        return refusedUnread;
+    }
+
     /** {@return the number of connections that were closed or not accepted at the limit} */
     public long closedAtLimit() {
         return closedAtLimit;
@@ -351,11 +356,19 @@
         if (connections() < maxConnections) {
             acceptQueue.add(socket);
         } else {
-            receive(socket);
+            read(socket);
         }
     }
 
-    private void receive(ITcpSocket socket) {
+    private void refuseUnread(ITcpSocket socket) {
+        refusedUnread++;
+        makeRoomForRefusal();
+        CallerConnection connection = new CallerConnection(reactor, socket, this);
+        refusedConnections.add(connection);
+        connection.refuseUnread();
+    }
+
+    private void read(ITcpSocket socket) {
         boolean room = makeRoom(maxConnections - 1);
         CallerConnection connection = new CallerConnection(reactor, socket, this);
         if (room) {
@@ -383,4 +396,18 @@
         long now = reactor.currentTimeMillis();
         Set.copyOf(connections).forEach(each -> each.closeIfTimedOut(now));
     }
+
+    /** Takes connections from the queue. */
+    private final class QueueReceiver implements AcceptQueue.Receiver {
+
+        @Override
+        public void read(ITcpSocket socket) {
+            CallerServer.this.read(socket);
+        }
+
+        @Override
+        public void refuse(ITcpSocket socket) {
+            refuseUnread(socket);
+        }
+    }
 }
--- a/src/main/java/org/martenwell/exchange/CloseReason.java
+++ b/src/main/java/org/martenwell/exchange/CloseReason.java
@@ -35,6 +35,9 @@
     /** The caller didn't read the last response in time. */
     SLOW_CALLER(true),
 
+    /** The connection had waited for too long to be read; a refusal announced the close. */
+    UNREAD(false),
+
     /** A request was rejected because it is malformed or exceeds a limit. */
     BAD_REQUEST(true);
 
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -154,6 +154,7 @@
         DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
                 .ifPresent(callers::setMaxConnections);
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
+        log.metrics().registerGauge("connections_refused_unread", callers::refusedUnread);
         log.metrics().registerGauge("defects", Defects::count);
         callers.onClose(log::connectionClosed);
         core.loopLag().observeUnread(callers::unreadMillis);
--- a/src/test/java/org/martenwell/exchange/BurstOfConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/BurstOfConnectionsTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.martenwell.service.BusyLoop;
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
@@ -47,6 +48,9 @@
     /** Runs on the event loop before the first request of a new caller is handled. */
     private Runnable atFirst = () -> {};
 
+    /** The time that the handling of a request takes, in milliseconds. */
+    private volatile long handlingMillis;
+
     private CallerServer server;
 
     @BeforeEach
@@ -87,6 +91,25 @@
         assertThat(handled).hasValueLessThan(MAX_HANDLED);
     }
 
+    /** A caller that can't be served in time learns it soon. */
+    @Test
+    void testCallersOfABusyServerAreRefusedUnread() throws Exception {
+        handlingMillis = 20;
+        int refused = 0;
+        for (RawHttpClient each : sendBurst()) {
+            String response = each.readAll();
+            if (response.contains(" 503 ")) {
+                assertThat(response).contains("retry-after: 0.1", "connection: close");
+                refused++;
+            } else {
+                assertThat(response).contains(" 200 ");
+            }
+            each.close();
+        }
+        assertThat(refused).isPositive().isLessThan(NEW_CALLERS);
+        assertThat(server.refusedUnread()).isEqualTo(refused);
+    }
+
     @Test
     void testAgeOfUnreadConnectionsIsKnown() throws Exception {
         assertThat(server.unreadMillis()).isZero();
@@ -134,7 +157,9 @@
         if (handled.getAndIncrement() == 0) {
             atFirst.run();
         }
-        exchange.respond(200, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
+        BusyLoop.block(handlingMillis);
+        exchange.respondAndClose(
+                200, DefaultHttpHeadersFactory.headersFactory().newHeaders(), new byte[0]);
     }
 
     private void left() {
