Serve an offloaded request of a lost peer once

Cause: since the message that cancels an offloaded request is written at once. On a broken connection the write finds the peer lost within the handling of its loss, which serves all of its requests here; then the outer one went on with its list and served them again. A caller that left had its request served, too.

A request is served here only by who removes it. RequestOffloaderTest: two cases failed before.

--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -293,12 +293,15 @@
 
     /** Ends a request whose response is incomplete, or handles it here if none has begun. */
     private void lost(OffloadedExchange offloaded) {
+        if (!finish(offloaded)) {
+            // A message to the peer, as that of a cancellation, found it lost before.
+            return;
+        }
         CallerExchange exchange = offloaded.exchange();
         long elapsedMillis = core.now() - exchange.request().arrivedMillis();
         core.log()
                 .requests()
                 .offloadFailed(() -> requestId(exchange), exchange.headSent(), elapsedMillis);
-        finish(offloaded);
         offloaded.release();
         if (exchange.headSent()) {
             exchange.abort();
@@ -308,9 +311,8 @@
     }
 
     private void callerDisconnected(OffloadedExchange offloaded) {
-        if (exchanges.containsKey(offloaded.id())) {
+        if (finish(offloaded)) {
             cancel(offloaded);
-            finish(offloaded);
             offloaded.release();
         }
     }
@@ -318,9 +320,8 @@
     /** Ends a request of which a step has thrown an exception or error. */
     private void failed(OffloadedExchange offloaded) {
         try {
-            if (exchanges.containsKey(offloaded.id())) {
+            if (finish(offloaded)) {
                 cancel(offloaded);
-                finish(offloaded);
                 offloaded.release();
             }
         } finally {
@@ -332,12 +333,19 @@
         links.sendNow(offloaded.peer(), new OffloadedRequestCancelled(name, offloaded.id()));
     }
 
-    /** Removes a request that is over for the other gateway. */
-    private void finish(OffloadedExchange offloaded) {
-        if (exchanges.remove(offloaded.id()) != null) {
-            offloaded.cancelTimeout();
-            backlogged.remove(offloaded);
-            core.endRequest();
+    /**
+     * Removes a request that is over for the other gateway.
+     *
+     * @param offloaded The request.
+     * @return {@code false} if it was removed before.
+     */
+    private boolean finish(OffloadedExchange offloaded) {
+        if (exchanges.remove(offloaded.id()) == null) {
+            return false;
         }
+        offloaded.cancelTimeout();
+        backlogged.remove(offloaded);
+        core.endRequest();
+        return true;
     }
 }
--- a/src/test/java/org/martenwell/gateway/OffloadFixture.java
+++ b/src/test/java/org/martenwell/gateway/OffloadFixture.java
@@ -120,6 +120,13 @@
 
         private boolean known = true;
 
+        /** Runs within the next message that is written at once. */
+        private Runnable atNextWrite = () -> {};
+
+        void atNextWrite(Runnable action) {
+            atNextWrite = action;
+        }
+
         /** Returns what was sent since the last call. */
         List<PeerMessage> takeSent() {
             List<PeerMessage> taken = List.copyOf(sent);
@@ -173,6 +180,9 @@
         @Override
         public void sendNow(String peer, PeerMessage message) {
             send(peer, message);
+            Runnable action = atNextWrite;
+            atNextWrite = () -> {};
+            action.run();
         }
 
         @Override
--- a/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
+++ b/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
@@ -156,6 +156,25 @@
         assertThat(fixture.core().activeRequests()).isZero();
     }
 
+    /** Guards against a response that two targets write: a write finds a broken connection. */
+    @Test
+    void testRequestIsServedOnceIfItsCancellationFindsThePeerLost() {
+        offload();
+        fixture.links().atNextWrite(() -> offloader.peerLost(OffloadFixture.PEER));
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(local).hasSize(1);
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    @Test
+    void testRequestOfACallerThatLeftIsNotServedIfItsCancellationFindsThePeerLost() {
+        offload();
+        fixture.links().atNextWrite(() -> offloader.peerLost(OffloadFixture.PEER));
+        exchange.callerDisconnected();
+        assertThat(local).isEmpty();
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
     /** Guards against a request that is sent to more targets than its route permits. */
     @Test
     void testRetriesOfTheOtherGatewayCount() {
