Log responses that are given to no request

Cause: nothing in logs or metrics told which responses of a target a gateway did not take, nor whether the connection of the response that a caller got had carried other requests.

Change: event response-discarded and counters responses_discarded_CAUSE (other_request, unrequested); request-ended has connectionRequests. Bytes that arrive on an idle connection are decoded before it is closed, so that a late response is reported and its notice of the target's state read, as for those that arrive with the response before.

--- a/src/main/java/org/martenwell/exchange/ResponseHeadListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseHeadListener.java
@@ -17,4 +17,11 @@
      * @param head The response head.
      */
     void headReceived(HttpResponse head);
+
+    /**
+     * Called after {@link #headReceived} for each response head that no request awaits.
+     *
+     * @param head The response head.
+     */
+    default void unrequested(HttpResponse head) {}
 }
--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -18,6 +18,13 @@
      */
     boolean belongs(HttpResponse head);
 
+    /**
+     * Called with the head of each final response that is discarded.
+     *
+     * @param head The response head.
+     */
+    default void discarded(HttpResponse head) {}
+
     /**
      * Called with the head of the matching response.
      *
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -79,6 +79,9 @@
     /** The end of the idle time, on the event loop's clock. */
     private long usableUntilMillis = Long.MAX_VALUE;
 
+    /** The requests that were sent. */
+    private int requests;
+
     /** Request bytes handed to the socket whose write hasn't completed. */
     private int unwrittenBytes;
 
@@ -112,6 +115,11 @@
                 && reactor.currentTimeMillis() < usableUntilMillis;
     }
 
+    /** {@return the requests that were sent on the connection} */
+    public int requests() {
+        return requests;
+    }
+
     /**
      * Sets the time after which the idle connection must not be used.
      *
@@ -128,6 +136,7 @@
      * @param responseListener Receives the response.
      */
     public void send(OutboundRequest request, ResponseListener responseListener) {
+        requests++;
         listener = responseListener;
         guard.run(() -> write(request));
     }
@@ -220,11 +229,11 @@
     }
 
     private void processBytes(ByteBuf bytes) {
-        if (listener == null || closed) {
+        if (closed) {
             bytes.recycle();
-            close();
             return;
         }
+        reusable = reusable && listener != null;
         CodecChannels.decode(codec, bytes);
         processDecoded();
         read();
@@ -236,9 +245,7 @@
             try {
                 if (listener == null) {
                     reusable = false;
-                    if (each instanceof HttpResponse late) {
-                        headListener.headReceived(late);
-                    }
+                    reportUnrequested(each);
                 } else {
                     processPart(each);
                 }
@@ -251,6 +258,13 @@
         }
     }
 
+    private void reportUnrequested(HttpObject part) {
+        if (part instanceof HttpResponse late && !late.decoderResult().isFailure()) {
+            headListener.headReceived(late);
+            headListener.unrequested(late);
+        }
+    }
+
     private void processPart(HttpObject part) {
         if (part.decoderResult().isFailure()) {
             fail(head == null ? ResponseFailure.MALFORMED : ResponseFailure.BROKEN_OFF);
@@ -272,6 +286,9 @@
         if (discarding) {
             reusable = reusable && interim;
             discardedResponses++;
+            if (!interim) {
+                listener.discarded(responseHead);
+            }
             failAboveLimit(discardedResponses, MAX_DISCARDED_RESPONSES);
             return;
         }
--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -363,9 +363,13 @@
         sender.trySend();
     }
 
-    /** Handles that the request was handed to the connection of its attempt. */
-    void requestWritten() {
-        history.recordWritten(request.elapsedMillis());
+    /**
+     * Handles that the request is handed to the connection of its attempt.
+     *
+     * @param earlierRequests The requests that the connection carried before.
+     */
+    void requestWritten(int earlierRequests) {
+        history.recordWritten(request.elapsedMillis(), earlierRequests);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/RequestCompletion.java
+++ b/src/main/java/org/martenwell/gateway/RequestCompletion.java
@@ -229,15 +229,7 @@
     void complete(String target, int status, ResponseFraming framing, ResponsePace pace) {
         core.log()
                 .requests()
-                .ended(
-                        requestId(),
-                        route,
-                        target,
-                        status,
-                        framing,
-                        history.attempts(),
-                        pace,
-                        elapsedMillis());
+                .ended(requestId(), route, target, status, framing, history, pace, elapsedMillis());
         finish();
     }
 
--- a/src/main/java/org/martenwell/gateway/RequestLog.java
+++ b/src/main/java/org/martenwell/gateway/RequestLog.java
@@ -127,7 +127,7 @@
      * @param target The id of the target.
      * @param status The HTTP status code.
      * @param framing The way in which the end of the response was determined.
-     * @param attempts The number of attempts.
+     * @param history The attempts, of which the last one brought the response.
      * @param pace The times at which the body arrived.
      * @param elapsedMillis The time since the request arrived, in milliseconds.
      */
@@ -137,7 +137,7 @@
             String target,
             int status,
             ResponseFraming framing,
-            int attempts,
+            SendHistory history,
             ResponsePace pace,
             long elapsedMillis) {
         metrics.counter("requests_answered").inc();
@@ -152,7 +152,8 @@
                             .with("target", target)
                             .with("status", status)
                             .with("framing", framing.label())
-                            .with("attempts", attempts)
+                            .with("attempts", history.attempts())
+                            .with("connectionRequests", history.earlierRequests())
                             .with("firstMillis", pace.firstMillis())
                             .with("pauseMillis", pace.longestPauseMillis())
                             .with("heldMillis", elapsedMillis));
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -190,6 +190,16 @@
         return core.dialect().belongs(head, request.metadata());
     }
 
+    @Override
+    public void discarded(HttpResponse head) {
+        core.log()
+                .targets()
+                .responseDiscarded(
+                        target.load().target().incarnation(),
+                        head.status().code(),
+                        DiscardCause.OTHER_REQUEST);
+    }
+
     @Override
     public void headReceived(HttpResponse head) {
         Matcher timeout = IDLE_TIMEOUT.matcher(head.headers().get(KEEP_ALIVE, ""));
@@ -275,7 +285,7 @@
             cancel();
             handler.targetUnavailable(this);
         } else {
-            handler.requestWritten();
+            handler.requestWritten(opened.requests());
         }
     }
 }
--- a/src/main/java/org/martenwell/gateway/SendHistory.java
+++ b/src/main/java/org/martenwell/gateway/SendHistory.java
@@ -24,6 +24,9 @@
      */
     private long writtenAtMillis = -1;
 
+    /** The requests that the last connection had carried before, 0 before the first attempt. */
+    private int earlierRequests;
+
     private boolean mayHaveRun;
 
     /** Creates the history of a request that was not sent yet. */
@@ -59,9 +62,16 @@
      * Records that the request was handed to a connection.
      *
      * @param elapsedMillis The time since the request arrived, in milliseconds.
+     * @param carried The requests that the connection had carried before.
      */
-    void recordWritten(long elapsedMillis) {
+    void recordWritten(long elapsedMillis, int carried) {
         writtenAtMillis = elapsedMillis;
+        earlierRequests = carried;
+    }
+
+    /** {@return the requests that the connection of the last attempt had carried before} */
+    int earlierRequests() {
+        return earlierRequests;
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/TargetEventHandler.java
+++ b/src/main/java/org/martenwell/gateway/TargetEventHandler.java
@@ -84,4 +84,10 @@
             log.pauseRequested(target.target().incarnation(), notice.pauseMillis());
         }
     }
+
+    @Override
+    public void unrequestedResponse(TargetLoad target, HttpResponse head) {
+        log.responseDiscarded(
+                target.target().incarnation(), head.status().code(), DiscardCause.UNREQUESTED);
+    }
 }
--- a/src/main/java/org/martenwell/gateway/TargetLog.java
+++ b/src/main/java/org/martenwell/gateway/TargetLog.java
@@ -71,6 +71,25 @@
         }
     }
 
+    /**
+     * Records a final response of a target that is given to no request.
+     *
+     * @param incarnation The target's incarnation.
+     * @param status The status code of the response.
+     * @param cause The reason.
+     */
+    void responseDiscarded(String incarnation, int status, DiscardCause cause) {
+        String label = cause.name().toLowerCase(Locale.ROOT);
+        metrics.counter("responses_discarded_" + label).inc();
+        if (logger.mayWrite()) {
+            logger.write(
+                    LogEvent.of("response-discarded")
+                            .with("target", incarnation)
+                            .with("status", status)
+                            .with("cause", label));
+        }
+    }
+
     /**
      * Records that a target crashed.
      *
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -518,7 +518,7 @@
                         entry.address(),
                         CONNECT_MILLIS,
                         KeepAlive.NONE,
-                        head -> listener.responseReceived(load, head));
+                        new TargetHeadListener(listener, load));
         load.idleConnection(() -> !prefersIdleConnections || connections.hasIdle());
         return new KnownTarget(load, connections, new CrashCounts());
     }
@@ -535,6 +535,6 @@
                 reactor,
                 clock,
                 target.load().target().address(),
-                head -> listener.responseReceived(target.load(), head));
+                new TargetHeadListener(listener, target.load()));
     }
 }
--- a/src/main/java/org/martenwell/gateway/TargetTableListener.java
+++ b/src/main/java/org/martenwell/gateway/TargetTableListener.java
@@ -46,4 +46,13 @@
      * @param head The head of the response.
      */
     void responseReceived(TargetLoad target, HttpResponse head);
+
+    /**
+     * Called for the head of each response of a target that no request awaits, after {@link
+     * #responseReceived}.
+     *
+     * @param target The target.
+     * @param head The head of the response.
+     */
+    void unrequestedResponse(TargetLoad target, HttpResponse head);
 }
--- a/src/test/java/org/martenwell/gateway/TargetCrashListener.java
+++ b/src/test/java/org/martenwell/gateway/TargetCrashListener.java
@@ -22,6 +22,9 @@
     @Override
     public void versionChanged(String target) {}
 
+    @Override
+    public void unrequestedResponse(TargetLoad target, HttpResponse head) {}
+
     @Override
     public void responseReceived(TargetLoad target, HttpResponse head) {}
 }
