Try targets that respond with failures if no other is left

Cause: a target is suspended behind three failures in a row for 0.4 to 3.2 s. Requests that fail at every target suspend them all, and requests that would be served are refused with 503 meanwhile.

Change: a request that may be repeated is sent to a target that is suspended for failures that it responded with, if no target is available. Targets that are full, another one, silent or out of reach stay suspended, and requests that may not be repeated are refused as before: they keep the promise that they have not run.

--- a/src/main/java/org/martenwell/balance/TargetHealth.java
+++ b/src/main/java/org/martenwell/balance/TargetHealth.java
@@ -28,6 +28,9 @@
     /** The failure rate, from 0 to 1, as of {@link #changedMillis}. */
     private double failureRate;
 
+    /** Set while the last failure was a complete response. */
+    private boolean responding;
+
     /** The time of the last outcome, in milliseconds. */
     private long changedMillis;
 
@@ -46,12 +49,23 @@
         changedMillis = now;
     }
 
+    /**
+     * Records a request that the target responded to with a failure.
+     *
+     * @param now The current time, in milliseconds.
+     */
+    public void respondedWithFailure(long now) {
+        failed(now);
+        responding = true;
+    }
+
     /**
      * Records a failed request.
      *
      * @param now The current time, in milliseconds.
      */
     public void failed(long now) {
+        responding = false;
         consecutiveFailures++;
         failureRate = failureRate(now) * (1 - SMOOTHING) + SMOOTHING;
         changedMillis = now;
@@ -82,9 +96,21 @@
      * @param millis The length of the suspension, in milliseconds.
      */
     public void suspend(long now, long millis) {
+        responding = false;
         suspendedUntil = Math.max(suspendedUntil, now + millis);
     }
 
+    /**
+     * Checks whether a request that may be repeated can be tried at the target if no other is left.
+     * Failures that a target responds with may be caused by the requests.
+     *
+     * @param now The current time, in milliseconds.
+     * @return {@code true} unless it is suspended for another reason than its last response.
+     */
+    public boolean mayBeTried(long now) {
+        return responding || isAvailable(now);
+    }
+
     /**
      * Checks whether the target may be used.
      *
--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -229,7 +229,7 @@
         int status = relay.status();
         boolean failure = status >= FIRST_SERVER_ERROR_STATUS;
         if (failure) {
-            health(from).failed(core.now());
+            health(from).respondedWithFailure(core.now());
         } else {
             health(from).succeeded(core.now());
             sender.recordPlainResponse(from, responseMillis);
--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -146,13 +146,7 @@
             return;
         }
         long now = core.now();
-        List<TargetLoad> available =
-                core.targets().available(selector, history.triedTargets(), now);
-        if (available.isEmpty()
-                && !history.triedTargets().isEmpty()
-                && request.route().repeatable()) {
-            available = core.targets().available(selector, Set.of(), now);
-        }
+        List<TargetLoad> available = availableTargets(now);
         boolean all = selector.version().isEmpty() && history.triedTargets().isEmpty();
         if (request.route().resumable() && selector.version().isEmpty()) {
             int count = available.size();
@@ -169,6 +163,20 @@
         }
     }
 
+    /**
+     * Returns the targets that the request can be sent to now: those that were not tried, else all,
+     * else those that fail but respond. A request that may not be repeated is sent to the first
+     * alone.
+     */
+    private List<TargetLoad> availableTargets(long now) {
+        List<TargetLoad> untried = core.targets().available(selector, history.triedTargets(), now);
+        if (!untried.isEmpty() || !request.route().repeatable()) {
+            return untried;
+        }
+        List<TargetLoad> available = core.targets().available(selector, Set.of(), now);
+        return available.isEmpty() ? core.targets().lastResort(selector, now) : available;
+    }
+
     /** Cancels the attempt in progress and ends the request, whose deadline has passed. */
     void timedOut() {
         if (completion.over()) {
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -12,10 +12,12 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.martenwell.balance.Availabilities;
 import org.martenwell.balance.Availability;
 import org.martenwell.balance.NoticeSource;
 import org.martenwell.balance.PrefillRate;
+import org.martenwell.balance.TargetHealth;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.balance.WarmUpPacer;
 import org.martenwell.directory.DirectoryTarget;
@@ -395,18 +397,37 @@
      * @return The loads of these targets.
      */
     List<TargetLoad> available(TargetSelector selector, Collection<String> tried, long now) {
-        List<TargetLoad> available = new ArrayList<>();
+        return select(selector, tried, health -> health.isAvailable(now), now);
+    }
+
+    /**
+     * Returns the targets that a request which may be repeated can be sent to if none is available.
+     *
+     * @param selector Selects the targets that may serve the request.
+     * @param now The current time, in milliseconds.
+     * @return The targets, those included that are suspended for failures that they responded with.
+     */
+    List<TargetLoad> lastResort(TargetSelector selector, long now) {
+        return select(selector, Set.of(), health -> health.mayBeTried(now), now);
+    }
+
+    private List<TargetLoad> select(
+            TargetSelector selector,
+            Collection<String> tried,
+            Predicate<TargetHealth> usable,
+            long now) {
+        List<TargetLoad> selected = new ArrayList<>();
         for (KnownTarget each : targets.values()) {
             DirectoryTarget target = each.load().target();
             if (selector.matches(target)
                     && acceptsRequests(each.load(), now)
                     && !tried.contains(target.id())
-                    && each.load().health().isAvailable(now)
+                    && usable.test(each.load().health())
                     && isWithinWarmUpLimit(each.load(), now)) {
-                available.add(each.load());
+                selected.add(each.load());
             }
         }
-        return available;
+        return selected;
     }
 
     /**
--- a/src/test/java/org/martenwell/balance/TargetHealthTest.java
+++ b/src/test/java/org/martenwell/balance/TargetHealthTest.java
@@ -53,4 +53,22 @@
         health.succeeded(0);
         assertThat(health.failureRate(0)).isLessThan(first);
     }
+
+    @Test
+    void testOnlyATargetThatRespondsMayBeTriedWhileItIsSuspended() {
+        TargetHealth health = new TargetHealth();
+        for (int count = 0; count < 3; count++) {
+            health.respondedWithFailure(0);
+        }
+        assertThat(health.isAvailable(0)).isFalse();
+        assertThat(health.mayBeTried(0)).isTrue();
+        health.suspend(0, 400);
+        assertThat(health.mayBeTried(0)).isFalse();
+        health.respondedWithFailure(0);
+        health.failed(0);
+        assertThat(health.mayBeTried(0)).isFalse();
+        health.respondedWithFailure(0);
+        health.connectFailed(0);
+        assertThat(health.mayBeTried(0)).isFalse();
+    }
 }
