Give a response only to the request that it names

Callers saw a success where their target had answered with a failure, or the response to another caller's request, when a target responded twice.

Cause: a response was matched by the id of the caller's request alone. All attempts of a request carry that id, so the second response to one attempt was taken for the response to the next one on the same connection; a response without an id was taken for any request; and a request that was sent as soon as a response ended was given bytes that had arrived behind that response. Class: a response taken for the one that is awaited because of its place on a connection.

A response without an id is given to the first request of a connection alone, which closes behind it, and a request without an id is sent on new connections alone. Before the next request a connection discards what arrived behind the response, a part of a head included, and closes.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -135,8 +135,8 @@
         }
 
         @Override
-        public boolean belongs(HttpResponse head) {
-            return true;
+        public ResponseMatch match(HttpResponse head) {
+            return ResponseMatch.SAME;
         }
 
         @Override
--- a/src/main/java/org/martenwell/exchange/ResponseDecoder.java
+++ b/src/main/java/org/martenwell/exchange/ResponseDecoder.java
@@ -1,8 +1,12 @@
 package org.martenwell.exchange;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Decodes HTTP responses of a target. The request method is needed because responses to {@code
@@ -12,6 +16,9 @@
 
     private HttpMethod requestMethod = HttpMethod.GET;
 
+    /** Set while a response has begun whose last part isn't decoded. */
+    private boolean withinResponse;
+
     /** Creates a decoder that assumes {@code GET} until {@link #expect} is called. */
     ResponseDecoder() {
         super(CodecChannels.responseConfig());
@@ -26,6 +33,28 @@
         requestMethod = method;
     }
 
+    /**
+     * Returns whether bytes of another response have arrived behind the last complete one.
+     *
+     * @return {@code true} also if they don't make up a part of a response yet.
+     */
+    boolean withinResponse() {
+        return withinResponse || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> parts)
+            throws Exception {
+        int read = buffer.readerIndex();
+        int decoded = parts.size();
+        super.decode(context, buffer, parts);
+        if (parts.size() > decoded) {
+            withinResponse = !(parts.get(parts.size() - 1) instanceof LastHttpContent);
+        } else {
+            withinResponse |= buffer.readerIndex() != read;
+        }
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -1,6 +1,7 @@
 package org.martenwell.exchange;
 
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 
 /**
  * Receives the response to one request, on the event loop. {@link #completed} or {@link #failed} is
@@ -10,20 +11,41 @@
 public interface ResponseListener {
 
     /**
-     * Decides whether a response matches the request. A response that doesn't is discarded, and the
-     * next one on the connection is awaited.
+     * Returns the id that responses to the request name.
+     *
+     * @return The id, or empty if they name none.
+     */
+    default Optional<String> requestId() {
+        return Optional.empty();
+    }
+
+    /**
+     * Decides whether a connection can carry the request. It can't if the response to the request
+     * could not be told from a further response to a request that the connection has carried.
+     *
+     * @param history The requests that the connection has carried.
+     * @return {@code true} if the connection can carry the request.
+     */
+    default boolean accepts(ConnectionHistory history) {
+        return true;
+    }
+
+    /**
+     * Compares a final response with the request. A response that isn't accepted is discarded, and
+     * the next one on the connection is awaited.
      *
      * @param head The response head.
-     * @return {@code true} if the response matches.
+     * @return The match.
      */
-    boolean belongs(HttpResponse head);
+    ResponseMatch match(HttpResponse head);
 
     /**
      * Called with the head of each final response that is discarded.
      *
      * @param head The response head.
+     * @param match The match, by which it is discarded.
      */
-    default void discarded(HttpResponse head) {}
+    default void discarded(HttpResponse head, ResponseMatch match) {}
 
     /**
      * Called with the head of the matching response.
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -79,8 +79,7 @@
     /** The end of the idle time, on the event loop's clock. */
     private long usableUntilMillis = Long.MAX_VALUE;
 
-    /** The requests that were sent. */
-    private int requests;
+    private final ConnectionHistory history = new ConnectionHistory();
 
     /** Request bytes handed to the socket whose write hasn't completed. */
     private int unwrittenBytes;
@@ -110,14 +109,15 @@
     boolean usable() {
         return !closed
                 && reusable
+                && !history.full()
                 && listener == null
                 && unwrittenBytes == 0
                 && reactor.currentTimeMillis() < usableUntilMillis;
     }
 
     /** {@return the requests that were sent on the connection} */
-    public int requests() {
-        return requests;
+    public ConnectionHistory history() {
+        return history;
     }
 
     /**
@@ -136,7 +136,7 @@
      * @param responseListener Receives the response.
      */
     public void send(OutboundRequest request, ResponseListener responseListener) {
-        requests++;
+        history.add(responseListener.requestId());
         listener = responseListener;
         guard.run(() -> write(request));
     }
@@ -281,15 +281,16 @@
     private void beginResponse(HttpResponse responseHead) {
         head = responseHead;
         headListener.headReceived(responseHead);
-        boolean interim = responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-        discarding = interim || !listener.belongs(responseHead);
-        if (discarding) {
-            reusable = reusable && interim;
-            discardedResponses++;
-            if (!interim) {
-                listener.discarded(responseHead);
-            }
-            failAboveLimit(discardedResponses, MAX_DISCARDED_RESPONSES);
+        discarding = false;
+        if (responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            discard();
+            return;
+        }
+        ResponseMatch match = listener.match(responseHead);
+        reusable = reusable && match.reusable();
+        if (!match.accepted(history.requests())) {
+            listener.discarded(responseHead, match);
+            discard();
             return;
         }
         reusable =
@@ -299,6 +300,13 @@
         listener.headReceived(responseHead);
     }
 
+    /** Skips the response that has just begun. */
+    private void discard() {
+        discarding = true;
+        discardedResponses++;
+        failAboveLimit(discardedResponses, MAX_DISCARDED_RESPONSES);
+    }
+
     private void failAboveLimit(int count, int limit) {
         if (count > limit) {
             fail(ResponseFailure.TOO_LARGE);
@@ -328,14 +336,31 @@
             if (matching && listener != null) {
                 ResponseListener done = listener;
                 listener = null;
-                reusable = reusable && unwrittenBytes == 0;
                 completing = done;
+                discardRemainder();
+                reusable = reusable && unwrittenBytes == 0;
                 done.completed(framing);
                 completing = null;
             }
         }
     }
 
+    /**
+     * Discards what has arrived behind the response, before the connection is given another
+     * request, whose response it would be taken for.
+     */
+    private void discardRemainder() {
+        reusable = reusable && !decoder.withinResponse();
+        for (HttpObject each = codec.readInbound(); each != null; each = codec.readInbound()) {
+            try {
+                reusable = false;
+                reportUnrequested(each);
+            } finally {
+                ReferenceCountUtil.release(each);
+            }
+        }
+    }
+
     /**
      * Handles the end of the connection. An orderly close ends a close-delimited response.
      *
--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -5,6 +5,7 @@
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -59,7 +60,7 @@
     }
 
     /**
-     * Sends a request over an idle connection, or over a new one if none is usable.
+     * Sends a request over an idle connection, or over a new one if none can carry the request.
      *
      * @param request The request.
      * @param listener Receives the response.
@@ -67,14 +68,38 @@
      */
     public void send(
             OutboundRequest request, ResponseListener listener, Consumer<TargetConnection> opened) {
+        Optional<TargetConnection> connection = takeIdle(listener);
+        if (connection.isPresent()) {
+            sendOnConnection(connection.get(), request, listener, opened);
+        } else {
+            sendOnNewConnection(request, listener, opened);
+        }
+    }
+
+    /**
+     * Removes the first idle connection that can carry a request, and closes unusable ones before
+     * it.
+     *
+     * @param listener Receives the response to the request.
+     * @return The connection, or empty if none can carry the request.
+     */
+    private Optional<TargetConnection> takeIdle(ResponseListener listener) {
+        List<TargetConnection> skipped = new ArrayList<>(0);
+        TargetConnection taken = null;
         for (TargetConnection each = idle.poll(); each != null; each = idle.poll()) {
-            if (each.usable()) {
-                sendOnConnection(each, request, listener, opened);
-                return;
+            if (!each.usable()) {
+                each.cancel();
+            } else if (listener.accepts(each.history())) {
+                taken = each;
+                break;
+            } else {
+                skipped.add(each);
             }
-            each.cancel();
         }
-        sendOnNewConnection(request, listener, opened);
+        for (int index = skipped.size() - 1; index >= 0; index--) {
+            idle.push(skipped.get(index));
+        }
+        return Optional.ofNullable(taken);
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/RequestDialect.java
+++ b/src/main/java/org/martenwell/gateway/RequestDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 import org.martenwell.exchange.Body;
 import org.martenwell.exchange.OutboundRequest;
 import org.martenwell.prompt.CachedPart;
@@ -48,13 +49,12 @@
     HttpHeaders localResponse(RequestMetadata metadata);
 
     /**
-     * Returns whether a response belongs to a request.
+     * Reads the id of the request that a response names.
      *
      * @param response The response's head.
-     * @param metadata The metadata of the caller's request.
-     * @return {@code true} if the response belongs to the request.
+     * @return The id that the caller of the request gave it, or empty if the response names none.
      */
-    boolean belongs(HttpResponse response, RequestMetadata metadata);
+    Optional<String> requestId(HttpResponse response);
 
     /**
      * Returns whether a target reports that it did not run the request.
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -1,13 +1,16 @@
 package org.martenwell.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.martenwell.balance.RunningRequest;
+import org.martenwell.exchange.ConnectionHistory;
 import org.martenwell.exchange.OutboundRequest;
 import org.martenwell.exchange.ResponseFailure;
 import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.exchange.ResponseListener;
+import org.martenwell.exchange.ResponseMatch;
 import org.martenwell.exchange.TargetConnection;
 
 /**
@@ -186,18 +189,32 @@
     }
 
     @Override
-    public boolean belongs(HttpResponse head) {
-        return core.dialect().belongs(head, request.metadata());
+    public Optional<String> requestId() {
+        return request.metadata().requestId();
+    }
+
+    /**
+     * {@inheritDoc} All attempts of a request have the id that its caller chose, so each needs a
+     * connection of its own.
+     */
+    @Override
+    public boolean accepts(ConnectionHistory history) {
+        return requestId().map(id -> !history.contains(id)).orElse(history.requests() == 0);
+    }
+
+    @Override
+    public ResponseMatch match(HttpResponse head) {
+        return ResponseMatch.of(requestId(), core.dialect().requestId(head));
     }
 
     @Override
-    public void discarded(HttpResponse head) {
+    public void discarded(HttpResponse head, ResponseMatch match) {
         core.log()
                 .targets()
                 .responseDiscarded(
                         target.load().target().incarnation(),
                         head.status().code(),
-                        DiscardCause.OTHER_REQUEST);
+                        DiscardCause.of(match));
     }
 
     @Override
@@ -285,7 +302,7 @@
             cancel();
             handler.targetUnavailable(this);
         } else {
-            handler.requestWritten(opened.requests());
+            handler.requestWritten(opened.history().requests());
         }
     }
 }
--- a/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
+++ b/src/test/java/org/martenwell/exchange/CancelledRequestTest.java
@@ -147,8 +147,8 @@
     private static final class IgnoredResponse implements ResponseListener {
 
         @Override
-        public boolean belongs(HttpResponse head) {
-            return true;
+        public ResponseMatch match(HttpResponse head) {
+            return ResponseMatch.SAME;
         }
 
         @Override
--- a/src/test/java/org/martenwell/exchange/InterruptedHeadTest.java
+++ b/src/test/java/org/martenwell/exchange/InterruptedHeadTest.java
@@ -97,8 +97,8 @@
         private String begun = "";
 
         @Override
-        public boolean belongs(HttpResponse head) {
-            return true;
+        public ResponseMatch match(HttpResponse head) {
+            return ResponseMatch.SAME;
         }
 
         @Override
--- a/src/test/java/org/martenwell/exchange/TargetConnectionDefectTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionDefectTest.java
@@ -33,7 +33,7 @@
     private enum Place {
         OPENED,
         OBSERVED,
-        BELONGS,
+        MATCH,
         HEAD,
         BODY,
         COMPLETED,
@@ -142,9 +142,9 @@
         }
 
         @Override
-        public boolean belongs(HttpResponse head) {
-            failAt(Place.BELONGS);
-            return true;
+        public ResponseMatch match(HttpResponse head) {
+            failAt(Place.MATCH);
+            return ResponseMatch.SAME;
         }
 
         @Override
--- a/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
+++ b/src/test/java/org/martenwell/exchange/TargetConnectionsTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -72,6 +73,25 @@
         }
     }
 
+    /** The response without an id could be a further one to an earlier request. */
+    @Test
+    void testResponseWithoutIdIsAcceptedOnANewConnectionAlone() throws Exception {
+        String unidentified = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nxy";
+        try (RawTarget target = new RawTarget(RawTarget.Ending.KEEP, unidentified)) {
+            TargetConnections connections = connections(target.address());
+            assertThat(send(connections, "1")).isEqualTo("completed xy");
+            assertThat(send(connections, "2")).isEqualTo("completed xy");
+            assertThat(target.connections()).isEqualTo(2);
+        }
+        try (RawTarget target =
+                new RawTarget(RawTarget.Ending.KEEP, FIRST, unidentified + SECOND)) {
+            TargetConnections connections = connections(target.address());
+            assertThat(send(connections, "1")).isEqualTo("completed ab");
+            assertThat(send(connections, "2")).isEqualTo("completed cd");
+            assertThat(target.connections()).isEqualTo(1);
+        }
+    }
+
     @Test
     void testResponseWithoutLengthEndsWithItsConnection() throws Exception {
         String response = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nab";
@@ -220,8 +240,18 @@
         }
 
         @Override
-        public boolean belongs(HttpResponse head) {
-            return id.equals(head.headers().get(ID));
+        public Optional<String> requestId() {
+            return Optional.of(id);
+        }
+
+        @Override
+        public boolean accepts(ConnectionHistory history) {
+            return !history.contains(id);
+        }
+
+        @Override
+        public ResponseMatch match(HttpResponse head) {
+            return ResponseMatch.of(requestId(), Optional.ofNullable(head.headers().get(ID)));
         }
 
         @Override
