End responses without framing before a further one

Callers of targets that give neither a length nor chunks and keep the connection got two responses in one body, or none until their deadline.

Cause: such a response ends with its connection. The head and body of a second response that the target sends on it were taken for its rest, and a failure, which is passed on once it has ended, never ended.

Change: the head of a further response within a close-delimited body ends it as the close would. It must be recognised by a header that all responses of the target carry; what looks like its begin is kept back until that is decided. Successes without framing are not ended by silence, since they might not be whole.

--- a/src/main/java/org/martenwell/exchange/ResponseListener.java
+++ b/src/main/java/org/martenwell/exchange/ResponseListener.java
@@ -39,6 +39,17 @@
      */
     ResponseMatch match(HttpResponse head);
 
+    /**
+     * Returns whether a head that stands within a close-delimited body is that of a further
+     * response.
+     *
+     * @param head The head.
+     * @return {@code false} if it is a part of the body.
+     */
+    default boolean recognises(HttpResponse head) {
+        return false;
+    }
+
     /**
      * Called with the head of each final response that is discarded.
      *
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -57,6 +57,9 @@
     /** The head of the response being received, or {@code null}. */
     private HttpResponse head;
 
+    /** Finds the end of a close-delimited body, {@code null} for other bodies. */
+    private FurtherResponseFilter filter;
+
     /** Set while the response being received is interim or belongs to another request. */
     private boolean discarding;
 
@@ -297,6 +300,10 @@
                 reusable
                         && HttpUtil.isKeepAlive(responseHead)
                         && framingOf(responseHead).showsTruncation();
+        filter =
+                framingOf(responseHead).showsTruncation()
+                        ? null
+                        : new FurtherResponseFilter(listener::recognises);
         listener.headReceived(responseHead);
     }
 
@@ -318,30 +325,70 @@
     }
 
     private void processContent(HttpContent content) {
+        boolean last = content instanceof LastHttpContent;
         int length = content.content().readableBytes();
-        if (!discarding && length > 0) {
-            byte[] piece = new byte[length];
-            content.content().getBytes(content.content().readerIndex(), piece);
-            listener.bodyPartReceived(piece);
-        }
         if (discarding) {
             discardedBytes += length;
             failAboveLimit(discardedBytes, MAX_DISCARDED_BYTES);
+        } else {
+            byte[] piece = new byte[length];
+            content.content().getBytes(content.content().readerIndex(), piece);
+            last |= processPiece(piece, last);
         }
-        if (content instanceof LastHttpContent) {
-            boolean matching = !discarding;
-            ResponseFraming framing = framingOf(head);
-            head = null;
-            discarding = false;
-            if (matching && listener != null) {
-                ResponseListener done = listener;
-                listener = null;
-                completing = done;
-                discardRemainder();
-                reusable = reusable && unwrittenBytes == 0;
-                done.completed(framing);
-                completing = null;
-            }
+        if (last) {
+            endResponse();
+        }
+    }
+
+    /**
+     * Hands a piece of the body to the listener.
+     *
+     * @return {@code true} if another response follows the body.
+     */
+    private boolean processPiece(byte[] piece, boolean last) {
+        byte[] body = filter == null ? piece : filter.receive(piece);
+        notifyBodyPart(body);
+        if (filter == null) {
+            return false;
+        }
+        if (last) {
+            notifyBodyPart(filter.rest());
+        }
+        return filter.found();
+    }
+
+    private void notifyBodyPart(byte[] piece) {
+        if (piece.length > 0 && listener != null) {
+            listener.bodyPartReceived(piece);
+        }
+    }
+
+    /**
+     * Ends a close-delimited response with what has arrived, as if the target had closed the
+     * connection.
+     */
+    public void endCloseDelimited() {
+        guard.run(
+                () -> {
+                    reusable = false;
+                    notifyBodyPart(filter.rest());
+                    endResponse();
+                });
+    }
+
+    private void endResponse() {
+        boolean matching = !discarding && head != null;
+        ResponseFraming framing = matching ? framingOf(head) : ResponseFraming.NO_BODY;
+        head = null;
+        discarding = false;
+        if (matching && listener != null) {
+            ResponseListener done = listener;
+            listener = null;
+            completing = done;
+            discardRemainder();
+            reusable = reusable && unwrittenBytes == 0;
+            done.completed(framing);
+            completing = null;
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -134,6 +134,8 @@
         } else if (!relay.begin(response, request.route())) {
             from.cancel();
             completion.abort();
+        } else if (relay.closeDelimitedFailure()) {
+            SilentResponseEnd.await(core, guard, from);
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -22,6 +22,8 @@
 
     private static final int OK = 200;
 
+    private static final int FIRST_REDIRECTION_STATUS = 300;
+
     private static final String EVENT_STREAM = "text/event-stream";
 
     /**
@@ -199,6 +201,15 @@
         }
     }
 
+    /**
+     * Returns whether the response is a failure whose end only the close of its connection shows.
+     *
+     * @return {@code false} before the head has arrived.
+     */
+    boolean closeDelimitedFailure() {
+        return head != null && !framing.showsTruncation() && status() >= FIRST_REDIRECTION_STATUS;
+    }
+
     /**
      * Returns whether the response is forwarded as it arrives.
      *
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -178,6 +178,11 @@
         target.load().ended(running);
     }
 
+    /** Ends a close-delimited response with what has arrived. */
+    void endResponse() {
+        connection.endCloseDelimited();
+    }
+
     /** Pauses reading the response until {@link #resume}. */
     void pause() {
         connection.pause();
@@ -207,6 +212,11 @@
         return ResponseMatch.of(requestId(), core.dialect().requestId(head));
     }
 
+    @Override
+    public boolean recognises(HttpResponse head) {
+        return core.dialect().isFromTarget(head) || core.dialect().requestId(head).isPresent();
+    }
+
     @Override
     public void discarded(HttpResponse head, ResponseMatch match) {
         core.log()
