Open a connection for each call of the router to a target

Callers of the OpenAI-compatible router got responses of other requests from targets that respond twice: the extra response waited on the kept connection and became the response to the next request there. Targets of the router are engines that need not carry an id back, so nothing tells the two apart. Load reports and resumed streams were affected as well.

Each call now has its own connection, as requests that must not be repeated had. Weighed against it: checking the id, which engines do not carry back; closing a connection that has bytes behind a response, which does not see an extra response that is sent when the next request has been read.

The platform's client is the same one: a response read there names the version of an object, but not the object.

A new connection is bound by ActiveJ's connect timeout, which runs on the loop's clock: BusyLoopConnectorTest failed at a loop that was busy for 2.5 s. An attempt that timed out only on that clock is made again, since nothing was sent.

--- a/src/main/java/org/martenwell/daemon/RouterDaemon.java
+++ b/src/main/java/org/martenwell/daemon/RouterDaemon.java
@@ -102,11 +102,8 @@
     /** The clock of timeouts for what other processes send. */
     private final ResponsiveClock clock;
 
-    /** The client that reuses its connections. */
-    private final AsyncHttpClient pooledClient;
-
-    /** The client that opens a connection for each request. */
-    private final AsyncHttpClient singleUseClient;
+    /** The client of targets and of the platform, which opens a connection for each request. */
+    private final AsyncHttpClient client;
 
     private final Platform platform;
 
@@ -167,14 +164,13 @@
         incarnation = reactor.currentTimeMillis();
         Random random = new Random(seed);
         clock = new ResponsiveClock(reactor);
-        pooledClient = AsyncHttpClient.pooled(reactor, clock::millis, limits.maxBodyBytes());
-        singleUseClient = AsyncHttpClient.single(reactor, clock::millis, limits.maxBodyBytes());
-        platform = new HttpPlatform(pooledClient, settings.platformAddress());
+        client = AsyncHttpClient.single(reactor, clock::millis, limits.maxBodyBytes());
+        platform = new HttpPlatform(client, settings.platformAddress());
         network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
         membership = new Membership(settings.name(), MembershipParameters.DEFAULTS);
         scheduler = new FleetScheduler(reactor, settings.name(), incarnation, parameters, this);
-        HttpTargetConnector connector = new HttpTargetConnector(pooledClient, singleUseClient);
+        HttpTargetConnector connector = new HttpTargetConnector(client);
         monitor = new TargetMonitor(reactor, connector, scheduler, this);
         store = new ConfigurationStore(this::activate);
         follower =
@@ -228,8 +224,7 @@
                 .then(() -> callerServer.close())
                 .then(() -> operatorServer.close())
                 .then(network::stop)
-                .then(pooledClient::stop)
-                .then(singleUseClient::stop)
+                .then(client::stop)
                 .then(clock::stop);
     }
 
--- a/src/main/java/org/martenwell/http/AsyncHttpClient.java
+++ b/src/main/java/org/martenwell/http/AsyncHttpClient.java
@@ -9,9 +9,11 @@
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
 import io.activej.reactor.nio.NioReactor;
+import java.net.ConnectException;
 import java.time.Duration;
 import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.martenwell.service.ManagedService;
 import org.martenwell.service.ResponseTimeout;
 
@@ -92,7 +94,8 @@
             byte[] body,
             long timeoutMillis) {
         Promise<BufferedHttpResponse> response =
-                send(request(method, url, headers, body)).then(AsyncHttpClient::readWhole);
+                connectAndSend(() -> request(method, url, headers, body), clock.getAsLong())
+                        .then(AsyncHttpClient::readWhole);
         return ResponseTimeout.limit(reactor, clock, timeoutMillis, response);
     }
 
@@ -130,18 +133,47 @@
     /**
      * Sends a request and awaits the head of its response.
      *
-     * @param request The request.
+     * @param requests Builds the request, once for each attempt to connect.
      * @param timeoutMillis The time until the head must arrive, in milliseconds.
-     * @return The response, whose body has not been read yet, or an {@link AsyncTimeoutException}.
+     * @return The response, whose body has not been read yet, a {@link ConnectException} if
+     *     certainly no byte was sent, or an {@link AsyncTimeoutException}.
      */
-    public Promise<HttpResponse> send(HttpRequest request, long timeoutMillis) {
-        Promise<HttpResponse> response = send(request);
+    public Promise<HttpResponse> send(Supplier<HttpRequest> requests, long timeoutMillis) {
+        Promise<HttpResponse> response = connectAndSend(requests, clock.getAsLong());
         Promise<HttpResponse> limited =
                 ResponseTimeout.limit(reactor, clock, timeoutMillis, response);
         response.whenResult(lateResponse -> closeIfLate(lateResponse, limited));
         return limited;
     }
 
+    /**
+     * Sends a request. An attempt to connect is repeated if it timed out only because the event
+     * loop was busy.
+     *
+     * @param requests Builds the request, once for each attempt to connect.
+     * @param startMillis The time of the first attempt on the clock of timeouts.
+     * @return The response, whose body has not been read yet.
+     */
+    private Promise<HttpResponse> connectAndSend(Supplier<HttpRequest> requests, long startMillis) {
+        HttpRequest request = requests.get();
+        return send(request)
+                .then(
+                        Promise::of,
+                        failure -> {
+                            if (!ConnectFailureInspector.marked(request)) {
+                                return Promise.ofException(failure);
+                            }
+                            boolean early =
+                                    clock.getAsLong() - startMillis < CONNECT_TIMEOUT.toMillis();
+                            if (early && failure.getCause() instanceof AsyncTimeoutException) {
+                                return connectAndSend(requests, startMillis);
+                            }
+                            ConnectException notConnected = new ConnectException();
+                            notConnected.initCause(failure);
+                            return Promise.ofException(notConnected);
+                        });
+    }
+
     /**
      * Closes a response that arrives after its timeout, so that its connection isn't leaked.
      *
--- a/src/main/java/org/martenwell/target/HttpTargetConnector.java
+++ b/src/main/java/org/martenwell/target/HttpTargetConnector.java
@@ -2,9 +2,9 @@
 
 import io.activej.async.exception.AsyncTimeoutException;
 import io.activej.http.HttpMethod;
-import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -14,7 +14,6 @@
 import org.martenwell.error.Outcome;
 import org.martenwell.http.AsyncHttpClient;
 import org.martenwell.http.BufferedHttpResponse;
-import org.martenwell.http.ConnectFailureInspector;
 import org.martenwell.http.HeaderField;
 import org.martenwell.http.HeaderFields;
 import org.martenwell.json.Json;
@@ -37,21 +36,16 @@
     /** The statuses of responses that have no body. */
     private static final Set<Integer> BODILESS_STATUSES = Set.of(204, 304);
 
-    /** Sends repeatable requests over pooled connections. */
-    private final AsyncHttpClient pooled;
-
-    /** Sends requests that must not be repeated, each over a new connection. */
-    private final AsyncHttpClient unpooled;
+    private final AsyncHttpClient client;
 
     /**
      * Creates a connector.
      *
-     * @param pooled Sends repeatable requests over pooled connections.
-     * @param unpooled Sends requests that must not be repeated, each over a new connection.
+     * @param client Sends each request over a new connection. Responses don't name their request,
+     *     so that on a kept connection an extra response would become that to the next request.
      */
-    public HttpTargetConnector(AsyncHttpClient pooled, AsyncHttpClient unpooled) {
-        this.pooled = pooled;
-        this.unpooled = unpooled;
+    public HttpTargetConnector(AsyncHttpClient client) {
+        this.client = client;
     }
 
     @Override
@@ -59,25 +53,19 @@
         List<HeaderField> headers = new ArrayList<>(request.headers());
         headers.add(new HeaderField(HeaderFields.REQUEST_ID, request.id()));
         headers.add(new HeaderField(HeaderFields.PRIORITY, Integer.toString(request.priority())));
-        HttpRequest message =
-                AsyncHttpClient.request(
-                        HttpMethod.valueOf(request.method()),
-                        url(target, request.pathAndQuery()),
-                        headers,
-                        request.body());
-        AsyncHttpClient calls = request.repeatable() ? pooled : unpooled;
-        return send(calls, message, request.timeoutMillis());
+        HttpMethod method = HttpMethod.valueOf(request.method());
+        String url = url(target, request.pathAndQuery());
+        return send(method, url, headers, request.body(), request.timeoutMillis());
     }
 
     @Override
     public Promise<TargetResponse> resume(Target target, String requestId, String lastEvent) {
-        HttpRequest message =
-                AsyncHttpClient.request(
-                        HttpMethod.GET,
-                        url(target, "/v1/streams/" + requestId),
-                        List.of(new HeaderField(HeaderFields.LAST_EVENT_ID, lastEvent)),
-                        NO_BODY);
-        return send(pooled, message, CALL_TIMEOUT_MILLIS);
+        return send(
+                HttpMethod.GET,
+                url(target, "/v1/streams/" + requestId),
+                List.of(new HeaderField(HeaderFields.LAST_EVENT_ID, lastEvent)),
+                NO_BODY,
+                CALL_TIMEOUT_MILLIS);
     }
 
     @Override
@@ -105,28 +93,33 @@
     /**
      * Sends a request and awaits the head of its response.
      *
-     * @param calls Sends the request.
-     * @param message The request.
+     * @param method The method.
+     * @param url The URL.
+     * @param headers The header fields.
+     * @param body The request body.
      * @param timeoutMillis The time until the response head must arrive, in milliseconds.
      * @return The response with its unread body.
      */
-    private static Promise<TargetResponse> send(
-            AsyncHttpClient calls, HttpRequest message, long timeoutMillis) {
-        return calls.send(message, timeoutMillis)
-                .mapException(exception -> toException(message, exception))
-                .map(head -> toTargetResponse(message.getMethod(), head));
+    private Promise<TargetResponse> send(
+            HttpMethod method,
+            String url,
+            List<HeaderField> headers,
+            byte[] body,
+            long timeoutMillis) {
+        return client.send(() -> AsyncHttpClient.request(method, url, headers, body), timeoutMillis)
+                .mapException(HttpTargetConnector::toException)
+                .map(head -> toTargetResponse(method, head));
     }
 
     /**
      * Maps a transport failure to an exception with the outcome of the request.
      *
-     * @param message The request.
      * @param exception The failure.
      * @return The exception; its outcome is {@link Outcome#NOT_RUN} if no connection was
      *     established.
      */
-    private static MartenwellException toException(HttpRequest message, Exception exception) {
-        if (ConnectFailureInspector.marked(message)) {
+    private static MartenwellException toException(Exception exception) {
+        if (exception instanceof ConnectException) {
             return MartenwellException.of(
                             ErrorKind.TARGET_FAILED, "Connecting to the target failed.", exception)
                     .withOutcome(Outcome.NOT_RUN);
@@ -191,7 +184,7 @@
      */
     private Promise<BufferedHttpResponse> call(
             HttpMethod method, Target target, String path, byte[] body) {
-        return pooled.exchange(method, url(target, path), List.of(), body, CALL_TIMEOUT_MILLIS)
+        return client.exchange(method, url(target, path), List.of(), body, CALL_TIMEOUT_MILLIS)
                 .mapException(
                         exception ->
                                 MartenwellException.of(
--- a/src/test/java/org/martenwell/router/BusyLoopDispatchTest.java
+++ b/src/test/java/org/martenwell/router/BusyLoopDispatchTest.java
@@ -184,7 +184,6 @@
                 "router",
                 scheduler,
                 new HttpTargetConnector(
-                        AsyncHttpClient.pooled(thread.loop(), clock::millis, 1 << 10),
                         AsyncHttpClient.single(thread.loop(), clock::millis, 1 << 10)),
                 new AdmissionControl(10, 10_000),
                 refused -> {},
--- a/src/test/java/org/martenwell/target/BusyLoopConnectorTest.java
+++ b/src/test/java/org/martenwell/target/BusyLoopConnectorTest.java
@@ -108,8 +108,6 @@
                         () ->
                                 Promise.of(
                                         new HttpTargetConnector(
-                                                AsyncHttpClient.pooled(
-                                                        thread.loop(), clock::millis, 1 << 10),
                                                 AsyncHttpClient.single(
                                                         thread.loop(), clock::millis, 1 << 10))));
     }
--- a/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
+++ b/src/test/java/org/martenwell/target/HttpTargetConnectorTest.java
@@ -45,10 +45,6 @@
                         () ->
                                 Promise.of(
                                         new HttpTargetConnector(
-                                                AsyncHttpClient.pooled(
-                                                        loop.loop(),
-                                                        loop.loop()::currentTimeMillis,
-                                                        1 << 20),
                                                 AsyncHttpClient.single(
                                                         loop.loop(),
                                                         loop.loop()::currentTimeMillis,
--- a/src/test/java/org/martenwell/target/InterruptedHeadTest.java
+++ b/src/test/java/org/martenwell/target/InterruptedHeadTest.java
@@ -91,8 +91,6 @@
     private Promise<Boolean> start(boolean repeatable) {
         HttpTargetConnector connector =
                 new HttpTargetConnector(
-                        AsyncHttpClient.pooled(
-                                loop.loop(), loop.loop()::currentTimeMillis, 1 << 20),
                         AsyncHttpClient.single(
                                 loop.loop(), loop.loop()::currentTimeMillis, 1 << 20));
         String address = "127.0.0.1:" + server.getLocalPort();
