Read no body of a target's response to HEAD

A HEAD request through the OpenAI-compatible router never ended: ActiveJ's client reads the number of bytes that the head announces, though a response to HEAD has none, and waits for them; with an extra response behind it, it takes that one's head for the body. The connector now closes the connection behind the head of a response that has no body (HEAD, 204, 304).

--- a/src/main/java/org/martenwell/target/HttpTargetConnector.java
+++ b/src/main/java/org/martenwell/target/HttpTargetConnector.java
@@ -1,6 +1,9 @@
 package org.martenwell.target;
 
 import io.activej.async.exception.AsyncTimeoutException;
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.supplier.ChannelSupplier;
+import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpResponse;
 import io.activej.promise.Promise;
@@ -158,17 +161,24 @@
                     ErrorKind.TARGET_REFUSED,
                     "The target refused the request before processing it.");
         }
+        ChannelSupplier<ByteBuf> body = response.takeBodyStream();
+        if (bodiless(method, response.getCode())) {
+            // ActiveJ's client would wait for the bytes that the head announces.
+            body.close();
+            body = ChannelSuppliers.empty();
+        }
         return new TargetResponse(
-                response.getCode(),
-                headers,
-                response.takeBodyStream(),
-                framed(method, response.getCode(), headers));
+                response.getCode(), headers, body, framed(method, response.getCode(), headers));
+    }
+
+    /** Returns whether a response has no body, whatever its head announces. */
+    private static boolean bodiless(HttpMethod method, int status) {
+        return method == HttpMethod.HEAD || BODILESS_STATUSES.contains(status);
     }
 
     /** Returns whether the head of a response determines the end of its body. */
     private static boolean framed(HttpMethod method, int status, List<HeaderField> headers) {
-        return method == HttpMethod.HEAD
-                || BODILESS_STATUSES.contains(status)
+        return bodiless(method, status)
                 || HeaderFields.find(headers, "Content-Length").isPresent()
                 || HeaderFields.find(headers, "Transfer-Encoding").isPresent();
     }
--- a/src/test/java/org/martenwell/target/RepeatedResponseTest.java
+++ b/src/test/java/org/martenwell/target/RepeatedResponseTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.function.IntFunction;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.martenwell.configuration.PoolKind;
@@ -61,6 +62,20 @@
         assertThat(others(timing, target -> connector.resume(target, "r", "1"))).isEmpty();
     }
 
+    /** The announced body never comes, and nothing else may be taken for it. */
+    @ParameterizedTest
+    @EnumSource(Timing.class)
+    @Timeout(60)
+    void testHeadRequestGetsItsOwnResponse(Timing timing) throws IOException {
+        assertThat(
+                        others(
+                                timing,
+                                number -> new Responses(head(status(number), 9), head(200, 9)),
+                                number -> status(number) + " ",
+                                target -> connector.start(target, request("HEAD", true))))
+                .isEmpty();
+    }
+
     @ParameterizedTest
     @EnumSource(Timing.class)
     void testLoadReportIsCurrent(Timing timing) throws IOException {
