Take an unreadable report on a prompt cache for a fault of its engine

An engine whose report has an empty body, or one that is not JSON, was logged as a defect of the gateway at ERROR with every poll, every two seconds, and counted as one. It is a fault of the engine: the gateway now counts it (kept_reports_unreadable) and logs it at WARN with engine and reason, once a minute and engine at the most. What fails behind the reading is a defect as before.

--- a/src/main/java/org/martenwell/gateway/CacheChangePoller.java
+++ b/src/main/java/org/martenwell/gateway/CacheChangePoller.java
@@ -1,6 +1,8 @@
 package org.martenwell.gateway;
 
+import java.util.Optional;
 import org.martenwell.balance.CachedPartUpdate;
+import org.martenwell.error.MartenwellException;
 import org.martenwell.exchange.BufferedResponse;
 import org.martenwell.exchange.InternalHttpClient;
 import org.martenwell.prompt.CachedPart;
@@ -30,6 +32,9 @@
     /** The delay between a failed poll and the next one, in milliseconds. */
     private static final long FAILURE_BACKOFF_MILLIS = 2_000;
 
+    /** The shortest time between two log lines on unreadable responses, in milliseconds. */
+    private static final long UNREADABLE_LOG_INTERVAL_MILLIS = 60_000;
+
     private static final int OK = 200;
 
     private final GatewayCore core;
@@ -41,6 +46,9 @@
     /** The position in the engine's log of changes to continue from. */
     private long since;
 
+    /** The time of the last log line on an unreadable response, in milliseconds. */
+    private long unreadableLoggedMillis = Long.MIN_VALUE;
+
     private boolean closed;
 
     private CacheChangePoller(GatewayCore core, KnownTarget target) {
@@ -102,25 +110,45 @@
                         });
     }
 
-    /** Applies changes and schedules the next poll, also if they can't be read. */
+    /** Applies changes and schedules the next poll, also if that fails. */
     private void process(BufferedResponse response) {
         FailureBarrier.run(
                 "CacheChangePoller",
                 () -> {
-                    applyChanges(response);
-                    schedulePoll(INTERVAL_MILLIS);
+                    Optional<CachedPartChanges> changes = read(response);
+                    changes.ifPresent(this::applyChanges);
+                    schedulePoll(changes.isPresent() ? INTERVAL_MILLIS : FAILURE_BACKOFF_MILLIS);
                 },
                 () -> schedulePoll(FAILURE_BACKOFF_MILLIS));
     }
 
+    /** Reads a response, or returns empty if the engine sent something else. */
+    private Optional<CachedPartChanges> read(BufferedResponse response) {
+        try {
+            return Optional.of(core.dialect().parseCacheChanges(response.body()));
+        } catch (MartenwellException unreadable) {
+            boolean logged =
+                    unreadableLoggedMillis == Long.MIN_VALUE
+                            || core.now() - unreadableLoggedMillis
+                                    >= UNREADABLE_LOG_INTERVAL_MILLIS;
+            if (logged) {
+                unreadableLoggedMillis = core.now();
+            }
+            core.log()
+                    .targets()
+                    .cacheReportUnreadable(
+                            target.load().target().incarnation(), unreadable.getMessage(), logged);
+            return Optional.empty();
+        }
+    }
+
     private void schedulePoll(long delayMillis) {
         if (!closed) {
             core.reactor().delayBackground(delayMillis, this::poll);
         }
     }
 
-    private void applyChanges(BufferedResponse response) {
-        CachedPartChanges changes = core.dialect().parseCacheChanges(response.body());
+    private void applyChanges(CachedPartChanges changes) {
         since = changes.next();
         changes.parts().forEach(this::applyChange);
         core.log().targets().cacheChangesReceived(changes.parts().size(), changes.lost());
--- a/src/main/java/org/martenwell/gateway/CachedPartsLoader.java
+++ b/src/main/java/org/martenwell/gateway/CachedPartsLoader.java
@@ -5,7 +5,9 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Collection;
+import java.util.List;
 import org.martenwell.balance.CachedPartUpdate;
+import org.martenwell.error.MartenwellException;
 import org.martenwell.exchange.Body;
 import org.martenwell.exchange.BufferedResponse;
 import org.martenwell.exchange.InternalHttpClient;
@@ -108,7 +110,14 @@
             return;
         }
         String incarnation = target.load().target().incarnation();
-        for (CachedPart each : core.dialect().parseCachedParts(response.body())) {
+        List<CachedPart> cachedParts;
+        try {
+            cachedParts = core.dialect().parseCachedParts(response.body());
+        } catch (MartenwellException unreadable) {
+            core.log().targets().cacheReportUnreadable(incarnation, unreadable.getMessage(), true);
+            return;
+        }
+        for (CachedPart each : cachedParts) {
             long key = PromptChain.key(each.model(), each.part().id());
             long tokens = each.part().tokens();
             target.load().promptCache().put(key, tokens, core.promptCacheCapacity(target.load()));
--- a/src/main/java/org/martenwell/gateway/RateLimitedLogger.java
+++ b/src/main/java/org/martenwell/gateway/RateLimitedLogger.java
@@ -57,7 +57,21 @@
      * @param event The line.
      */
     void write(LogEvent event) {
+        LOGGER.info(withSuppressed(event).message());
+    }
+
+    /**
+     * Writes a line on a fault that {@link #mayWrite} has allowed.
+     *
+     * @param event The line.
+     */
+    void warn(LogEvent event) {
+        LOGGER.warn(withSuppressed(event).message());
+    }
+
+    /** Adds the number of suppressed lines to the first line behind them. */
+    private LogEvent withSuppressed(LogEvent event) {
         long suppressed = rateLimiter.takeSuppressed();
-        LOGGER.info((suppressed > 0 ? event.with("linesDropped", suppressed) : event).message());
+        return suppressed > 0 ? event.with("linesDropped", suppressed) : event;
     }
 }
--- a/src/main/java/org/martenwell/gateway/TargetLog.java
+++ b/src/main/java/org/martenwell/gateway/TargetLog.java
@@ -128,4 +128,21 @@
     void cacheEntryCorrected(boolean cached) {
         metrics.counter(cached ? "kept_parts_learnt" : "kept_parts_dropped").inc();
     }
+
+    /**
+     * Counts a response about a prompt cache that can't be read.
+     *
+     * @param incarnation The incarnation of the engine that sent it.
+     * @param reason The reason.
+     * @param logged {@code true} to log it too.
+     */
+    void cacheReportUnreadable(String incarnation, String reason, boolean logged) {
+        metrics.counter("kept_reports_unreadable").inc();
+        if (logged && logger.mayWrite()) {
+            logger.warn(
+                    LogEvent.of("kept-report-unreadable")
+                            .with("target", incarnation)
+                            .with("reason", reason));
+        }
+    }
 }
--- a/src/test/java/org/martenwell/gateway/CacheChangePollerTest.java
+++ b/src/test/java/org/martenwell/gateway/CacheChangePollerTest.java
@@ -1,5 +1,6 @@
 package org.martenwell.gateway;
 
+import static org.assertj.core.api.Assertions.assertThat;
 import static org.martenwell.service.Conditions.await;
 
 import io.activej.promise.Promise;
@@ -13,9 +14,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.martenwell.directory.DirectoryTarget;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
 import org.martenwell.exchange.Body;
 import org.martenwell.exchange.CallerServer;
 import org.martenwell.exchange.OutboundRequest;
+import org.martenwell.observe.Defects;
 import org.martenwell.service.EventLoopThread;
 import org.martenwell.service.IpAddress;
 import org.martenwell.service.LoopbackPorts;
@@ -48,16 +52,24 @@
 
     @Test
     void testEngineIsPolledAgainAfterAnAnswerThatCannotBeRead() {
-        thread.call(engine::start);
-        thread.call(() -> Promise.of(startPoller()));
+        startPoller(new OutOfMemoryError("deliberate"));
+        await(() -> polls.get() > 2);
+    }
+
+    /** Guards against a fault of an engine that is recorded as a defect of the gateway. */
+    @Test
+    void testUnreadableAnswerIsNoDefect() {
+        long before = Defects.count();
+        startPoller(MartenwellException.of(ErrorKind.MALFORMED_REQUEST, "deliberate"));
         await(() -> polls.get() > 2);
+        assertThat(Defects.count()).isEqualTo(before);
     }
 
-    private GatewayCore createCore() {
+    private GatewayCore createCore(Throwable failure) {
         GatewayCore core =
                 new GatewayCore(
                         thread.loop(),
-                        dialect(),
+                        dialect(failure),
                         GatewayCores.settings("self", "x", "127.0.0.1:1"),
                         new Random(1),
                         new GatewayLog(thread.loop()));
@@ -78,13 +90,18 @@
         return core;
     }
 
-    private CacheChangePoller startPoller() {
-        GatewayCore core = createCore();
-        return CacheChangePoller.start(core, core.targets().find("t").orElseThrow());
+    private void startPoller(Throwable failure) {
+        thread.call(engine::start);
+        thread.call(
+                () -> {
+                    GatewayCore core = createCore(failure);
+                    return Promise.of(
+                            CacheChangePoller.start(core, core.targets().find("t").orElseThrow()));
+                });
     }
 
     /** Creates a dialect that can build the requests of a poller, but not read the answers. */
-    private static RequestDialect dialect() {
+    private static RequestDialect dialect(Throwable failure) {
         return (RequestDialect)
                 Proxy.newProxyInstance(
                         RequestDialect.class.getClassLoader(),
@@ -100,7 +117,7 @@
                             if (method.getName().equals("notice")) {
                                 return new AvailabilityNotice(false, 0);
                             }
-                            throw new OutOfMemoryError("deliberate");
+                            throw failure;
                         });
     }
 }
