Recognise a report on a prompt cache that answers an earlier poll

An engine may send its response to a poll again where the next one is due. On the kept connection of the poller each report was then that of the poll before: changes were applied twice, so that an eviction undid what requests had cached since, and the gateway stayed a poll behind.

The report names what is needed: changes behind a position end behind it. A report with changes that end at or before the position of its poll, in the same epoch, is not applied; the connection is closed, since the response that belongs to the poll may follow on it. A repeated report without changes says nothing and needs no check.

--- a/src/main/java/org/martenwell/exchange/InternalHttpClient.java
+++ b/src/main/java/org/martenwell/exchange/InternalHttpClient.java
@@ -108,6 +108,14 @@
         return call;
     }
 
+    /**
+     * Closes idle connections, as after a response that was not that to its call. Further calls
+     * open new ones.
+     */
+    public void closeIdle() {
+        connections.closeIdle();
+    }
+
     /** Closes idle connections; those in use close when their calls complete. */
     public void close() {
         connections.close();
--- a/src/main/java/org/martenwell/gateway/CacheChangePoller.java
+++ b/src/main/java/org/martenwell/gateway/CacheChangePoller.java
@@ -46,6 +46,9 @@
     /** The position in the engine's log of changes to continue from. */
     private long since;
 
+    /** The epoch of that position, empty before the first response. */
+    private String epoch = "";
+
     /** The time of the last log line on an unreadable response, in milliseconds. */
     private long unreadableLoggedMillis = Long.MIN_VALUE;
 
@@ -149,7 +152,14 @@
     }
 
     private void applyChanges(CachedPartChanges changes) {
+        if (changes.outdated(since, epoch)) {
+            // The response to this poll may follow on the same connection.
+            client.closeIdle();
+            core.log().targets().cacheReportOutdated();
+            return;
+        }
         since = changes.next();
+        epoch = changes.epoch();
         changes.parts().forEach(this::applyChange);
         core.log().targets().cacheChangesReceived(changes.parts().size(), changes.lost());
     }
--- a/src/main/java/org/martenwell/gateway/TargetLog.java
+++ b/src/main/java/org/martenwell/gateway/TargetLog.java
@@ -129,6 +129,11 @@
         metrics.counter(cached ? "kept_parts_learnt" : "kept_parts_dropped").inc();
     }
 
+    /** Counts a report on a prompt cache that was sent in response to an earlier request. */
+    void cacheReportOutdated() {
+        metrics.counter("kept_reports_outdated").inc();
+    }
+
     /**
      * Counts a response about a prompt cache that can't be read.
      *
