State the target's length in responses without a body

Callers got "content-length: 0" on HEAD and 304 where the target said 21, and on HEAD where it stated none. HEAD on a route of streams was worse: the gateway sent a head in chunks and the last chunk behind it, five bytes that a caller takes for the beginning of its next response.

A response to HEAD or with status 304 now keeps the length that it was given, and states none if there is none (RFC 9110, section 8.6); nothing follows its head, however it is sent.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -126,6 +127,9 @@
     /** Set while a response in chunks is sent whose pieces need no codec. */
     private boolean plainChunks;
 
+    /** Set while a response is sent in pieces of which the caller gets the head only. */
+    private boolean bodyOmitted;
+
     /** Set once a close-delimited response has begun, until whose end any close is a reset. */
     private boolean closeAborts;
 
@@ -288,24 +292,33 @@
             return;
         }
         boolean persistent = keepAlive && !server.draining();
-        headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        if (content.length > 0 || !bodyOmitted(status)) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, content.length);
+        }
         setConnectionHeader(headers, persistent);
         if (content.length == 0 && EmptyResponse.supports(status)) {
             sendEmpty(status, headers);
             finishRequest(persistent);
             return;
         }
-        boolean omitBody = exchange.request().method().name().equals("HEAD");
         send(
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
                         HttpResponseStatus.valueOf(status),
-                        omitBody ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(content),
+                        bodyOmitted(status)
+                                ? Unpooled.EMPTY_BUFFER
+                                : Unpooled.wrappedBuffer(content),
                         headers,
                         DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
         finishRequest(persistent);
     }
 
+    /** Returns whether the current response has no body, whatever length its head states. */
+    private boolean bodyOmitted(int status) {
+        return exchange.request().method().equals(HttpMethod.HEAD)
+                || status == HttpResponseStatus.NOT_MODIFIED.code();
+    }
+
     /**
      * {@inheritDoc}
      *
@@ -319,8 +332,16 @@
 
     private void sendHead(
             int status, HttpHeaders headers, ResponseFraming framing, boolean keepAlive) {
-        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+        bodyOmitted = !closed && bodyOmitted(status);
+        if (bodyOmitted) {
+            setConnectionHeader(headers, keepAlive && !server.draining());
+            send(
+                    new DefaultHttpResponse(
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers));
+            return;
+        }
+        headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (framing == ResponseFraming.CHUNKED) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else if (socket instanceof TcpSocket tcp && !closed) {
@@ -340,6 +361,9 @@
     }
 
     private void sendPiece(byte[] piece) {
+        if (bodyOmitted) {
+            return;
+        }
         if (plainChunks && !closed) {
             writeBytes(Chunk.encode(piece));
         } else {
