End lists of the directory that go round in circles

A list goes on behind the name of a page's last entry. An entry without a name, or with one that a query doesn't carry (an unpaired surrogate, a replaced byte), led back to a page that had been read: the list never ended, its promises and entries filled stack and heap. An empty page before the last one ended the list instead, so that all entries behind it seemed to be removed.

A list goes on behind the last name that a query carries, and fails at a page that leads nowhere or has no name that is new; what was known before stays in use.

A list of which a whole page has no usable name fails each time: a gateway that runs keeps its entries, one that starts waits.

--- a/src/main/java/org/martenwell/directory/KindListing.java
+++ b/src/main/java/org/martenwell/directory/KindListing.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.martenwell.error.ErrorKind;
+import org.martenwell.error.MartenwellException;
 
 /**
  * Complete listing of the objects of one kind.
@@ -14,9 +16,13 @@
  */
 record KindListing(Map<String, StoredEntry> entries, long revision) {
 
+    /** Character that decoders substitute for bytes that are not valid UTF-8. */
+    private static final char REPLACEMENT_CHARACTER = '\uFFFD';
+
     /**
      * Lists all objects of a kind, page by page. Objects may change while later pages are read, so
-     * the listing has the revision of the first page.
+     * the listing has the revision of the first page. Fails at a page that doesn't lead to the next
+     * one.
      *
      * @param store The store.
      * @param kind The kind.
@@ -44,19 +50,52 @@
             Freshness freshness,
             EntryPage page,
             KindListing listed) {
-        if (!page.hasMore() || page.entries().isEmpty()) {
+        if (!page.hasMore()) {
             return Promise.of(listed);
         }
-        List<StoredEntry> entries = page.entries();
-        String last = entries.get(entries.size() - 1).name();
-        return store.list(kind, Optional.of(last), freshness)
+        Optional<String> last = lastQueryableName(page.entries());
+        if (last.isEmpty()) {
+            return Promise.ofException(endless(kind));
+        }
+        return store.list(kind, last, freshness)
                 .then(
                         next -> {
+                            int size = listed.entries.size();
                             next.entries().forEach(each -> listed.entries.put(each.name(), each));
-                            return followingPages(store, kind, freshness, next, listed);
+                            return next.hasMore() && listed.entries.size() == size
+                                    ? Promise.ofException(endless(kind))
+                                    : followingPages(store, kind, freshness, next, listed);
                         });
     }
 
+    /**
+     * Returns the last name from which a list can go on. Other programs may have written names that
+     * are empty, that can't be encoded, or whose encoding was not valid UTF-8.
+     *
+     * @param entries The entries of a page.
+     * @return The name, empty if there is none.
+     */
+    private static Optional<String> lastQueryableName(List<StoredEntry> entries) {
+        return entries.stream()
+                .map(StoredEntry::name)
+                .filter(
+                        each ->
+                                !each.isEmpty()
+                                        && each.codePoints().noneMatch(KindListing::isLossy))
+                .reduce((earlier, later) -> later);
+    }
+
+    private static boolean isLossy(int codePoint) {
+        return Character.getType(codePoint) == Character.SURROGATE
+                || codePoint == REPLACEMENT_CHARACTER;
+    }
+
+    private static MartenwellException endless(String kind) {
+        return MartenwellException.of(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                "The list of " + kind + " has a page that doesn't lead to the next one.");
+    }
+
     private static KindListing firstPage(EntryPage page) {
         Map<String, StoredEntry> entries = new HashMap<>();
         page.entries().forEach(each -> entries.put(each.name(), each));
--- a/src/test/java/org/martenwell/directory/ScriptedStore.java
+++ b/src/test/java/org/martenwell/directory/ScriptedStore.java
@@ -37,6 +37,12 @@
     /** The number of list calls. */
     private int listCount;
 
+    /** The number of list calls behind which all fail. */
+    private int maxLists = Integer.MAX_VALUE;
+
+    /** The names after which lists were requested. */
+    private final List<Optional<String>> listedAfter = new ArrayList<>();
+
     /** The revisions at which watches started. */
     private final List<Long> watchedRevisions = new ArrayList<>();
 
@@ -94,6 +100,15 @@
         return listCount;
     }
 
+    /** Fails all lists behind a number of them, which ends a list of endless pages. */
+    void failBehind(int lists) {
+        maxLists = lists;
+    }
+
+    List<Optional<String>> listedAfter() {
+        return listedAfter;
+    }
+
     List<Long> watchedRevisions() {
         return watchedRevisions;
     }
@@ -101,6 +116,10 @@
     @Override
     public Promise<EntryPage> list(String kind, Optional<String> after, Freshness freshness) {
         listCount++;
+        listedAfter.add(after);
+        if (listCount > maxLists) {
+            return Promise.ofException(new IllegalStateException("Too many lists."));
+        }
         if (hangNext) {
             hangNext = false;
             hanging = new SettablePromise<>();
