Exchange reports beside a gateway with an invalid address

A gateway's entry whose peerAddress isn't an address and a port threw an IllegalArgumentException where connections are opened. It came at each report (every 40 ms), before anything was sent, so no gateway sent reports any more, and behind the list of gateways, so that this was the last one: KindPoller scheduled the next list behind its listener, without a barrier. Class: a loop whose next step depends on the step before it.

Entries without a valid address are left out, logged once per revision (entry-unreadable), and a gateway whose own entry was spoiled registers again as if it were removed. PeerNetwork doesn't connect to invalid addresses, whoever names them (the router takes them from the box list). KindPoller has the barrier that KindWatcher has; a listener that failed receives the next list.

--- a/src/main/java/org/martenwell/directory/KindPoller.java
+++ b/src/main/java/org/martenwell/directory/KindPoller.java
@@ -3,6 +3,7 @@
 import io.activej.promise.Promise;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.martenwell.service.FailureBarrier;
 import org.martenwell.service.ManagedService;
 
 /**
@@ -42,6 +43,9 @@
     /** The objects of the last accepted list. */
     private Map<String, StoredEntry> entries = Map.of();
 
+    /** Set until the listener has processed the last accepted list. */
+    private boolean unprocessed = true;
+
     /**
      * The revision of the last accepted list, negative before the first; lists with lower revisions
      * are ignored.
@@ -114,17 +118,22 @@
     }
 
     /**
-     * Applies a list, unless it is older than the last accepted one, and schedules the next.
+     * Applies a list, unless it is older than the last accepted one, and schedules the next. If the
+     * listener fails, it receives the next list, whether or not it differs.
      *
      * @param listing The list.
      */
     private void apply(KindListing listing) {
         if (listing.revision() >= revision) {
-            boolean changed = revision < 0 || !listing.entries().equals(entries);
+            boolean changed = unprocessed || !listing.entries().equals(entries);
             revision = listing.revision();
             entries = listing.entries();
             if (changed) {
-                listener.accept(Map.copyOf(entries));
+                unprocessed = false;
+                FailureBarrier.run(
+                        source.kind() + " poller",
+                        () -> listener.accept(Map.copyOf(entries)),
+                        () -> unprocessed = true);
             }
         }
         freshListsDue = Math.max(0, freshListsDue - 1);
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -21,6 +21,7 @@
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.service.IpAddress;
 import org.martenwell.version.OriginBatch;
 import org.martenwell.version.ServiceVersion;
 import org.martenwell.version.StreamOrigin;
@@ -83,11 +84,12 @@
     /** The version of the active configuration. */
     private long version;
 
-    /** The gateway entries of the last list, by name. */
+    /** The valid gateway entries of the last list, by name. */
     private Map<String, StoredEntry> members = Map.of();
 
-    /** The revisions of target entries that were reported as unreadable, by name. */
-    private final Map<String, Long> unreadable = new HashMap<>();
+    private final UnreadableEntries unreadableTargets;
+
+    private final UnreadableEntries unreadableGateways;
 
     private final long startedMillis;
 
@@ -120,6 +122,8 @@
         this.reader = reader;
         this.self = self;
         this.listener = listener;
+        this.unreadableTargets = new UnreadableEntries(listener);
+        this.unreadableGateways = new UnreadableEntries(listener);
         this.startedMillis = reactor.currentTimeMillis();
         this.joinedMillis = startedMillis;
         Random random = new Random(self.name().hashCode());
@@ -298,25 +302,12 @@
         try {
             return Optional.of(reader.target(entry.name(), entry.value()));
         } catch (MartenwellException exception) {
-            reportUnreadable(entry, exception.getMessage());
+            unreadableTargets.report(entry, exception.getMessage());
             return Optional.empty();
         }
     }
 
-    /**
-     * Reports a malformed entry to the listener, once per revision.
-     *
-     * @param entry The entry.
-     * @param reason A description of the error.
-     */
-    private void reportUnreadable(StoredEntry entry, String reason) {
-        Long reportedRevision = unreadable.put(entry.name(), entry.revision());
-        if (reportedRevision == null || reportedRevision != entry.revision()) {
-            listener.entryUnreadable(entry.name(), reason);
-        }
-    }
-
-    /** Registers this gateway again if a peer removed its entry by mistake. */
+    /** Registers this gateway again if its entry was removed by mistake or is malformed. */
     private void rejoinIfRemoved() {
         boolean graceExpired = reactor.currentTimeMillis() - joinedMillis > JOIN_GRACE_MILLIS;
         if (graceExpired && !members.containsKey(self.name())) {
@@ -399,33 +390,43 @@
         }
         for (DirectoryTarget each : TargetsWithoutStart.of(all.values())) {
             all.remove(each.id());
-            reportUnreadable(
+            unreadableTargets.report(
                     entries.get(each.id()), "The start time is missing, unlike in most entries.");
         }
-        unreadable.keySet().retainAll(entries.keySet());
+        unreadableTargets.retain(entries.keySet());
         listener.targetsChanged(all, targets.asOfMillis());
     }
 
     /**
-     * Reports all gateways to the listener, without entries that lack an address.
+     * Reports all gateways to the listener, without entries that lack a valid address.
      *
      * @param entries All gateway entries by name.
      */
     private void applyGateways(Map<String, StoredEntry> entries) {
-        members = entries;
-        rejoinIfRemoved();
+        Map<String, StoredEntry> valid = new HashMap<>();
         Map<String, GatewayMember> all = new HashMap<>();
         for (StoredEntry each : entries.values()) {
             String address = each.value().path(PEER_ADDRESS).asText("");
-            if (!address.isEmpty()) {
-                String domain = each.value().path(FAILURE_DOMAIN).asText("");
-                double processors = each.value().path(PROCESSORS).asDouble(0);
-                int protocol = each.value().path(PROTOCOL).asInt(0);
-                all.put(
-                        each.name(),
-                        new GatewayMember(each.name(), domain, address, processors, protocol));
+            if (IpAddress.parse(address).isPresent()) {
+                valid.put(each.name(), each);
+                all.put(each.name(), member(each, address));
+            } else {
+                unreadableGateways.report(
+                        each, "Field " + PEER_ADDRESS + " must be an IP address and a port.");
             }
         }
+        unreadableGateways.retain(entries.keySet());
+        members = valid;
+        rejoinIfRemoved();
         listener.membersChanged(all);
     }
+
+    private static GatewayMember member(StoredEntry entry, String address) {
+        return new GatewayMember(
+                entry.name(),
+                entry.value().path(FAILURE_DOMAIN).asText(""),
+                address,
+                entry.value().path(PROCESSORS).asDouble(0),
+                entry.value().path(PROTOCOL).asInt(0));
+    }
 }
--- a/src/main/java/org/martenwell/peer/PeerNetwork.java
+++ b/src/main/java/org/martenwell/peer/PeerNetwork.java
@@ -65,7 +65,7 @@
 
     /**
      * Replaces the set of peers. Connections to removed peers and to changed addresses are closed;
-     * missing ones are opened.
+     * missing ones are opened, except to addresses that are invalid.
      *
      * @param addresses The peers' addresses by name.
      */
@@ -77,7 +77,9 @@
             }
         }
         for (Map.Entry<String, String> entry : addresses.entrySet()) {
-            connections.computeIfAbsent(entry.getKey(), name -> open(name, entry.getValue()));
+            if (IpAddress.parse(entry.getValue()).isPresent()) {
+                connections.computeIfAbsent(entry.getKey(), name -> open(name, entry.getValue()));
+            }
         }
     }
 
--- a/src/test/java/org/martenwell/directory/KindPollerTest.java
+++ b/src/test/java/org/martenwell/directory/KindPollerTest.java
@@ -26,6 +26,9 @@
 
     private final List<Set<String>> notifications = new ArrayList<>();
 
+    /** Set if the listener fails. */
+    private boolean failing;
+
     private long nowMillis = 1;
 
     private final Eventloop loop =
@@ -63,6 +66,14 @@
         assertThat(notifications).hasSize(2);
     }
 
+    /** A fault in what processes a list must not end the lists. */
+    @Test
+    void testPollingGoesOnAfterAFailureOfTheListener() {
+        failing = true;
+        assertThat(listsIn(MINUTE_MILLIS, 7)).isBetween(15, 30);
+        assertThat(notifications).as("each list is reported again").hasSizeGreaterThan(15);
+    }
+
     /**
      * The load that gateways put on the store by listing each other must not grow with the square
      * of the fleet.
@@ -77,6 +88,13 @@
         assertThat(listsIn(MINUTE_MILLIS, 7)).isBetween(15, 30);
     }
 
+    private void notified(Set<String> names) {
+        notifications.add(new TreeSet<>(names));
+        if (failing) {
+            throw new IllegalStateException("A fault of the listener.");
+        }
+    }
+
     /** Counts the lists that a poller makes in a period. */
     private int listsIn(long millis, int gateways) {
         String[] names = new String[gateways];
@@ -98,7 +116,7 @@
                 new KindPoller(
                         new KindSource(loop, store, "kind", new Random(1)),
                         PollInterval.GATEWAYS,
-                        entries -> notifications.add(new TreeSet<>(entries.keySet())));
+                        entries -> notified(entries.keySet()));
         poller.start();
         loop.run();
         nowMillis += REFRESH_PERMITTED_MILLIS;
--- a/src/test/java/org/martenwell/peer/PeerNetworkTest.java
+++ b/src/test/java/org/martenwell/peer/PeerNetworkTest.java
@@ -10,11 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.service.Conditions;
 import org.martenwell.service.EventLoopThread;
@@ -74,6 +77,25 @@
         }
     }
 
+    /** Guards against a peer whose invalid address ends the messages to all others. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "p", "127.0.0.1:65536", "127.0.0.1:-1", "[::1", "host:1"})
+    void testPeersAreConnectedBesideOneWithAnInvalidAddress(String invalid) throws IOException {
+        try (SilentPeer peer = new SilentPeer(new byte[FrameCodec.NONCE_BYTES])) {
+            Map<String, String> addresses = new TreeMap<>();
+            addresses.put("a", invalid);
+            addresses.put("p", peer.address());
+            addresses.put("z", invalid);
+            thread.call(
+                    () -> {
+                        network.setPeers(addresses);
+                        network.setPeers(addresses);
+                        return Promise.complete();
+                    });
+            Conditions.await(() -> network.connected("p"));
+        }
+    }
+
     /** Guards against a frame that the peer refuses to read for its size. */
     @Test
     void testMessagesThatExceedAFrameArriveInOrder() {
