Forward configurations with values that JSON can't represent

The store's documents are read leniently, what is forwarded to peers was read strictly: a number beyond the range of doubles or a NaN was written as such, so that a gateway that the store doesn't reach stayed at its configuration (the request was repeated at each report). An unpaired surrogate in a field's name threw behind the place where the version was noted, so the configuration was in force nowhere, and was not tried again although the watcher lists again for that.

--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -197,7 +197,8 @@
 
     @Override
     public void applyForwardedConfiguration(String document, String peer) {
-        applyConfiguration(Json.read(document.getBytes(StandardCharsets.UTF_8)), Optional.of(peer));
+        applyConfiguration(
+                Json.readLeniently(document.getBytes(StandardCharsets.UTF_8)), Optional.of(peer));
     }
 
     @Override
@@ -371,9 +372,9 @@
             return;
         }
         if (configuration.version() > version) {
-            version = configuration.version();
             listener.configurationChanged(
                     configuration, new String(Json.write(document), StandardCharsets.UTF_8), peer);
+            version = configuration.version();
         }
     }
 
--- a/src/main/java/org/martenwell/json/JsonTrees.java
+++ b/src/main/java/org/martenwell/json/JsonTrees.java
@@ -124,7 +124,7 @@
             case START_ARRAY -> depth > 0 ? readArray(parser, depth - 1) : skipValue(parser);
             case VALUE_STRING -> NODES.textNode(parser.getText());
             case VALUE_NUMBER_INT -> readInteger(parser);
-            case VALUE_NUMBER_FLOAT -> NODES.numberNode(parser.getDoubleValue());
+            case VALUE_NUMBER_FLOAT -> readFloat(parser);
             case VALUE_TRUE -> NODES.booleanNode(true);
             case VALUE_FALSE -> NODES.booleanNode(false);
             case VALUE_NULL -> NODES.nullNode();
@@ -156,6 +156,12 @@
         return array;
     }
 
+    /** Reads a number; one that JSON can't represent, as for its exponent, becomes {@code null}. */
+    private static JsonNode readFloat(JsonParser parser) throws IOException {
+        double value = parser.getDoubleValue();
+        return Double.isFinite(value) ? NODES.numberNode(value) : NODES.nullNode();
+    }
+
     /** Reads an integer into the smallest type that holds it. */
     private static JsonNode readInteger(JsonParser parser) throws IOException {
         if (parser.getTextLength() > MAX_DIGITS) {
@@ -172,7 +178,7 @@
         switch (value.getNodeType()) {
             case OBJECT -> writeObject(value, generator);
             case ARRAY -> writeArray(value, generator);
-            case STRING -> generator.writeString(value.textValue());
+            case STRING -> generator.writeString(encodable(value.textValue()));
             case NUMBER -> generator.writeNumber(value.asText());
             case BOOLEAN -> generator.writeBoolean(value.booleanValue());
             case NULL, MISSING -> generator.writeNull();
@@ -186,12 +192,19 @@
     private static void writeObject(JsonNode object, JsonGenerator generator) throws IOException {
         generator.writeStartObject();
         for (Map.Entry<String, JsonNode> each : object.properties()) {
-            generator.writeFieldName(each.getKey());
+            generator.writeFieldName(encodable(each.getKey()));
             write(each.getValue(), generator);
         }
         generator.writeEndObject();
     }
 
+    /** Replaces unpaired surrogates, which UTF-8 can't represent, by question marks. */
+    private static String encodable(String text) {
+        return text.chars().anyMatch(each -> Character.isSurrogate((char) each))
+                ? new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8)
+                : text;
+    }
+
     private static void writeArray(JsonNode array, JsonGenerator generator) throws IOException {
         generator.writeStartArray();
         for (JsonNode each : array) {
--- a/src/test/java/org/martenwell/json/JsonTest.java
+++ b/src/test/java/org/martenwell/json/JsonTest.java
@@ -97,6 +97,23 @@
         assertThat(tree.get(2).intValue()).isEqualTo(2);
     }
 
+    /** What a gateway forwards must be JSON, whatever it has read. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "NaN",
+                "-Infinity",
+                "1E999999999",
+                "\"\\ud800\"",
+                "{\"\\udfff\":1}",
+                "\"\\ud83d\\ude00\""
+            })
+    void testLenientlyReadValueCanBeWritten(String value) {
+        JsonNode tree = Json.readLeniently(bytes("[" + value + ",2]"));
+        JsonNode again = Json.read(Json.write(tree));
+        assertThat(again.get(1).intValue()).isEqualTo(2);
+    }
+
     @Property(tries = 500, seed = "36")
     void testLenientReadOfRandomBytesSucceedsOrReportsMalformedRequest(
             @ForAll @Size(max = 60) byte[] noise) {
