--- a/src/main/java/org/martenwell/directory/KindListing.java
+++ b/src/main/java/org/martenwell/directory/KindListing.java
@@ -19,6 +19,9 @@
     /** Character that decoders substitute for bytes that are not valid UTF-8. */
     private static final char REPLACEMENT_CHARACTER = '\uFFFD';
 
+    /** The length of a name up to which a query carries it, in characters. */
+    private static final int MAX_QUERY_LENGTH = 1_000;
+
     /**
      * Lists all objects of a kind, page by page. Objects may change while later pages are read, so
      * the listing has the revision of the first page. Fails at a page that doesn't lead to the next
@@ -70,7 +73,7 @@
 
     /**
      * Returns the last name from which a list can go on. Other programs may have written names that
-     * are empty, that can't be encoded, or whose encoding was not valid UTF-8.
+     * a query doesn't carry.
      *
      * @param entries The entries of a page.
      * @return The name, empty if there is none.
@@ -78,13 +81,16 @@
     private static Optional<String> lastQueryableName(List<StoredEntry> entries) {
         return entries.stream()
                 .map(StoredEntry::name)
-                .filter(
-                        each ->
-                                !each.isEmpty()
-                                        && each.codePoints().noneMatch(KindListing::isLossy))
+                .filter(KindListing::isQueryable)
                 .reduce((earlier, later) -> later);
     }
 
+    private static boolean isQueryable(String name) {
+        return !name.isEmpty()
+                && name.length() <= MAX_QUERY_LENGTH
+                && name.codePoints().noneMatch(KindListing::isLossy);
+    }
+
     private static boolean isLossy(int codePoint) {
         return Character.getType(codePoint) == Character.SURROGATE
                 || codePoint == REPLACEMENT_CHARACTER;
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -42,6 +42,9 @@
 
     private static final String PROTOCOL = "protocol";
 
+    /** The length of a gateway's name up to which its entry is valid, in characters. */
+    private static final int MAX_NAME_LENGTH = 256;
+
     /** The delay before a failed registration is retried, in milliseconds. */
     private static final long JOIN_RETRY_MILLIS = 500;
 
@@ -399,7 +402,7 @@
     }
 
     /**
-     * Reports all gateways to the listener, without entries that lack a valid address.
+     * Reports all gateways to the listener, without entries that lack a valid name or address.
      *
      * @param entries All gateway entries by name.
      */
@@ -408,12 +411,16 @@
         Map<String, GatewayMember> all = new HashMap<>();
         for (StoredEntry each : entries.values()) {
             String address = each.value().path(PEER_ADDRESS).asText("");
-            if (IpAddress.parse(address).isPresent()) {
+            boolean named = !each.name().isEmpty() && each.name().length() <= MAX_NAME_LENGTH;
+            if (named && IpAddress.parse(address).isPresent()) {
                 valid.put(each.name(), each);
                 all.put(each.name(), member(each, address));
             } else {
                 unreadableGateways.report(
-                        each, "Field " + PEER_ADDRESS + " must be an IP address and a port.");
+                        each,
+                        "A name and a field "
+                                + PEER_ADDRESS
+                                + " with an IP address and a port are required.");
             }
         }
         unreadableGateways.retain(entries.keySet());
--- a/src/test/java/org/martenwell/directory/KindListingTest.java
+++ b/src/test/java/org/martenwell/directory/KindListingTest.java
@@ -34,6 +34,14 @@
                 .containsExactly(Optional.empty(), Optional.of("b"), Optional.of("c"));
     }
 
+    @Test
+    void testListGoesOnBeforeANameThatIsTooLongForAQuery() {
+        store.willReturn(1, true, "a", "b", "x".repeat(100_000));
+        store.willReturn(1, false, "x".repeat(100_000), "y");
+        assertThat(list().getResult().entries()).hasSize(4);
+        assertThat(store.listedAfter()).containsExactly(Optional.empty(), Optional.of("b"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "\ud800", "\ufffd"})
     void testListThatCannotGoOnFails(String odd) {
