Read an invalid configuration of the router's platform once

The router watched for what follows its active version. While an invalid configuration is stored, such a watch returns it at once: the router called the platform in a tight loop, logged configuration-invalid each time and validated the document on its event loop until a valid one was stored. It watches for what follows the newest version that was offered.

--- a/src/main/java/org/martenwell/router/PlatformFollower.java
+++ b/src/main/java/org/martenwell/router/PlatformFollower.java
@@ -47,6 +47,12 @@
     /** Time of the last successful call, or a time long before the start. */
     private long lastResponseAt = Long.MIN_VALUE / 2;
 
+    /**
+     * The newest version that was offered, valid or not. A watch for what follows the active
+     * version returns an invalid one at once, again and again.
+     */
+    private long offeredVersion;
+
     private long watchDelayMillis = INITIAL_DELAY_MILLIS;
 
     private long boxesDelayMillis = INITIAL_DELAY_MILLIS;
@@ -120,7 +126,8 @@
             schedule(WATCH_CHECK_MILLIS, this::watch);
             return;
         }
-        platform.watch(ConfigurationStore.KIND, store.version(), WATCH_TIMEOUT_MILLIS)
+        long after = Math.max(store.version(), offeredVersion);
+        platform.watch(ConfigurationStore.KIND, after, WATCH_TIMEOUT_MILLIS)
                 .whenResult(
                         objects -> {
                             recordResponse();
@@ -158,6 +165,7 @@
     }
 
     private void offer(StoredObject object) {
+        offeredVersion = Math.max(offeredVersion, object.version());
         store.offer(object.version(), new String(object.value(), StandardCharsets.UTF_8));
     }
 
