Leave out boxes that the platform lists wrongly

The router read the box list into records as a whole: one box with another role, a missing field or a number too large failed the list, each time, so that it followed no box any more (routers that join, targets that drain). An address that can't be parsed threw behind the list.

Boxes are read one by one; those without a valid address or another field are left out, and their number is logged when it changes (boxes-unreadable). A document that is no array fails as before.

--- a/src/main/java/org/martenwell/objects/HttpPlatform.java
+++ b/src/main/java/org/martenwell/objects/HttpPlatform.java
@@ -7,6 +7,8 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 import org.martenwell.error.Outcome;
@@ -16,6 +18,8 @@
 import org.martenwell.http.HeaderFields;
 import org.martenwell.json.Json;
 import org.martenwell.json.JsonDocuments;
+import org.martenwell.observe.LogEvent;
+import org.martenwell.service.IpAddress;
 
 /**
  * Client of the platform over HTTP: {@code /objects/KIND/NAME} with entity tags as versions (RFC
@@ -23,6 +27,8 @@
  */
 public final class HttpPlatform implements Platform {
 
+    private static final Logger LOGGER = LogManager.getLogger(HttpPlatform.class);
+
     /** Timeout of a call; a watch adds its waiting time. */
     private static final long TIMEOUT_MILLIS = 2_000;
 
@@ -34,6 +40,9 @@
 
     private long callCount;
 
+    /** The number of malformed boxes in the last list. */
+    private int malformedBoxes;
+
     /**
      * Creates a client.
      *
@@ -76,7 +85,44 @@
     @Override
     public Promise<List<Box>> boxes() {
         return call(HttpMethod.GET, "/boxes", List.of(), NO_BODY, TIMEOUT_MILLIS)
-                .map(response -> List.of(Json.read(response.body(), Box[].class)));
+                .map(response -> parseBoxes(response.body()));
+    }
+
+    /** Parses a box list, without the boxes that are malformed. */
+    private List<Box> parseBoxes(byte[] body) {
+        JsonNode list = Json.readLeniently(body);
+        if (!list.isArray()) {
+            throw MartenwellException.of(
+                    ErrorKind.PLATFORM_UNAVAILABLE, "The box list of the platform is no array.");
+        }
+        List<Box> boxes = new ArrayList<>();
+        for (JsonNode each : list) {
+            parseBox(each).ifPresent(boxes::add);
+        }
+        int malformed = list.size() - boxes.size();
+        if (malformed != malformedBoxes) {
+            malformedBoxes = malformed;
+            LOGGER.warn(LogEvent.of("boxes-unreadable").with("count", malformed).message());
+        }
+        return boxes;
+    }
+
+    private static Optional<Box> parseBox(JsonNode item) {
+        try {
+            Box box = Json.read(Json.write(item), Box.class);
+            return Optional.ofNullable(box).filter(HttpPlatform::isComplete);
+        } catch (MartenwellException malformed) {
+            return Optional.empty();
+        }
+    }
+
+    private static boolean isComplete(Box box) {
+        return box.name() != null
+                && box.role() != null
+                && box.failureDomain() != null
+                && box.state() != null
+                && box.address() != null
+                && IpAddress.parse(box.address()).isPresent();
     }
 
     @Override
