Bound the number of values in an entry of the directory

An object or array below the levels of the document that has more than 100,000 values becomes null, as one that is nested too deeply. JsonTest failed before.

--- a/src/main/java/org/martenwell/json/JsonTrees.java
+++ b/src/main/java/org/martenwell/json/JsonTrees.java
@@ -5,13 +5,9 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParseException;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -43,17 +39,6 @@
                                     .build())
                     .build();
 
-    /** The maximum nesting depth in lenient mode; values nested more deeply become {@code null}. */
-    private static final int MAX_DEPTH = 64;
-
-    /**
-     * The maximum number of digits of an integer in lenient mode; strict parsers enforce a limit of
-     * their own.
-     */
-    private static final int MAX_DIGITS = 1_000;
-
-    private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
-
     private JsonTrees() {}
 
     /**
@@ -66,7 +51,7 @@
     static JsonNode read(byte[] bytes) throws IOException {
         try (JsonParser parser = FACTORY.createParser(bytes)) {
             parser.nextToken();
-            JsonNode root = readValue(parser, Integer.MAX_VALUE);
+            JsonNode root = TreeReader.unlimited(parser).read();
             if (parser.nextToken() != null) {
                 throw new JsonParseException(
                         parser, "Unexpected content after the end of the document.");
@@ -87,7 +72,7 @@
         String text = new String(bytes, StandardCharsets.UTF_8);
         try (JsonParser parser = LENIENT.createParser(text)) {
             parser.nextToken();
-            JsonNode root = readValue(parser, MAX_DEPTH);
+            JsonNode root = TreeReader.limited(parser).read();
             if (parser.nextToken() != null) {
                 throw new JsonParseException(
                         parser, "Unexpected content after the end of the document.");
@@ -111,69 +96,6 @@
         return bytes.toByteArray();
     }
 
-    /**
-     * Reads the value at the parser's current token; levels below the depth become {@code null}.
-     */
-    private static JsonNode readValue(JsonParser parser, int depth) throws IOException {
-        JsonToken token = parser.currentToken();
-        if (token == null) {
-            throw new JsonParseException(parser, "The document is empty.");
-        }
-        return switch (token) {
-            case START_OBJECT -> depth > 0 ? readObject(parser, depth - 1) : skipValue(parser);
-            case START_ARRAY -> depth > 0 ? readArray(parser, depth - 1) : skipValue(parser);
-            case VALUE_STRING -> NODES.textNode(parser.getText());
-            case VALUE_NUMBER_INT -> readInteger(parser);
-            case VALUE_NUMBER_FLOAT -> readFloat(parser);
-            case VALUE_TRUE -> NODES.booleanNode(true);
-            case VALUE_FALSE -> NODES.booleanNode(false);
-            case VALUE_NULL -> NODES.nullNode();
-            default -> throw new JsonParseException(parser, "Expected a value.");
-        };
-    }
-
-    /** Skips the current object or array and returns a null node. */
-    private static JsonNode skipValue(JsonParser parser) throws IOException {
-        parser.skipChildren();
-        return NODES.nullNode();
-    }
-
-    private static ObjectNode readObject(JsonParser parser, int depth) throws IOException {
-        ObjectNode object = NODES.objectNode();
-        while (parser.nextToken() == JsonToken.FIELD_NAME) {
-            String name = parser.currentName();
-            parser.nextToken();
-            object.set(name, readValue(parser, depth));
-        }
-        return object;
-    }
-
-    private static ArrayNode readArray(JsonParser parser, int depth) throws IOException {
-        ArrayNode array = NODES.arrayNode();
-        while (parser.nextToken() != JsonToken.END_ARRAY) {
-            array.add(readValue(parser, depth));
-        }
-        return array;
-    }
-
-    /** Reads a number; one that JSON can't represent, as for its exponent, becomes {@code null}. */
-    private static JsonNode readFloat(JsonParser parser) throws IOException {
-        double value = parser.getDoubleValue();
-        return Double.isFinite(value) ? NODES.numberNode(value) : NODES.nullNode();
-    }
-
-    /** Reads an integer into the smallest type that holds it. */
-    private static JsonNode readInteger(JsonParser parser) throws IOException {
-        if (parser.getTextLength() > MAX_DIGITS) {
-            return NODES.nullNode();
-        }
-        return switch (parser.getNumberType()) {
-            case INT -> NODES.numberNode(parser.getIntValue());
-            case LONG -> NODES.numberNode(parser.getLongValue());
-            default -> NODES.numberNode(parser.getBigIntegerValue());
-        };
-    }
-
     private static void write(JsonNode value, JsonGenerator generator) throws IOException {
         switch (value.getNodeType()) {
             case OBJECT -> writeObject(value, generator);
--- a/src/test/java/org/martenwell/json/JsonTest.java
+++ b/src/test/java/org/martenwell/json/JsonTest.java
@@ -97,6 +97,20 @@
         assertThat(tree.get(2).intValue()).isEqualTo(2);
     }
 
+    /** A list may be long, but one of its entries must not fill the heap. */
+    @Test
+    void testLenientReadSkipsValuesWithManyParts() {
+        String small = "{\"name\":\"a\",\"spec\":{\"x\":1}}";
+        String large =
+                "{\"name\":\"b\",\"spec\":{\"x\":[" + "[],".repeat(1_000_000) + "{}],\"y\":2}}";
+        String list = (small + ",").repeat(100_000) + large + "," + small;
+        JsonNode items = Json.readLeniently(bytes("{\"items\":[" + list + "]}")).get("items");
+        assertThat(items).hasSize(100_002);
+        assertThat(items.get(100_000))
+                .isEqualTo(Json.read(bytes("{\"name\":\"b\",\"spec\":{\"x\":null,\"y\":2}}")));
+        assertThat(items.get(100_001)).isEqualTo(items.get(0));
+    }
+
     /** What a gateway forwards must be JSON, whatever it has read. */
     @ParameterizedTest
     @ValueSource(
