Keep HEAD apart from other methods on connections to targets

Callers got 502 where the target had answered with 200, if a second response to GET came where that to HEAD was due.

Cause: the end of a second response was judged by the method of the request that awaited its response: the body of a second response to GET was taken for the next head, and a second response to HEAD was given a body of the length that it states.

Change: a connection carries HEAD requests alone, or none.

--- a/src/main/java/org/martenwell/exchange/ConnectionHistory.java
+++ b/src/main/java/org/martenwell/exchange/ConnectionHistory.java
@@ -1,5 +1,6 @@
 package org.martenwell.exchange;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.Arrays;
 import java.util.Optional;
 
@@ -21,16 +22,21 @@
 
     private int requests;
 
+    /** Set if the requests have the method HEAD. */
+    private boolean headOnly;
+
     /** Creates the history of a new connection. */
     ConnectionHistory() {}
 
     /**
      * Adds a request.
      *
+     * @param method The method, which the connection allows.
      * @param id The id that its responses name, or empty if they name none.
      */
-    void add(Optional<String> id) {
+    void add(HttpMethod method, Optional<String> id) {
         requests++;
+        headOnly = method.equals(HttpMethod.HEAD);
         if (id.isPresent()) {
             if (identified == hashes.length) {
                 hashes = Arrays.copyOf(hashes, 2 * identified);
@@ -44,6 +50,18 @@
         return requests;
     }
 
+    /**
+     * Returns whether the connection can carry a request with a method. Responses to HEAD have no
+     * body whatever their heads state, so the end of a second response to a request is known only
+     * among requests that are HEAD all, or none of them.
+     *
+     * @param method The method.
+     * @return {@code false} if the end of a second response would not be known.
+     */
+    boolean allows(HttpMethod method) {
+        return requests == 0 || headOnly == method.equals(HttpMethod.HEAD);
+    }
+
     /** {@return {@code true} if the connection can carry no further request} */
     boolean full() {
         return requests >= MAX_REQUESTS;
--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -139,7 +139,7 @@
      * @param responseListener Receives the response.
      */
     public void send(OutboundRequest request, ResponseListener responseListener) {
-        history.add(responseListener.requestId());
+        history.add(request.method(), responseListener.requestId());
         listener = responseListener;
         guard.run(() -> write(request));
     }
--- a/src/main/java/org/martenwell/exchange/TargetConnections.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnections.java
@@ -3,6 +3,7 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -68,7 +69,7 @@
      */
     public void send(
             OutboundRequest request, ResponseListener listener, Consumer<TargetConnection> opened) {
-        Optional<TargetConnection> connection = takeIdle(listener);
+        Optional<TargetConnection> connection = takeIdle(request.method(), listener);
         if (connection.isPresent()) {
             sendOnConnection(connection.get(), request, listener, opened);
         } else {
@@ -80,16 +81,17 @@
      * Removes the first idle connection that can carry a request, and closes unusable ones before
      * it.
      *
+     * @param method The method of the request.
      * @param listener Receives the response to the request.
      * @return The connection, or empty if none can carry the request.
      */
-    private Optional<TargetConnection> takeIdle(ResponseListener listener) {
+    private Optional<TargetConnection> takeIdle(HttpMethod method, ResponseListener listener) {
         List<TargetConnection> skipped = new ArrayList<>(0);
         TargetConnection taken = null;
         for (TargetConnection each = idle.poll(); each != null; each = idle.poll()) {
             if (!each.usable()) {
                 each.cancel();
-            } else if (listener.accepts(each.history())) {
+            } else if (each.history().allows(method) && listener.accepts(each.history())) {
                 taken = each;
                 break;
             } else {
--- a/src/test/java/org/martenwell/exchange/ConnectionHistoryTest.java
+++ b/src/test/java/org/martenwell/exchange/ConnectionHistoryTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -15,7 +16,7 @@
         for (int index = 0; index < ConnectionHistory.MAX_REQUESTS; index++) {
             assertThat(history.full()).isFalse();
             assertThat(history.contains("request-" + index)).isFalse();
-            history.add(Optional.of("request-" + index));
+            history.add(HttpMethod.GET, Optional.of("request-" + index));
         }
         assertThat(history.full()).isTrue();
         assertThat(history.contains("request-0")).isTrue();
@@ -24,7 +25,7 @@
 
     @Test
     void testRequestsWithoutIdAreCounted() {
-        history.add(Optional.empty());
+        history.add(HttpMethod.GET, Optional.empty());
         assertThat(history.requests()).isEqualTo(1);
         assertThat(history.contains("")).isFalse();
     }
