Report malformed held requests once, and names briefly

Malformed objects of held requests were logged again with each list in which anything had changed, now once per revision like other entries. A name is logged up to 256 characters. A time beyond 64 bits was taken for another one, which may never expire; it is malformed.

QuarantinedRequestStoreTest: both new cases failed before.

--- a/src/main/java/org/martenwell/directory/QuarantinedRequestJson.java
+++ b/src/main/java/org/martenwell/directory/QuarantinedRequestJson.java
@@ -69,7 +69,7 @@
      */
     static Optional<QuarantinedRequest> read(StoredEntry entry) {
         JsonNode value = entry.value();
-        if (!value.path(SINCE).isIntegralNumber()) {
+        if (!value.path(SINCE).isIntegralNumber() || !value.path(SINCE).canConvertToLong()) {
             return Optional.empty();
         }
         return Fingerprint.parse(entry.name())
--- a/src/main/java/org/martenwell/directory/QuarantinedRequestStore.java
+++ b/src/main/java/org/martenwell/directory/QuarantinedRequestStore.java
@@ -38,6 +38,8 @@
 
     private final KindPoller poller;
 
+    private final UnreadableEntries unreadable;
+
     /** The requests whose write has not succeeded yet. */
     private final Set<Fingerprint> unwritten = new HashSet<>();
 
@@ -64,6 +66,7 @@
         this.store = store;
         this.kind = kind;
         this.listener = listener;
+        this.unreadable = new UnreadableEntries(listener);
         this.clock = clock;
         this.poller =
                 new KindPoller(
@@ -142,14 +145,14 @@
         for (StoredEntry each : entries.values()) {
             Optional<QuarantinedRequest> request = QuarantinedRequestJson.read(each);
             if (request.isEmpty()) {
-                listener.entryUnreadable(
-                        each.name(), "The object is not a valid quarantined request.");
+                unreadable.report(each, "The object is not a valid quarantined request.");
             } else if (request.get().sinceMillis() < expiredBefore) {
                 remove(each.name(), Optional.of(each.revision()));
             } else {
                 quarantined.put(request.get().fingerprint(), request.get());
             }
         }
+        unreadable.retain(entries.keySet());
         listener.quarantinedRequestsChanged(quarantined);
     }
 
--- a/src/main/java/org/martenwell/directory/UnreadableEntries.java
+++ b/src/main/java/org/martenwell/directory/UnreadableEntries.java
@@ -7,6 +7,9 @@
 /** Reports the malformed entries of one kind to the listener, each once per revision. */
 final class UnreadableEntries {
 
+    /** The length of a name up to which it is reported, in characters. */
+    private static final int MAX_NAME_LENGTH = 256;
+
     private final DirectoryListener listener;
 
     /** The revisions that were reported, by name. */
@@ -30,7 +33,9 @@
     void report(StoredEntry entry, String reason) {
         Long former = reported.put(entry.name(), entry.revision());
         if (former == null || former != entry.revision()) {
-            listener.entryUnreadable(entry.name(), reason);
+            String name = entry.name();
+            String start = name.substring(0, Math.min(name.length(), MAX_NAME_LENGTH));
+            listener.entryUnreadable(start, reason);
         }
     }
 
--- a/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
+++ b/src/test/java/org/martenwell/directory/QuarantinedRequestStoreTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import java.math.BigInteger;
 import java.time.Clock;
 import java.time.Instant;
 import java.time.ZoneOffset;
@@ -89,6 +90,34 @@
         assertThat(listener.unreadable).hasSize(3);
     }
 
+    /** Each list in which anything has changed must not log all malformed objects again. */
+    @Test
+    void testMalformedObjectIsReportedOnceAndBriefly() {
+        store.objects.put("x".repeat(100_000), JsonNodeFactory.instance.objectNode());
+        start();
+        requests.quarantine(request(NOW_MILLIS));
+        for (int step = 0; step < 100; step++) {
+            advance(1_000);
+        }
+        assertThat(listener.requests).containsOnlyKeys(HARMFUL);
+        assertThat(listener.unreadable).hasSize(1).allMatch(each -> each.length() <= 256);
+    }
+
+    /** A time beyond 64 bits, taken for another one, would never expire. */
+    @Test
+    void testTimeOutOfRangeIsMalformed() {
+        store.objects.put(
+                HARMFUL.toString(),
+                JsonNodeFactory.instance
+                        .objectNode()
+                        .put(
+                                "sinceMillis",
+                                BigInteger.TWO.pow(62).multiply(BigInteger.valueOf(5))));
+        start();
+        assertThat(listener.requests).isEmpty();
+        assertThat(listener.unreadable).hasSize(1);
+    }
+
     @Test
     void testRequestWithExpiredQuarantineIsRemoved() {
         requests.quarantine(request(NOW_MILLIS - Quarantine.QUARANTINE_MILLIS - 1));
