List the targets before a stream's version counts as gone

Callers whose streams had begun at a new version were told version_gone, which they don't repeat, though the version served: at a gateway that had stood still or was cut off from the store during the release.

Cause: peers and the store tell of a release in no order. The gateway had the stream's version from a peer before the version's targets from the store, and took the absence of targets in its older list for their end.

If no listed target of a known version takes requests, the targets are listed first. By a list that was requested behind the read of the request the stream goes on or is refused for good, as before; if none comes in time, it is refused with stream_unknown (version_unlisted) and may be tried elsewhere. Lists on request are 0.25 s apart instead of 0.3 s and are waited for by four rounds instead of three, since a search could end before the list that it needs.

--- a/src/main/java/org/martenwell/gateway/CallerInquiry.java
+++ b/src/main/java/org/martenwell/gateway/CallerInquiry.java
@@ -8,8 +8,11 @@
 /** Search for the version of a stream that a caller resumes. Decides whether it continues. */
 final class CallerInquiry implements PendingInquiry {
 
-    /** The rounds in which the directory has to list its targets. */
-    private static final int LIST_ROUNDS = 3;
+    /**
+     * The rounds in which the directory has to list its targets, the first of which may be short;
+     * longer than the interval of lists.
+     */
+    private static final int LIST_ROUNDS = 4;
 
     /** The rounds after which peers are asked for a stream that the directory's list may tell. */
     private static final int ROUNDS_BEFORE_PEERS = 1;
@@ -78,15 +81,9 @@
 
     @Override
     public boolean resolve() {
-        Optional<ResumedStream> found =
-                inquiry.attempt().flatMap(each -> known.find(each, clock.getAsLong()));
+        Optional<ResumedStream> found = known();
         if (found.isPresent()) {
-            if (found.get().version().isKnown()) {
-                accept(found.get());
-            } else {
-                refuse(StreamRefusal.CONTRADICTORY);
-            }
-            return true;
+            return resolve(found.get());
         }
         Optional<ServiceVersion> only = onlyVersion();
         if (only.isPresent() && window.isListedAfter(sinceMillis)) {
@@ -110,8 +107,26 @@
         return false;
     }
 
+    /** Continues a stream of a known version, once that is known to be served or to have gone. */
+    private boolean resolve(ResumedStream stream) {
+        if (!stream.version().isKnown()) {
+            refuse(StreamRefusal.CONTRADICTORY);
+        } else if (window.serves(stream.version()) || window.isListedAfter(sinceMillis)) {
+            accept(stream);
+        } else if (inquiry.hasLasted(LIST_ROUNDS)) {
+            refuse(StreamRefusal.VERSION_UNLISTED);
+        } else {
+            refresh.run();
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public boolean denied() {
+        if (known().isPresent()) {
+            return false;
+        }
         Optional<ServiceVersion> only = onlyVersion();
         if (only.isPresent() && isListOverdue() && peers.inContact()) {
             // A peer's notice of another version precedes its answer.
@@ -128,12 +143,17 @@
     /** {@inheritDoc} A list serves all searches at once, so peers are asked if it takes long. */
     @Override
     public boolean asksPeers() {
-        return onlyVersion().isEmpty() || inquiry.hasLasted(ROUNDS_BEFORE_PEERS);
+        return known().isEmpty()
+                && (onlyVersion().isEmpty() || inquiry.hasLasted(ROUNDS_BEFORE_PEERS));
     }
 
     @Override
     public void expired() {
-        refuse(StreamRefusal.PEERS_SILENT);
+        refuse(known().isPresent() ? StreamRefusal.VERSION_UNLISTED : StreamRefusal.PEERS_SILENT);
+    }
+
+    private Optional<ResumedStream> known() {
+        return inquiry.attempt().flatMap(each -> known.find(each, clock.getAsLong()));
     }
 
     /** Returns the only version at which the stream can have begun, empty if it isn't known. */
--- a/src/main/java/org/martenwell/gateway/StreamRefusal.java
+++ b/src/main/java/org/martenwell/gateway/StreamRefusal.java
@@ -21,6 +21,9 @@
     /** What was listed is not known for as long as the stream may last. */
     HISTORY_TOO_SHORT(ErrorKind.STREAM_UNKNOWN, RetryDelay.CAPACITY),
 
+    /** No target of the version is listed here, where the list may be old. */
+    VERSION_UNLISTED(ErrorKind.STREAM_UNKNOWN, RetryDelay.ELSEWHERE),
+
     /** No target of the version accepts requests any more. */
     VERSION_GONE(ErrorKind.VERSION_GONE, RetryDelay.NONE),
 
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -39,7 +39,7 @@
     private static final long DEADLINE_MILLIS_PER_ROUND = 200;
 
     /** The least interval of lists of the targets on request, in milliseconds. */
-    private static final long REFRESH_INTERVAL_MILLIS = 300;
+    private static final long REFRESH_INTERVAL_MILLIS = 250;
 
     /** The time after which a list is requested anew, since a refresh abandons it. */
     private static final long REFRESH_TIMEOUT_MILLIS = 1_000;
--- a/src/main/java/org/martenwell/gateway/VersionWindow.java
+++ b/src/main/java/org/martenwell/gateway/VersionWindow.java
@@ -20,6 +20,9 @@
 
     private final ListedVersions listed = new ListedVersions();
 
+    /** The versions of the targets in the last list that accept requests. */
+    private Set<ServiceVersion> serving = Set.of();
+
     private long retentionMillis;
 
     /** The time as of which the directory's list of targets is current, in milliseconds. */
@@ -59,7 +62,14 @@
     boolean list(Collection<DirectoryTarget> targets, long asOfMillis, long now) {
         listedAsOfMillis = asOfMillis;
         Set<ServiceVersion> versions = new HashSet<>();
-        targets.forEach(each -> versions.add(new ServiceVersion(each.service(), each.version())));
+        serving = new HashSet<>();
+        for (DirectoryTarget each : targets) {
+            ServiceVersion version = new ServiceVersion(each.service(), each.version());
+            versions.add(version);
+            if (!each.draining()) {
+                serving.add(version);
+            }
+        }
         return listed.update(versions, now, 2 * retentionMillis);
     }
 
@@ -122,6 +132,16 @@
         return listed.history(now).coveredMillis() >= retentionMillis;
     }
 
+    /**
+     * Returns whether targets of a version accept requests, by the last list.
+     *
+     * @param version The version.
+     * @return {@code true} if one does.
+     */
+    boolean serves(ServiceVersion version) {
+        return serving.contains(version);
+    }
+
     /** {@return the time as of which the last list is current, in milliseconds} */
     long listedAsOfMillis() {
         return listedAsOfMillis;
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -422,6 +422,45 @@
         assertThat(found).containsExactly(Optional.of(new ResumedStream(OLD, OriginSource.PEER)));
     }
 
+    /** A peer tells of the stream before the directory tells of the version's targets. */
+    @Test
+    void testStreamOfAVersionThatIsNotListedYetWaitsForTheList() {
+        ServiceVersion second = new ServiceVersion("s", "v2");
+        advance(LONG_MILLIS);
+        find();
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), second)), true);
+        versions.denied("p", List.of(StreamOrigin.key("a")));
+        advance(STEP_MILLIS);
+        assertThat(found).isEmpty();
+        assertThat(peers.refreshes).isEqualTo(1);
+        versions.list(List.of(TARGET.withVersion("v1"), TARGET.withVersion("v2")), nowMillis);
+        assertThat(found)
+                .containsExactly(Optional.of(new ResumedStream(second, OriginSource.PEER)));
+    }
+
+    /** A caller that is told that the version has gone does not come back. */
+    @Test
+    void testVersionIsNotTakenForGoneByAnOldList() {
+        advance(LONG_MILLIS);
+        versions.learn(
+                List.of(new StreamOrigin(StreamOrigin.key("a"), new ServiceVersion("s", "v2"))),
+                true);
+        find();
+        advance(LIST_MILLIS);
+        assertThat(refusals).containsExactly(StreamRefusal.VERSION_UNLISTED);
+    }
+
+    /** The dispatch refuses the request at once then. */
+    @Test
+    void testVersionIsTakenForGoneByAListBehindTheRequest() {
+        ServiceVersion gone = new ServiceVersion("s", "v0");
+        advance(LONG_MILLIS);
+        versions.learn(List.of(new StreamOrigin(StreamOrigin.key("a"), gone)), true);
+        find();
+        versions.list(List.of(TARGET.withVersion("v1")), nowMillis + 1);
+        assertThat(found).containsExactly(Optional.of(new ResumedStream(gone, OriginSource.PEER)));
+    }
+
     @Test
     void testNothingIsSentWhileThereIsOneVersion() {
         versions.began("a", TARGET.withVersion("v1"), GatewayCores.route(400));
