Keep back only what can be the head of a further response

Cause: the filter kept back up to 8 KB behind a status line, also where a head was impossible, and searched kept text again for each piece.

Change: the text must be a prefix of a head, with CRLF and fields, to be kept back; it is read with a pattern without backtracking, within 8 KB. A failure without framing ends behind 1 s of silence, not 0.5 s, since what its target sends later is lost.

--- a/src/main/java/org/martenwell/exchange/FurtherResponseFilter.java
+++ b/src/main/java/org/martenwell/exchange/FurtherResponseFilter.java
@@ -13,20 +13,18 @@
 
 /**
  * Separates a close-delimited body from a further response that the target sends behind it on a
- * connection that it doesn't close. What looks like the begin of a response is kept back until its
- * head is complete or can't be one.
+ * connection that it doesn't close. What can be the begin of a head is kept back until the head is
+ * complete or can't be one.
  */
 final class FurtherResponseFilter {
 
     private static final int MAX_HEAD_BYTES = 8_192;
 
-    /** A status line up to its code, or the part of it that the text ends with. */
-    private static final Pattern STATUS_LINE =
+    /** A head up to the empty line, with possessive quantifiers, so that it is read once. */
+    private static final Pattern HEAD =
             Pattern.compile(
-                    "HTTP/1\\.[01] ([1-5][0-9]{2})[ \\r]"
-                            + "|H(?:T(?:T(?:P(?:/(?:1(?:\\.(?:[01](?: (?:[1-5][0-9]{0,2})?)?)?)?)?)?)?)?)?$");
-
-    private static final String HEAD_END = "\r\n\r\n";
+                    "HTTP/1\\.[01] ([1-5][0-9]{2})(?: [^\\r\\n]*+)?\\r\\n"
+                            + "(?:[!#$%&'*+.^_`|~0-9A-Za-z-]++:[^\\r\\n]*+\\r\\n)*+\\r\\n");
 
     /** Tells whether a head is one of the target's. */
     private final Predicate<HttpResponse> recognised;
@@ -75,18 +73,17 @@
     }
 
     private int endOfBody(String text) {
-        Matcher line = STATUS_LINE.matcher(text);
-        for (int from = 0; line.find(from); from = line.start() + 1) {
-            int headEnd = text.indexOf(HEAD_END, line.start());
-            if (headEnd < 0 && text.length() - line.start() <= MAX_HEAD_BYTES) {
-                return line.start();
-            }
-            if (headEnd >= 0 && line.group(1) != null) {
-                int status = Integer.parseInt(line.group(1));
-                found = recognised.test(head(status, text.substring(line.start(), headEnd)));
-            }
-            if (found) {
-                return line.start();
+        Matcher head = HEAD.matcher(text);
+        for (int start = text.indexOf('H'); start >= 0; start = text.indexOf('H', start + 1)) {
+            int limit = Math.min(text.length(), start + MAX_HEAD_BYTES);
+            head.region(start, limit);
+            if (head.lookingAt()) {
+                found = recognised.test(head(Integer.parseInt(head.group(1)), head.group()));
+                if (found) {
+                    return start;
+                }
+            } else if (head.hitEnd() && limit == text.length()) {
+                return start;
             }
         }
         return text.length();
--- a/src/main/java/org/martenwell/gateway/SilentResponseEnd.java
+++ b/src/main/java/org/martenwell/gateway/SilentResponseEnd.java
@@ -10,7 +10,7 @@
 final class SilentResponseEnd {
 
     /** The silence that ends the response, in milliseconds. */
-    private static final long SILENCE_MILLIS = 500;
+    private static final long SILENCE_MILLIS = 1_000;
 
     private final GatewayCore core;
 
--- a/src/test/java/org/martenwell/exchange/FurtherResponseFilterTest.java
+++ b/src/test/java/org/martenwell/exchange/FurtherResponseFilterTest.java
@@ -39,6 +39,20 @@
         }
     }
 
+    /** An event of a stream may name the protocol. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "data: HTTP/1.1 200 OK\n\n",
+                "HTTP/1.1 200 OK\r\nno header\r\n",
+                "HTTP/1.1 600 OK\r\n",
+                "HTTP/2 200\r\n",
+            })
+    void testBodyThatCanBeNoHeadIsNotKeptBack(String body) {
+        assertThat(text(filter.receive(body.getBytes(StandardCharsets.ISO_8859_1))))
+                .isEqualTo(body);
+    }
+
     @Test
     void testHeadWithoutEndIsPassedOn() {
         String body = "HTTP/1.1 200 OK\r\n" + "x".repeat(10_000);
