--- a/src/main/java/org/martenwell/exchange/ResponseMatch.java
+++ b/src/main/java/org/martenwell/exchange/ResponseMatch.java
@@ -14,8 +14,8 @@
     },
 
     /**
-     * The response names no request. It is that to the request if the connection has carried no
-     * other one.
+     * The request or the response has no id. The response is that to the request if the connection
+     * has carried no other one.
      */
     UNIDENTIFIED(false) {
         @Override
@@ -51,7 +51,7 @@
      * @return The match.
      */
     public static ResponseMatch of(Optional<String> request, Optional<String> response) {
-        if (response.isEmpty()) {
+        if (request.isEmpty() || response.isEmpty()) {
             return UNIDENTIFIED;
         }
         return response.equals(request) ? SAME : OTHER;
