Bound the requests to targets that respond with failures

Change: such a target gets one request of a gateway at a time, and none that it failed before. A suspension for a refusal lasts as long as before. A response that fails is passed on if no target is left for another attempt, in place of a failure of the gateway's own.

--- a/src/main/java/org/martenwell/balance/TargetHealth.java
+++ b/src/main/java/org/martenwell/balance/TargetHealth.java
@@ -31,6 +31,9 @@
     /** Set while the last failure was a complete response. */
     private boolean responding;
 
+    /** The end of the time for which the target asked or was found to be another one. */
+    private long refusedUntil;
+
     /** The time of the last outcome, in milliseconds. */
     private long changedMillis;
 
@@ -45,6 +48,7 @@
     public void succeeded(long now) {
         consecutiveFailures = 0;
         suspendedUntil = 0;
+        refusedUntil = 0;
         failureRate = failureRate(now) * (1 - SMOOTHING);
         changedMillis = now;
     }
@@ -96,7 +100,7 @@
      * @param millis The length of the suspension, in milliseconds.
      */
     public void suspend(long now, long millis) {
-        responding = false;
+        refusedUntil = Math.max(refusedUntil, now + millis);
         suspendedUntil = Math.max(suspendedUntil, now + millis);
     }
 
@@ -108,7 +112,7 @@
      * @return {@code true} unless it is suspended for another reason than its last response.
      */
     public boolean mayBeTried(long now) {
-        return responding || isAvailable(now);
+        return isAvailable(now) || (responding && now >= refusedUntil);
     }
 
     /**
--- a/src/main/java/org/martenwell/balance/TargetLoad.java
+++ b/src/main/java/org/martenwell/balance/TargetLoad.java
@@ -194,6 +194,11 @@
         }
     }
 
+    /** {@return the number of this gateway's requests at the target} */
+    public int runningRequests() {
+        return running.size();
+    }
+
     /**
      * Replaces the load of a peer by its latest report.
      *
--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -236,7 +236,10 @@
             health(from).succeeded(core.now());
             sender.recordPlainResponse(from, responseMillis);
         }
-        if (failure && request.route().repeatable() && request.takeRetry()) {
+        if (failure
+                && request.route().repeatable()
+                && sender.mayTryAgain()
+                && request.takeRetry()) {
             history.markPossiblyRun();
             sender.trySend();
         } else if (RequestCompletion.promisesNotRun(status)) {
--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -165,8 +165,8 @@
 
     /**
      * Returns the targets that the request can be sent to now: those that were not tried, else all,
-     * else those that fail but respond. A request that may not be repeated is sent to the first
-     * alone.
+     * else untried ones that fail but respond. A request that may not be repeated is sent to the
+     * first alone.
      */
     private List<TargetLoad> availableTargets(long now) {
         List<TargetLoad> untried = core.targets().available(selector, history.triedTargets(), now);
@@ -174,7 +174,14 @@
             return untried;
         }
         List<TargetLoad> available = core.targets().available(selector, Set.of(), now);
-        return available.isEmpty() ? core.targets().lastResort(selector, now) : available;
+        return available.isEmpty()
+                ? core.targets().lastResort(selector, history.triedTargets(), now)
+                : available;
+    }
+
+    /** {@return {@code true} if another attempt can be sent to a target now} */
+    boolean mayTryAgain() {
+        return !availableTargets(core.now()).isEmpty();
     }
 
     /** Cancels the attempt in progress and ends the request, whose deadline has passed. */
--- a/src/main/java/org/martenwell/gateway/TargetTable.java
+++ b/src/main/java/org/martenwell/gateway/TargetTable.java
@@ -402,13 +402,17 @@
 
     /**
      * Returns the targets that a request which may be repeated can be sent to if none is available.
+     * Each gets one request of this gateway at a time.
      *
      * @param selector Selects the targets that may serve the request.
+     * @param tried The ids of the targets that the request was sent to.
      * @param now The current time, in milliseconds.
-     * @return The targets, those included that are suspended for failures that they responded with.
+     * @return The targets that are suspended for failures that they responded with.
      */
-    List<TargetLoad> lastResort(TargetSelector selector, long now) {
-        return select(selector, Set.of(), health -> health.mayBeTried(now), now);
+    List<TargetLoad> lastResort(TargetSelector selector, Collection<String> tried, long now) {
+        List<TargetLoad> targets = select(selector, tried, health -> health.mayBeTried(now), now);
+        targets.removeIf(each -> each.runningRequests() > 0);
+        return targets;
     }
 
     private List<TargetLoad> select(
--- a/src/test/java/org/martenwell/balance/TargetHealthTest.java
+++ b/src/test/java/org/martenwell/balance/TargetHealthTest.java
@@ -62,13 +62,14 @@
         }
         assertThat(health.isAvailable(0)).isFalse();
         assertThat(health.mayBeTried(0)).isTrue();
-        health.suspend(0, 400);
-        assertThat(health.mayBeTried(0)).isFalse();
-        health.respondedWithFailure(0);
         health.failed(0);
         assertThat(health.mayBeTried(0)).isFalse();
         health.respondedWithFailure(0);
         health.connectFailed(0);
         assertThat(health.mayBeTried(0)).isFalse();
+        health.suspend(0, 400);
+        health.respondedWithFailure(0);
+        assertThat(health.mayBeTried(399)).isFalse();
+        assertThat(health.mayBeTried(400)).isTrue();
     }
 }
