Fail attempts whose response stands behind one without framing

Callers got 504 at their deadline if a second response to an earlier request had neither a length nor chunks: it took the response behind it for its body.

Change: the attempt fails at once; a request that may be repeated is sent again. RepeatedResponseTest expects the status and the body of the first response to requests that fail, too. A connection whose response ended while it was paused is read again (review: not reached by requests).

--- a/src/main/java/org/martenwell/exchange/TargetConnection.java
+++ b/src/main/java/org/martenwell/exchange/TargetConnection.java
@@ -293,7 +293,12 @@
         reusable = reusable && match.reusable();
         if (!match.accepted(history.requests())) {
             listener.discarded(responseHead, match);
-            discard();
+            if (framingOf(responseHead).showsTruncation()) {
+                discard();
+            } else {
+                // The response that is awaited could not be told from the body of this one.
+                fail(ResponseFailure.MALFORMED);
+            }
             return;
         }
         reusable =
@@ -381,6 +386,7 @@
         ResponseFraming framing = matching ? framingOf(head) : ResponseFraming.NO_BODY;
         head = null;
         discarding = false;
+        paused = false;
         if (matching && listener != null) {
             ResponseListener done = listener;
             listener = null;
