Leave the silence behind a failure without framing to one timer

Callers got 502 in place of their target's failure, in one of two runs of RepeatedResponseTest beside load 9.

Cause: the silence that ends a failure without framing had become 1 s, as long as the one after which a request that may be repeated is sent again for a silent target; if that came first, the attempt was cancelled and its response lost.

Change: a target is not silent in the second sense behind such a failure.

Measured: testFailureWithoutFramingReachesItsCaller, 2 of 4 cases failed in one run before; 4 of 4 in three runs and 121 of 121 with the classes around it now.

--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -379,8 +379,12 @@
 
     /**
      * Records a failure of a silent target, and retries the request elsewhere if that is allowed.
+     * The silence behind a close-delimited failure is left to {@link SilentResponseEnd}.
      */
     private void targetSilent(SendAttempt silentAttempt, Silence silence) {
+        if (relay.closeDelimitedFailure()) {
+            return;
+        }
         health(silentAttempt).failed(core.now());
         if (request.route().repeatable() && request.takeRetry()) {
             core.log().attempts().silent(request.requestId(), targetId(silentAttempt), silence);
