Log the requests whose connections end without a response

Cause: connection-closed said nothing of the request that a connection served, nor of requests that a closing connection reads and discards, and had no line where the caller closed. Change: ClosedConnection carries the headers of an unanswered request and the lost bytes (LostBytes); connection-closed has its id and discardedBytes, also for caller_left, response_complete and unread; requests_unanswered_REASON counts. No change of behaviour.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.martenwell.service.StepGuard;
 
 /**
@@ -141,6 +142,12 @@
     /** Response bytes handed to the socket whose write hasn't completed. */
     private int unwrittenBytes;
 
+    /** The bytes that were read and discarded during a graceful close. */
+    private long discardedBytes;
+
+    /** The headers of the request being served, or {@code null}. */
+    private HttpHeaders servedHeaders;
+
     private boolean closed;
 
     /** The end of a graceful close whose caller doesn't close, or {@code null}. */
@@ -472,6 +479,7 @@
 
     private void processBytes(ByteBuf bytes) {
         if (state == ConnectionState.CLOSING) {
+            discardedBytes += bytes.readRemaining();
             bytes.recycle();
             read();
             return;
@@ -551,6 +559,7 @@
                         HttpUtil.isKeepAlive(head),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
         responseBegun = false;
+        servedHeaders = head.headers();
         if (inputEnded()) {
             abort(CloseReason.CALLER_LEFT);
         } else if (refusalReason != null) {
@@ -659,6 +668,7 @@
      */
     private void finishRequest(boolean persistent) {
         exchange = null;
+        servedHeaders = null;
         if (!persistent) {
             closeGracefully();
             return;
@@ -784,7 +794,9 @@
         if (!closed) {
             ClosedConnection connection =
                     announced != null && reason == closeReason ? announced : observe(reason);
-            connection = connection.withBytes(unreadBytes(), unwrittenBytes);
+            connection =
+                    connection.withBytes(
+                            new LostBytes(unreadBytes(), unwrittenBytes, discardedBytes));
             closed = true;
             state = ConnectionState.CLOSING;
             decoder.release();
@@ -801,7 +813,13 @@
         long ageMillis = reactor.currentTimeMillis() - stateSinceMillis;
         long responsiveMillis = server.clock().millis() - responsiveSinceMillis;
         return new ClosedConnection(
-                reason, state, ageMillis, ageMillis - responsiveMillis, 0, 0, limits);
+                reason,
+                state,
+                ageMillis,
+                ageMillis - responsiveMillis,
+                LostBytes.NONE,
+                limits,
+                responseBegun ? Optional.empty() : Optional.ofNullable(servedHeaders));
     }
 
     private int unreadBytes() {
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -156,7 +156,14 @@
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
         log.metrics().registerGauge("connections_refused_unread", callers::refusedUnread);
         log.metrics().registerGauge("defects", Defects::count);
-        callers.onClose(log::connectionClosed);
+        callers.onClose(
+                closed ->
+                        log.connectionClosed(
+                                closed,
+                                () ->
+                                        closed.unanswered()
+                                                .map(core.dialect()::read)
+                                                .flatMap(RequestMetadata::requestId)));
         core.loopLag().observeUnread(callers::unreadMillis);
         this.readiness =
                 new CallerServer(
--- a/src/main/java/org/martenwell/gateway/GatewayLog.java
+++ b/src/main/java/org/martenwell/gateway/GatewayLog.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.activej.reactor.nio.NioReactor;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.martenwell.exchange.ClosedConnection;
@@ -136,23 +137,34 @@
      * Records that a caller's connection was closed.
      *
      * @param closed The connection.
+     * @param requestId Provides the id of the request that it ended without a response, empty if
+     *     there is none.
      */
-    void connectionClosed(ClosedConnection closed) {
-        metrics.counter("connections_closed_" + closed.reason().label()).inc();
-        if (closed.unreadBytes() > 0) {
+    void connectionClosed(ClosedConnection closed, Supplier<Optional<String>> requestId) {
+        String reason = closed.reason().label();
+        metrics.counter("connections_closed_" + reason).inc();
+        if (closed.bytes().unread() > 0) {
             metrics.counter("connections_closed_unread").inc();
         }
-        if (closed.reason().unannounced() && closeLogger.mayWrite()) {
-            closeLogger.write(
+        if (closed.unanswered().isPresent()) {
+            metrics.counter("requests_unanswered_" + reason).inc();
+        }
+        if (closed.notable() && closeLogger.mayWrite()) {
+            LogEvent event =
                     LogEvent.of("connection-closed")
-                            .with("reason", closed.reason().label())
+                            .with("reason", reason)
                             .with("state", closed.state().label())
                             .with("stateMillis", closed.stateMillis())
                             .with("lateMillis", closed.lateMillis())
-                            .with("unreadBytes", closed.unreadBytes())
-                            .with("unwrittenBytes", closed.unwrittenBytes())
+                            .with("unreadBytes", closed.bytes().unread())
+                            .with("unwrittenBytes", closed.bytes().unwritten())
+                            .with("discardedBytes", closed.bytes().discarded())
                             .with("headerTimeoutMillis", closed.limits().headerTimeoutMillis())
-                            .with("idleTimeoutMillis", closed.limits().idleTimeoutMillis()));
+                            .with("idleTimeoutMillis", closed.limits().idleTimeoutMillis());
+            if (closed.unanswered().isPresent()) {
+                event.with("request", requestId.get().orElse(""));
+            }
+            closeLogger.write(event);
         }
     }
 
--- a/src/test/java/org/martenwell/exchange/ConnectionCloseReasonTest.java
+++ b/src/test/java/org/martenwell/exchange/ConnectionCloseReasonTest.java
@@ -28,11 +28,13 @@
 
     private final BlockingQueue<ClosedConnection> closed = new LinkedBlockingQueue<>();
 
+    private final BlockingQueue<CallerExchange> waiting = new LinkedBlockingQueue<>();
+
     private CallerServer server;
 
     @BeforeEach
     void start() {
-        server = new CallerServer(thread.loop(), address, ConnectionCloseReasonTest::handle);
+        server = new CallerServer(thread.loop(), address, this::handle);
         server.onClose(closed::add);
         server.setLimits(new ConnectionLimits(1_024, 2_048, 300, 300));
         thread.call(server::start);
@@ -52,7 +54,7 @@
             assertThat(connection.reason()).isEqualTo(CloseReason.IDLE_TIMEOUT);
             assertThat(connection.state()).isEqualTo(ConnectionState.IDLE);
             assertThat(connection.stateMillis()).isGreaterThanOrEqualTo(300);
-            assertThat(connection.unreadBytes()).isZero();
+            assertThat(connection.bytes().unread()).isZero();
         }
     }
 
@@ -82,6 +84,40 @@
         assertThat(next().reason()).isEqualTo(CloseReason.CALLER_LEFT);
     }
 
+    @Test
+    void testRequestWithoutAResponseIsReported() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send("GET /wait HTTP/1.1|Host: x|Name: n||");
+            waiting.take();
+        }
+        ClosedConnection connection = next();
+        assertThat(connection.reason()).isEqualTo(CloseReason.CALLER_LEFT);
+        assertThat(connection.unanswered()).map(each -> each.get("Name")).contains("n");
+        assertThat(connection.notable()).isTrue();
+    }
+
+    @Test
+    void testRequestWithAResponseIsNotReportedAsUnanswered() throws Exception {
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send(REQUEST).readUntil("answer");
+        }
+        ClosedConnection connection = next();
+        assertThat(connection.unanswered()).isEmpty();
+        assertThat(connection.notable()).isFalse();
+    }
+
+    @Test
+    void testRequestBehindAnAnnouncedCloseIsReported() throws Exception {
+        String last = "GET /a HTTP/1.1|Host: x|Connection: close||";
+        try (RawHttpClient client = new RawHttpClient(address)) {
+            client.send(last).readUntil("answer");
+            client.send(REQUEST).readAll();
+        }
+        ClosedConnection connection = next();
+        assertThat(connection.bytes().discarded()).isPositive();
+        assertThat(connection.notable()).isTrue();
+    }
+
     @Test
     void testAnnouncedCloseIsReported() throws Exception {
         try (RawHttpClient client = new RawHttpClient(address)) {
@@ -129,8 +165,10 @@
         return connection;
     }
 
-    private static void handle(CallerExchange exchange) {
-        if (exchange.request().path().equals("/abort")) {
+    private void handle(CallerExchange exchange) {
+        if (exchange.request().path().equals("/wait")) {
+            waiting.add(exchange);
+        } else if (exchange.request().path().equals("/abort")) {
             exchange.abort();
         } else {
             exchange.respond(
