Keep connections open behind streams whose heads said so

What callers saw: a request sent on a kept connection behind a stream that spans the begin of a graceful shutdown got neither a response nor a refusal. Cause: the head of a stream states whether the connection stays open, but its end decided it anew by whether the server drains by then. The connection was closed unannounced, and requests that arrived with, before or right behind the end of the stream were read and discarded. Change: the end of a response keeps to what its head stated. The next response announces the close, and closeIdle closes connections without a next request.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -125,6 +125,9 @@
     /** Set once a response to the request being served is passed to the socket. */
     private boolean responseBegun;
 
+    /** Set if the head of the current response says that the connection closes behind it. */
+    private boolean closeStated;
+
     /** Set while a response in chunks is sent whose pieces need no codec. */
     private boolean plainChunks;
 
@@ -383,7 +386,7 @@
         guard.run(
                 () -> {
                     send(LastHttpContent.EMPTY_LAST_CONTENT);
-                    finishRequest(keepAlive && !server.draining());
+                    finishRequest(keepAlive && !closeStated);
                 });
     }
 
@@ -407,6 +410,7 @@
     private void setConnectionHeader(HttpHeaders headers, boolean persistent) {
         headers.remove(HttpHeaderNames.CONNECTION);
         headers.remove(KEEP_ALIVE);
+        closeStated = !persistent;
         if (persistent) {
             server.keepAliveSeconds()
                     .ifPresent(seconds -> headers.set(KEEP_ALIVE, "timeout=" + seconds));
