Refuse connections beyond the limit also before their request has arrived

What callers saw: at the limit of connections, a new connection was closed without a word if its request arrived a moment behind the accept; one whose request came with it got 503. Cause: the refusal was bound to what had arrived when the connection was accepted. Change: such a connection gets the 503 that connections get which aren't read in time, and a graceful close, so the request is refused when it arrives. Changed check: testConnectionWithARequestIsNotReplaced wanted a close without a response for the connection beyond the limit; it wants a whole 503 with Connection: close and no reset now, which is stricter for callers.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -64,7 +64,7 @@
     /** The response to a request that was lost before it was processed. */
     private static final byte[] REFUSAL = emptyResponse("503 Service Unavailable");
 
-    /** The response on a connection that is not read since too many others wait. */
+    /** The response on a connection of which no request is processed since there are too many. */
     private static final byte[] UNREAD_REFUSAL =
             emptyResponse("503 Service Unavailable\r\nretry-after: 0.1");
 
@@ -257,19 +257,28 @@
     }
 
     /**
-     * Accepts the request that has arrived with the connection only to refuse it. Without one, the
-     * connection is closed at once.
+     * Accepts the request that arrives on a new connection only to refuse it, also if it has not
+     * arrived yet.
      *
      * @param reason The reason.
      */
     void refuse(CloseReason reason) {
+        refusalReason = reason;
         start();
-        endWithRefusal(reason);
+        if (state == ConnectionState.IDLE && !readArrived()) {
+            refuseUnread(reason);
+        } else {
+            endWithRefusal(reason);
+        }
     }
 
-    /** Refuses whatever request arrives on a new connection, and closes it gracefully. */
-    void refuseUnread() {
-        closeReason = CloseReason.UNREAD;
+    /**
+     * Refuses whatever request arrives on a new connection, and closes it gracefully.
+     *
+     * @param reason The reason.
+     */
+    void refuseUnread(CloseReason reason) {
+        closeReason = reason;
         writeBytes(ByteBuf.wrapForReading(UNREAD_REFUSAL.clone()));
         closeGracefully();
     }
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -365,7 +365,7 @@
         makeRoomForRefusal();
         CallerConnection connection = new CallerConnection(reactor, socket, this);
         refusedConnections.add(connection);
-        connection.refuseUnread();
+        connection.refuseUnread(CloseReason.UNREAD);
     }
 
     private void read(ITcpSocket socket) {
--- a/src/test/java/org/martenwell/exchange/CallerServerTest.java
+++ b/src/test/java/org/martenwell/exchange/CallerServerTest.java
@@ -107,7 +107,10 @@
             busy.send("GET /wait HTTP/1.1|Host: x||");
             CallerExchange waiting = exchanges.poll(5, TimeUnit.SECONDS);
             try (RawHttpClient other = new RawHttpClient(address)) {
-                assertThat(other.readAll()).isIn("", "(reset)");
+                assertThat(other.readAll())
+                        .startsWith("HTTP/1.1 503")
+                        .containsIgnoringCase("connection: close")
+                        .doesNotContain("(reset)");
             }
             thread.call(
                     () -> {
--- a/src/test/java/org/martenwell/exchange/StoppedServerTest.java
+++ b/src/test/java/org/martenwell/exchange/StoppedServerTest.java
@@ -124,6 +124,21 @@
         }
     }
 
+    @Test
+    void testRequestBehindTheAcceptAtTheLimitIsRefused() throws Exception {
+        server.setMaxConnections(1);
+        try (RawHttpClient busy = new RawHttpClient(address)) {
+            busy.send("GET /wait HTTP/1.1|Host: x||");
+            await(() -> handled.contains("/wait"));
+            try (RawHttpClient client = new RawHttpClient(address)) {
+                BusyLoop.block(ARRIVAL_MILLIS);
+                client.send("GET /late HTTP/1.1|Host: x||");
+                assertRefused(client);
+            }
+        }
+        assertThat(handled).containsExactly("/wait");
+    }
+
     /** Guards against refused connections that use up the descriptors. */
     @Test
     void testRefusedConnectionsAreFew() throws Exception {
