Take a part of a head behind a request for a request that arrives

What callers saw: a request whose head was read in part together with the request before was lost if the limit of headers changed before its rest came (it was answered as malformed), or was closed as idle by a shutdown. Cause: only complete parts, and bytes read while a request is served, counted as a further request; the incomplete head stayed in the codec of a connection that counted as idle. Change: a connection whose codec is within a request receives a request.

--- a/src/main/java/org/martenwell/exchange/CallerCodecs.java
+++ b/src/main/java/org/martenwell/exchange/CallerCodecs.java
@@ -42,7 +42,7 @@
      * @return {@code false} if it has read a part of a request; it is still in use then.
      */
     boolean giveBack(EmbeddedChannel codec, int maxHeaderBytes) {
-        if (codec.pipeline().get(CallerRequestDecoder.class).withinRequest()) {
+        if (withinRequest(codec)) {
             return false;
         }
         if (maxHeaderBytes == headerBytes && free.size() < MAX_FREE) {
@@ -52,4 +52,14 @@
         }
         return true;
     }
+
+    /**
+     * Returns whether a codec has read a part of a request.
+     *
+     * @param codec The codec, or {@code null} for none.
+     * @return {@code true} if it has.
+     */
+    static boolean withinRequest(EmbeddedChannel codec) {
+        return codec != null && codec.pipeline().get(CallerRequestDecoder.class).withinRequest();
+    }
 }
--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -695,7 +695,7 @@
         } else {
             rest();
         }
-        if (pipelinedBytes > 0 || decoder.hasParts()) {
+        if (pipelinedBytes > 0 || decoder.hasParts() || CallerCodecs.withinRequest(codec)) {
             receive();
             reactor.postLast(guard.guarded(this::processDecodedParts));
         }
