Give requests in progress at a stop a status

What callers saw: a request in progress at the end of a shutdown's time was cut without a byte, and so was one sent within 0.15 s behind the last stream of a gateway that ends then. Cause: the stop refused requests that were arriving, but aborted those being served; a drained gateway ended as soon as nothing was in progress, also if a connection had become idle a moment before. Change: the stop has requests without a response ended by their dispatch: 503 if they were never sent, 502 if a target may have run them, 500 where nobody decides. A drain waits for 0.3 s behind the last response, the time for which closeIdle leaves connections open for a request on its way. Changed check: testAnswerAfterTheStopIsNoDefect wanted the cut; it wants 500 with Connection: close, no later response and no reset now, which is stricter.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -221,6 +221,16 @@
         return state == ConnectionState.IDLE && restingSinceMillis <= millis;
     }
 
+    /**
+     * Checks for a minimum idle time that is not over.
+     *
+     * @param millis The time on the event loop's clock, in milliseconds.
+     * @return {@code true} if the connection is idle, but not since this time.
+     */
+    boolean idleLaterThan(long millis) {
+        return state == ConnectionState.IDLE && !idleSince(millis);
+    }
+
     /**
      * Ends the connection if it exceeds the idle timeout between requests, the header timeout while
      * it receives a request, or the idle timeout without taking a byte of a complete response. A
@@ -287,8 +297,8 @@
     }
 
     /**
-     * Closes the connection. A request that has arrived and wasn't passed on is refused, and the
-     * close is graceful then.
+     * Closes the connection. A request that has arrived and wasn't passed on is refused, one that
+     * is served and has no response yet gets a status, and the close is graceful then.
      */
     void stop() {
         endWithRefusal(CloseReason.STOP);
@@ -298,11 +308,25 @@
         refusalReason = reason;
         closeIfSilent(reason);
         refuseIfIncomplete(reason, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        if (state == ConnectionState.SERVING && !responseBegun) {
+            endServed(reason);
+        }
         if (state != ConnectionState.CLOSING) {
             abort(reason);
         }
     }
 
+    /** Ends the request being served, of which no response has begun, with a status. */
+    private void endServed(CloseReason reason) {
+        CallerExchange served = exchange;
+        closeReason = reason;
+        served.serverStopped();
+        if (state == ConnectionState.SERVING && !responseBegun) {
+            rejectUncoded(reason, FAILURE);
+            served.callerDisconnected();
+        }
+    }
+
     @Override
     public void respond(int status, HttpHeaders headers, byte[] content, boolean keepAlive) {
         guard.run(() -> sendWhole(status, headers, content, keepAlive));
@@ -600,9 +624,9 @@
     private void endWithFailure() {
         if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
             // What was read may be a request, which is lost.
-            rejectUncoded(REFUSAL);
+            rejectUncoded(CloseReason.DEFECT, REFUSAL);
         } else if (state == ConnectionState.SERVING && !responseBegun) {
-            rejectUncoded(FAILURE);
+            rejectUncoded(CloseReason.DEFECT, FAILURE);
         } else {
             abort(CloseReason.DEFECT);
         }
@@ -669,10 +693,11 @@
     /**
      * Responds and closes the connection without the codec, which may have failed.
      *
+     * @param reason The reason for the close.
      * @param response The bytes of the response.
      */
-    private void rejectUncoded(byte[] response) {
-        closeReason = CloseReason.DEFECT;
+    private void rejectUncoded(CloseReason reason, byte[] response) {
+        closeReason = reason;
         responseBegun = true;
         writeBytes(ByteBuf.wrapForReading(response.clone()));
         finishRequest(false);
--- a/src/main/java/org/martenwell/exchange/CallerExchange.java
+++ b/src/main/java/org/martenwell/exchange/CallerExchange.java
@@ -23,6 +23,8 @@
 
     private Runnable disconnectListener = () -> {};
 
+    private Runnable stopListener = () -> {};
+
     /** Set once the response head is sent. */
     private boolean headSent;
 
@@ -93,6 +95,15 @@
         disconnectListener = listener;
     }
 
+    /**
+     * Sets the action for a server that stops before a response has begun. It may respond.
+     *
+     * @param listener Called at most once, on the event loop.
+     */
+    public void onStop(Runnable listener) {
+        stopListener = listener;
+    }
+
     /**
      * Tells the channel that the request is sent to a target.
      *
@@ -221,6 +232,16 @@
         }
     }
 
+    /**
+     * Has the exchange ended because its server stops; called by the owner of the channel. It has
+     * no effect on an exchange that has finished.
+     */
+    void serverStopped() {
+        if (!finished) {
+            stopListener.run();
+        }
+    }
+
     /**
      * Ends the exchange because its caller has disconnected; called by the owner of the channel. It
      * has no effect on an exchange that has finished.
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -151,6 +151,7 @@
     @Override
     public Promise<Void> stop() {
         stopping = true;
+        draining = true;
         return server.close()
                 .then(this::closeConnections)
                 .then(timeoutChecks::stop)
@@ -234,6 +235,15 @@
                 .forEach(each -> each.closeIfSilent(CloseReason.DRAIN));
     }
 
+    /**
+     * {@return {@code true} if a connection became idle so recently that a request may be on its
+     * way}
+     */
+    public boolean expectsRequests() {
+        long before = reactor.currentTimeMillis() - MIN_IDLE_MILLIS;
+        return connections.stream().anyMatch(each -> each.idleLaterThan(before));
+    }
+
     /**
      * Sets the observer of closed connections.
      *
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -277,7 +277,8 @@
             callers.closeIdle();
         }
         readMembersIfDue();
-        boolean idle = core.activeRequests() == 0 && !callers.transferring();
+        boolean idle =
+                core.activeRequests() == 0 && !callers.transferring() && !callers.expectsRequests();
         if (timedOut || (balancerNoticed && idle)) {
             done.set(null);
         } else {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -168,6 +168,7 @@
                         history);
         sender = new RequestSender(request, stream, relay, completion);
         exchange.onDisconnect(guard.guarded(this::callerDisconnected));
+        exchange.onStop(guard.guarded(this::gatewayStops));
         deadlineTimer =
                 core.reactor()
                         .delayBackground(
@@ -243,6 +244,20 @@
         }
     }
 
+    /** Ends the request, to which no response has begun, while its caller can still be told. */
+    private void gatewayStops() {
+        if (completion.over()) {
+            return;
+        }
+        boolean neverSent = history.attempts() == 0;
+        sender.attemptHandler().cancel();
+        if (neverSent) {
+            completion.fail(ErrorKind.DRAINING, RetryDelay.ELSEWHERE);
+        } else {
+            completion.fail(ErrorKind.TARGET_FAILED, RetryDelay.NONE);
+        }
+    }
+
     private void callerDisconnected() {
         if (completion.over()) {
             return;
--- a/src/test/java/org/martenwell/exchange/StoppedServerTest.java
+++ b/src/test/java/org/martenwell/exchange/StoppedServerTest.java
@@ -170,7 +170,11 @@
             CallerExchange waiting = held.take();
             thread.call(server::stop);
             thread.loop().submit(() -> answer(waiting)).get();
-            assertThat(client.readAll()).isIn("", "(reset)");
+            assertThat(client.readAll())
+                    .startsWith("HTTP/1.1 500")
+                    .containsIgnoringCase("connection: close")
+                    .doesNotContain("/wait")
+                    .doesNotContain("(reset)");
         }
         assertThat(Defects.count()).isEqualTo(before);
     }
