Keep connections behind responses to HEAD whose heads said so

What callers saw: behind a response to HEAD whose target framed it by the end of its connection, the connection was closed though its head said that it stays open; a request sent behind it was discarded. The head of a response without a body doesn't ask the framing, its end did. Change: the end keeps to the head alone.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -422,7 +422,7 @@
         guard.run(
                 () -> {
                     send(LastHttpContent.EMPTY_LAST_CONTENT);
-                    finishRequest(keepAlive && !closeStated);
+                    finishRequest(!closeStated);
                 });
     }
 
