Keep a silent target until another one accepts the request

Callers saw streams cut while their targets were silent and all others full: the gateway cancelled the attempt 0.9 s or more into the silence and only then looked for another target. If that one refused, or none was available, RequestCompletion aborted the response that had begun, although the first target would have gone on. Other repeatable requests got a failure in the same way.

The request now goes to another target beside the silent one (BackupAttempt). The first is cancelled once the other begins a response that can go on with this one, or has not refused the request within 0.3 s: a target may run it long before it responds, and two must not run it for more than 400 ms. If the first sends before, the other is cancelled. If the other refuses or fails, or there is none, the request waits for the first until its deadline. EngineRouting keeps what it recorded of the first attempt meanwhile, so the request is charged once. AttemptOutcomes has the recording of outcomes, which both use.

Not covered: a target that refuses later than 0.3 s still costs the response if no attempt is left.

--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -1,7 +1,7 @@
 package org.martenwell.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
-import org.martenwell.balance.TargetHealth;
+import java.util.Optional;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.exchange.ResponseFailure;
@@ -12,21 +12,10 @@
  * Handler of the attempts of one request: it passes responses on to the caller, records failures of
  * targets, and has the request retried where that is allowed.
  */
-final class AttemptHandler {
-
-    /** The time for which a target that reports to be full is suspended, in milliseconds. */
-    private static final long FULL_SUSPENSION_MILLIS = 150;
-
-    /** The time for which a target that is not the intended one is suspended, in milliseconds. */
-    private static final long MISDIRECTED_SUSPENSION_MILLIS = 5_000;
-
-    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+final class AttemptHandler implements AttemptListener {
 
     private static final int FIRST_REDIRECTION_STATUS = 300;
 
-    /** The status of a target that is not the intended one. */
-    private static final int MISDIRECTED_STATUS = 421;
-
     private final GatewayCore core;
 
     private final AcceptedRequest request;
@@ -43,6 +32,11 @@
 
     private final StepGuard guard;
 
+    private final AttemptOutcomes outcomes;
+
+    /** The attempt at another target while the one in progress is silent. */
+    private final BackupAttempt backup;
+
     /** The detector of silent targets. */
     private final StallDetector stallDetector;
 
@@ -51,6 +45,9 @@
     /** The attempt in progress or {@code null}. */
     private SendAttempt attempt;
 
+    /** The silence of the attempt in progress, empty if it was not silent. */
+    private Optional<Silence> silence = Optional.empty();
+
     /**
      * Creates the handler of a request's attempts.
      *
@@ -74,18 +71,36 @@
         this.completion = completion;
         this.history = request.history();
         this.guard = request.guard();
+        this.outcomes = new AttemptOutcomes(request);
+        this.backup = new BackupAttempt(request, sender, relay, outcomes, this::backupAccepted);
         this.stallDetector = new StallDetector(core, guard, request.route(), this::targetSilent);
     }
 
     /**
-     * Begins to handle an attempt that is about to be sent.
+     * Begins to handle an attempt that is about to be sent, as a backup if another one is in
+     * progress.
      *
      * @param begun The attempt.
      */
     void begin(SendAttempt begun) {
-        attempt = begun;
-        relay.reset(begun);
-        stallDetector.watch(begun);
+        if (inProgress()) {
+            backup.begin(begun);
+        } else {
+            follow(begun);
+        }
+    }
+
+    /** Makes an attempt the one whose response is forwarded. */
+    private void follow(SendAttempt followed) {
+        attempt = followed;
+        followed.reportTo(this);
+        relay.reset(followed);
+        stallDetector.watch(followed);
+    }
+
+    /** {@return the target of the attempt in progress, empty without one} */
+    Optional<String> targetInProgress() {
+        return Optional.ofNullable(attempt).map(AttemptOutcomes::targetId);
     }
 
     /** {@return {@code true} if a response is awaited or in progress} */
@@ -94,10 +109,11 @@
     }
 
     /**
-     * Cancels the attempt in progress, if there is one, so that the target stops its work. The
-     * organisation is not charged if the target has not begun to respond.
+     * Cancels the attempts in progress, if there are any, so that their targets stop their work.
+     * The organisation is not charged if no target has begun to respond.
      */
     void cancel() {
+        backup.cancel();
         if (attempt != null) {
             sender.rollBackSent();
             core.harmful().attemptCancelled(attempt.target(), request.identity());
@@ -106,8 +122,9 @@
         }
     }
 
-    /** Cancels the attempt in progress, if there is one, after a defect of the gateway. */
+    /** Cancels the attempts in progress, if there are any, after a defect of the gateway. */
     void cancelDefective() {
+        backup.cancel();
         SendAttempt failed = attempt;
         attempt = null;
         if (failed != null) {
@@ -116,22 +133,28 @@
         }
     }
 
-    /**
-     * Handles the head of a response.
-     *
-     * @param from The attempt.
-     * @param response The head.
-     */
-    void responseStarted(SendAttempt from, HttpResponse response) {
+    @Override
+    public void responseStarted(SendAttempt from, HttpResponse response) {
+        int status = response.status().code();
         if (core.dialect().notRun(response)) {
             from.ignoreResponse();
             attempt = null;
-            refusedByTarget(from, response.status().code());
-        } else if (!core.dialect().isFromTarget(response)
-                && response.status().code() < FIRST_REDIRECTION_STATUS) {
+            refusedByTarget(from, status);
+        } else if (outcomes.isMalformed(response)) {
             from.cancel();
             attemptFailed(from, ResponseFailure.MALFORMED);
-        } else if (!relay.begin(response, request.route())) {
+        } else if (backup.isPending() && AttemptOutcomes.isFailure(status)) {
+            from.cancel();
+            outcomes.respondedUnusably(from, status);
+            takeOver();
+        } else {
+            backup.withdraw();
+            beginResponse(from, response);
+        }
+    }
+
+    private void beginResponse(SendAttempt from, HttpResponse response) {
+        if (!relay.begin(response, request.route())) {
             from.cancel();
             completion.abort();
         } else if (relay.closeDelimitedFailure()) {
@@ -139,12 +162,9 @@
         }
     }
 
-    /**
-     * Handles the arrival of the first chunk of a response body.
-     *
-     * @param from The attempt.
-     */
-    void bodyStarted(SendAttempt from) {
+    @Override
+    public void bodyStarted(SendAttempt from) {
+        backup.withdraw();
         pace.started(request.elapsedMillis());
         core.log().requests().firstChunk(request.elapsedMillis());
         if (relay.streaming()) {
@@ -153,18 +173,14 @@
         }
     }
 
-    /** Handles that a response has been in progress for a while. */
-    void responseContinues() {
+    @Override
+    public void responseContinues() {
         core.harmful().promptServed(request.identity());
     }
 
-    /**
-     * Handles a chunk of a response body.
-     *
-     * @param chunk The bytes.
-     * @return {@code false} if the response is too large.
-     */
-    boolean bodyReceived(byte[] chunk) {
+    @Override
+    public boolean bodyReceived(byte[] chunk) {
+        backup.withdraw();
         pace.received(request.elapsedMillis());
         if (relay.streaming()) {
             sender.recordEvents();
@@ -181,13 +197,12 @@
     }
 
     /**
-     * Handles the end of a response. One that is known to be truncated failed. If its framing
-     * doesn't show that, a probe tells whether the target crashed.
-     *
-     * @param from The attempt.
-     * @param framing The way in which the end of the response was determined.
+     * {@inheritDoc} A response that is known to be truncated failed. If its framing doesn't show
+     * that, a probe tells whether the target crashed.
      */
-    void responseEnded(SendAttempt from, ResponseFraming framing) {
+    @Override
+    public void responseEnded(SendAttempt from, ResponseFraming framing) {
+        backup.withdraw();
         attempt = null;
         if (relay.endedWithinEvent()) {
             attemptFailed(from, ResponseFailure.BROKEN_OFF);
@@ -229,11 +244,11 @@
      */
     private void responseCompleted(SendAttempt from, ResponseFraming framing, long responseMillis) {
         int status = relay.status();
-        boolean failure = status >= FIRST_SERVER_ERROR_STATUS;
+        boolean failure = AttemptOutcomes.isFailure(status);
         if (failure) {
-            health(from).respondedWithFailure(core.now());
+            AttemptOutcomes.health(from).respondedWithFailure(core.now());
         } else {
-            health(from).succeeded(core.now());
+            AttemptOutcomes.health(from).succeeded(core.now());
             sender.recordPlainResponse(from, responseMillis);
         }
         if (failure
@@ -254,22 +269,17 @@
                 }
             }
             relay.end();
-            completion.complete(targetId(from), status, framing, pace);
+            completion.complete(AttemptOutcomes.targetId(from), status, framing, pace);
         }
     }
 
     /** Suspends a target that refused the request without running it, and retries elsewhere. */
     private void refusedByTarget(SendAttempt from, int status) {
-        boolean misdirected = status == MISDIRECTED_STATUS;
-        logNotRun(from, misdirected ? "other" : "full");
-        sender.rollBackSent();
-        if (misdirected) {
-            core.harmful().targetCrashed(from.target(), CrashSource.ANSWER);
+        outcomes.refused(from, status);
+        if (takeOver()) {
+            return;
         }
-        health(from)
-                .suspend(
-                        core.now(),
-                        misdirected ? MISDIRECTED_SUSPENSION_MILLIS : FULL_SUSPENSION_MILLIS);
+        sender.rollBackSent();
         if (request.takeRetry()) {
             sender.trySend();
         } else {
@@ -278,40 +288,36 @@
     }
 
     /**
-     * Handles the failure of an attempt, and retries the request if that is allowed.
-     *
-     * @param from The attempt.
-     * @param failure The failure.
+     * {@inheritDoc} The backup takes its place, if there is one, else the request is retried if
+     * that is allowed.
      */
-    void attemptFailed(SendAttempt from, ResponseFailure failure) {
+    @Override
+    public void attemptFailed(SendAttempt from, ResponseFailure failure) {
         attempt = null;
-        sender.rollBackSent();
+        boolean replaced = takeOver();
+        if (!replaced) {
+            sender.rollBackSent();
+        }
         if (!failure.sent()) {
-            logNotRun(from, failure.name());
-            health(from).connectFailed(core.now());
-            if (failure == ResponseFailure.REFUSED) {
-                core.harmful().targetCrashed(from.target(), CrashSource.CONNECTION);
+            outcomes.unreachable(from, failure);
+            if (!replaced) {
+                retryUnreachable();
+            }
+            return;
+        }
+        outcomes.failed(from, failure);
+        if (replaced) {
+            if (failure != ResponseFailure.DEFECT) {
+                core.harmful().attemptFailed(from.run(), request.identity(), () -> {});
             }
-            retryUnreachable();
             return;
         }
-        core.log()
-                .attempts()
-                .failed(
-                        request.requestId(),
-                        from.target().load().target().incarnation(),
-                        failure.name(),
-                        request.identity().fingerprint());
-        history.markPossiblyRun();
         boolean repeatable =
                 request.route().repeatable()
                         && (!request.exchange().headSent() || request.route().resumable());
         if (failure == ResponseFailure.DEFECT) {
             retryDefective(repeatable);
-            return;
-        }
-        health(from).failed(core.now());
-        if (repeatable) {
+        } else if (repeatable) {
             core.harmful()
                     .attemptFailed(
                             from.run(), request.identity(), guard.guarded(this::retryFailed));
@@ -346,7 +352,6 @@
      * since nothing was sent.
      */
     private void retryUnreachable() {
-        history.recordUnreachable();
         if (history.mayTryAnotherTarget() && request.remainingMillis() > 0) {
             sender.trySend();
         } else {
@@ -354,55 +359,58 @@
         }
     }
 
-    /**
-     * Handles a target that became unavailable while the connection opened. Nothing was sent, so
-     * the request goes to another target.
-     *
-     * @param from The attempt.
-     */
-    void targetUnavailable(SendAttempt from) {
+    /** {@inheritDoc} The request goes to another target. */
+    @Override
+    public void targetUnavailable(SendAttempt from) {
         attempt = null;
-        sender.rollBackSent();
-        logNotRun(from, "closed");
-        history.withdrawAttempt();
-        sender.trySend();
+        outcomes.unavailable(from);
+        if (!takeOver()) {
+            sender.rollBackSent();
+            sender.trySend();
+        }
     }
 
-    /**
-     * Handles that the request is handed to the connection of its attempt.
-     *
-     * @param earlierRequests The requests that the connection carried before.
-     */
-    void requestWritten(int earlierRequests) {
+    @Override
+    public void requestWritten(SendAttempt from, int earlierRequests) {
         history.recordWritten(request.elapsedMillis(), earlierRequests);
     }
 
     /**
-     * Records a failure of a silent target, and retries the request elsewhere if that is allowed.
-     * The silence behind a close-delimited failure is left to {@link SilentResponseEnd}.
+     * Records a failure of a silent target, and sends the request to another one beside it if that
+     * is allowed. The silent target is left once the other one has accepted the request. The
+     * silence behind a close-delimited failure is left to {@link SilentResponseEnd}.
      */
-    private void targetSilent(SendAttempt silentAttempt, Silence silence) {
+    private void targetSilent(SendAttempt silentAttempt, Silence detected) {
         if (relay.closeDelimitedFailure()) {
             return;
         }
-        health(silentAttempt).failed(core.now());
-        if (request.route().repeatable() && request.takeRetry()) {
-            core.log().attempts().silent(request.requestId(), targetId(silentAttempt), silence);
-            history.markPossiblyRun();
-            cancel();
-            sender.trySend();
+        AttemptOutcomes.health(silentAttempt).failed(core.now());
+        if (request.route().repeatable()) {
+            silence = Optional.of(detected);
+            backup.start();
         }
     }
 
-    private void logNotRun(SendAttempt from, String cause) {
-        core.log().attempts().notRun(request.requestId(), targetId(from), cause);
-    }
-
-    private static TargetHealth health(SendAttempt of) {
-        return of.target().load().health();
+    /** Leaves the silent target, since another one has accepted the request. */
+    private AttemptListener backupAccepted() {
+        SendAttempt left = attempt;
+        silence.ifPresent(each -> outcomes.leftSilent(left, each));
+        left.cancel();
+        takeOver();
+        return this;
     }
 
-    private static String targetId(SendAttempt of) {
-        return of.target().load().target().id();
+    /**
+     * Replaces the attempt in progress, which is over, by the backup.
+     *
+     * @return {@code false} if there is none.
+     */
+    private boolean takeOver() {
+        Optional<SendAttempt> taken = backup.take();
+        if (taken.isPresent()) {
+            sender.dropKept();
+            follow(taken.get());
+        }
+        return taken.isPresent();
     }
 }
--- a/src/main/java/org/martenwell/gateway/AttemptLog.java
+++ b/src/main/java/org/martenwell/gateway/AttemptLog.java
@@ -133,6 +133,16 @@
         }
     }
 
+    /**
+     * Records an attempt that was cancelled because the silent target before it sends again.
+     *
+     * @param request The id that the caller gave to the attempt.
+     * @param target The target's id.
+     */
+    void withdrawn(String request, String target) {
+        notRun(request, target, "withdrawn");
+    }
+
     /**
      * Records an attempt that failed after the request was sent.
      *
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -72,9 +72,27 @@
     /** The engine of the attempt, by whose events its speed is estimated; empty before it. */
     private Optional<MeasuredResponse> measuredResponse = Optional.empty();
 
+    /** What was recorded of an attempt that is kept beside a later one, empty without one. */
+    private Optional<SentRecord> kept = Optional.empty();
+
     /** The charge for the request to its organisation's share, empty if there is none. */
     private Optional<ShareCharge> charge = Optional.empty();
 
+    /**
+     * What was recorded when an attempt was sent.
+     *
+     * @param assumedEntries The cache entries, empty once the response has begun.
+     * @param sampledAttempt The sample of the engine's speed, empty if it is none.
+     * @param firstEventForecastMillis The forecast time to the first event, in milliseconds, 0
+     *     without one.
+     * @param measuredResponse The response by whose events the engine's speed is estimated.
+     */
+    private record SentRecord(
+            Optional<AssumedCacheEntries> assumedEntries,
+            Optional<SampledAttempt> sampledAttempt,
+            double firstEventForecastMillis,
+            Optional<MeasuredResponse> measuredResponse) {}
+
     /**
      * Charge for a request to the share of its organisation.
      *
@@ -429,6 +447,40 @@
         charge = Optional.empty();
     }
 
+    /** Keeps what was recorded of the attempt in progress while a later one is sent beside it. */
+    void keepSent() {
+        kept =
+                Optional.of(
+                        new SentRecord(
+                                assumedEntries,
+                                sampledAttempt,
+                                firstEventForecastMillis,
+                                measuredResponse));
+        assumedEntries = Optional.empty();
+    }
+
+    /**
+     * Rolls back the cache entries of the later attempt and resumes what was kept of the attempt in
+     * progress. Has no effect if nothing was kept.
+     */
+    void resumeKept() {
+        if (kept.isEmpty()) {
+            return;
+        }
+        assumedEntries.ifPresent(AssumedCacheEntries::rollBack);
+        assumedEntries = kept.get().assumedEntries();
+        sampledAttempt = kept.get().sampledAttempt();
+        firstEventForecastMillis = kept.get().firstEventForecastMillis();
+        measuredResponse = kept.get().measuredResponse();
+        kept = Optional.empty();
+    }
+
+    /** Rolls back the cache entries of the attempt that was kept, which the later one replaces. */
+    void dropKept() {
+        kept.flatMap(SentRecord::assumedEntries).ifPresent(AssumedCacheEntries::rollBack);
+        kept = Optional.empty();
+    }
+
     private void refund(ShareCharge refunded) {
         core.shares()
                 .revertSent(
--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -44,9 +44,6 @@
     /** The routing to model engines, empty for a plain service. */
     private Optional<EngineRouting> engines = Optional.empty();
 
-    /** The requests at the target of a plain service when this one was sent, including it. */
-    private int loadWhenSent;
-
     /**
      * Creates the sender of a request.
      *
@@ -146,34 +143,78 @@
             return;
         }
         long now = core.now();
-        List<TargetLoad> available = availableTargets(now);
-        boolean all = selector.version().isEmpty() && history.triedTargets().isEmpty();
-        if (request.route().resumable() && selector.version().isEmpty()) {
-            int count = available.size();
-            available = core.streams().withoutHeldVersions(available);
-            all = all && available.size() == count;
-        }
+        List<TargetLoad> targets = availableTargets(now);
+        List<TargetLoad> available = withoutHeldVersions(targets);
         if (available.isEmpty()) {
             refuseWithoutTarget(now);
         } else if (engines.isEmpty()) {
             sendToPlainService(available, now);
         } else {
-            engines.get().seesAllEngines(all);
+            engines.get()
+                    .seesAllEngines(
+                            selector.version().isEmpty()
+                                    && history.triedTargets().isEmpty()
+                                    && available.size() == targets.size());
             sendToEngine(engines.get(), available);
         }
     }
 
     /**
-     * Returns the targets that the request can be sent to now: those that were not tried, else all,
-     * else untried ones that fail but respond. A request that may not be repeated is sent to the
-     * first alone.
+     * Sends the request to another target while the attempt in progress is kept, if one is
+     * available and the request may be retried. It is never refused here, since the attempt in
+     * progress may still serve it.
+     */
+    void trySendBackup() {
+        if (completion.over()
+                || !attemptHandler.inProgress()
+                || core.harmful().refusal(request.identity()).isPresent()) {
+            return;
+        }
+        long now = core.now();
+        List<TargetLoad> available = withoutHeldVersions(availableTargets(now));
+        if (available.isEmpty() || !request.takeRetry()) {
+            return;
+        }
+        if (engines.isEmpty()) {
+            PlainRouting routing = core.plainRouting(selector.service());
+            routing.choose(available, now)
+                    .ifPresent(load -> sendToChosenTarget(routing, load, now));
+        } else {
+            EngineRouting routing = engines.get();
+            EngineRouting.Decision decision =
+                    routing.decide(available, history.attempts(), request.route());
+            decision.choice()
+                    .ifPresent(
+                            choice -> {
+                                routing.keepSent();
+                                sendToChosenEngine(routing, choice, decision.use());
+                            });
+        }
+    }
+
+    /** Removes the targets of versions at which no stream may begin, if the request begins one. */
+    private List<TargetLoad> withoutHeldVersions(List<TargetLoad> targets) {
+        return request.route().resumable() && selector.version().isEmpty()
+                ? core.streams().withoutHeldVersions(targets)
+                : targets;
+    }
+
+    /**
+     * Returns the targets that the request can be sent to now: those that were not tried, else all
+     * but the one of an attempt in progress, else untried ones that fail but respond. A request
+     * that may not be repeated is sent to the first alone.
      */
     private List<TargetLoad> availableTargets(long now) {
         List<TargetLoad> untried = core.targets().available(selector, history.triedTargets(), now);
         if (!untried.isEmpty() || !request.route().repeatable()) {
             return untried;
         }
-        List<TargetLoad> available = core.targets().available(selector, Set.of(), now);
+        List<TargetLoad> available =
+                core.targets()
+                        .available(
+                                selector,
+                                attemptHandler.targetInProgress().map(Set::of).orElse(Set.of()),
+                                now);
         return available.isEmpty()
                 ? core.targets().lastResort(selector, history.triedTargets(), now)
                 : available;
@@ -280,7 +321,6 @@
                 .attempts()
                 .sent(request.requestId(), load.target(), history.attempts() + 1, sendTiming());
         routing.recordSent(now);
-        loadWhenSent = load.totalLoad(now).requests() + 1;
         send(load, new RunningRequest(0, 0, now, 0), Optional.empty());
     }
 
@@ -347,6 +387,16 @@
                                 copyFrom.map(each -> each.target().address())));
     }
 
+    /** Resumes what was recorded of the attempt that was kept, and rolls back the later one. */
+    void resumeKept() {
+        engines.ifPresent(EngineRouting::resumeKept);
+    }
+
+    /** Rolls back what was recorded of the attempt that was kept, in favour of the later one. */
+    void dropKept() {
+        engines.ifPresent(EngineRouting::dropKept);
+    }
+
     /** Rolls back what was recorded of an attempt at an engine that has not begun to respond. */
     void rollBackSent() {
         engines.ifPresent(EngineRouting::rollBackSent);
@@ -378,7 +428,9 @@
         if (engines.isEmpty()) {
             core.plainRouting(selector.service())
                     .recordResponse(
-                            responseMillis, loadWhenSent, from.target().load().target().slots());
+                            responseMillis,
+                            from.loadWhenSent(),
+                            from.target().load().target().slots());
         }
     }
 }
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -125,8 +125,24 @@
     boolean begin(HttpResponse response, Route route) {
         head = response;
         framing = ResponseFraming.of(exchange.request().method(), response);
-        streaming = status() == OK && route.type() == RouteType.STREAMING;
-        return streaming || !exchange.headSent();
+        streaming = isStream(response, route);
+        return mayBegin(response, route);
+    }
+
+    /**
+     * Returns whether the caller can be sent a response.
+     *
+     * @param response The head of the response.
+     * @param route The request's route.
+     * @return {@code false} if the caller already received a part of a stream that this response
+     *     does not continue.
+     */
+    boolean mayBegin(HttpResponse response, Route route) {
+        return isStream(response, route) || !exchange.headSent();
+    }
+
+    private static boolean isStream(HttpResponse response, Route route) {
+        return response.status().code() == OK && route.type() == RouteType.STREAMING;
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/SendAttempt.java
+++ b/src/main/java/org/martenwell/gateway/SendAttempt.java
@@ -40,7 +40,11 @@
 
     private final AcceptedRequest request;
 
-    private final AttemptHandler handler;
+    /** The number of requests at the target when this one was sent, including it. */
+    private final int loadWhenSent;
+
+    /** Handles the events of the attempt. */
+    private AttemptListener listener;
 
     private final KnownTarget target;
 
@@ -66,33 +70,34 @@
     /** The time at which the first chunk of the body arrived on the responsive clock. */
     private long bodyStartedMillis;
 
-    /** Set once the handler was notified that the target survived the start of its response. */
+    /** Set once the listener was notified that the target survived the start of its response. */
     private boolean survived;
 
     /** The bytes of the response that arrived since it is ignored. */
     private int ignoredBytes;
 
-    /** Set once the handler ignores further events of this attempt. */
+    /** Set once the listener ignores further events of this attempt. */
     private boolean over;
 
     /**
      * Creates an attempt.
      *
      * @param request The request.
-     * @param handler Handles the events of the attempt.
+     * @param listener Handles the events of the attempt.
      * @param target The target.
      * @param running The load that the request puts on the target.
      */
     SendAttempt(
             AcceptedRequest request,
-            AttemptHandler handler,
+            AttemptListener listener,
             KnownTarget target,
             RunningRequest running) {
         this.core = request.core();
         this.request = request;
-        this.handler = handler;
+        this.listener = listener;
         this.target = target;
         this.running = running;
+        this.loadWhenSent = target.load().totalLoad(core.now()).requests() + 1;
         this.begunMillis = core.clock().millis();
         this.lastReceivedMillis = begunMillis;
     }
@@ -107,6 +112,20 @@
         target.connections().send(head, this, this::opened);
     }
 
+    /**
+     * Sets the listener that handles all further events.
+     *
+     * @param successor The listener.
+     */
+    void reportTo(AttemptListener successor) {
+        listener = successor;
+    }
+
+    /** {@return the number of requests at the target when this one was sent, including it} */
+    int loadWhenSent() {
+        return loadWhenSent;
+    }
+
     /**
      * Returns the target of this attempt.
      *
@@ -235,7 +254,7 @@
             idleMillis = Math.max(1, statedMillis - IDLE_MARGIN_MILLIS);
         }
         if (!over) {
-            request.guard().run(() -> handler.responseStarted(this, head));
+            request.guard().run(() -> listener.responseStarted(this, head));
         }
     }
 
@@ -254,9 +273,9 @@
 
     private void forward(byte[] piece) {
         recordBodyProgress();
-        if (!handler.bodyReceived(piece) && !over) {
+        if (!listener.bodyReceived(piece) && !over) {
             cancel();
-            handler.attemptFailed(this, ResponseFailure.TOO_LARGE);
+            listener.attemptFailed(this, ResponseFailure.TOO_LARGE);
         }
     }
 
@@ -267,7 +286,7 @@
         target.load().ended(running);
         target.connections().release(connection, idleMillis);
         if (active) {
-            request.guard().run(() -> handler.responseEnded(this, framing));
+            request.guard().run(() -> listener.responseEnded(this, framing));
         }
     }
 
@@ -276,7 +295,7 @@
         if (!over) {
             over = true;
             target.load().ended(running);
-            request.guard().run(() -> handler.attemptFailed(this, failure));
+            request.guard().run(() -> listener.attemptFailed(this, failure));
         }
     }
 
@@ -289,11 +308,11 @@
             bodyStarted = true;
             bodyStartedMillis = lastReceivedMillis;
             target.load().firstEventArrived(running);
-            handler.bodyStarted(this);
+            listener.bodyStarted(this);
         } else if (!survived
                 && lastReceivedMillis - bodyStartedMillis >= HarmfulRequests.SURVIVAL_MILLIS) {
             survived = true;
-            handler.responseContinues();
+            listener.responseContinues();
         }
     }
 
@@ -310,9 +329,9 @@
             // The target may have started to drain, asked for a pause or been evacuated while the
             // connection opened, which takes up to 400 ms.
             cancel();
-            handler.targetUnavailable(this);
+            listener.targetUnavailable(this);
         } else {
-            handler.requestWritten(opened.history().requests());
+            listener.requestWritten(this, opened.history().requests());
         }
     }
 }
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -143,6 +143,33 @@
         assertThat(chargedTokens()).isEqualTo(COST);
     }
 
+    /** Guards against a refund for a request that goes on at the engine that was kept. */
+    @Test
+    void testRequestStaysChargedIfItGoesOnAtAnEngineThatWasKept() {
+        routing.recordDemand();
+        routing.recordSent(choice(loads.get(0)));
+        routing.keepSent();
+        routing.recordSent(choice(loads.get(1)));
+        routing.resumeKept();
+        assertThat(chargedTokens()).isEqualTo(COST);
+        assertThat(loads.get(0).promptCache().cachedTokens(chain)).isEqualTo(5_000);
+        assertThat(loads.get(1).promptCache().cachedTokens(chain)).isZero();
+        routing.rollBackSent();
+        assertThat(chargedTokens()).isZero();
+    }
+
+    @Test
+    void testRequestIsChargedOnceIfAnEngineThatWasKeptIsLeft() {
+        routing.recordDemand();
+        routing.recordSent(choice(loads.get(0)));
+        routing.keepSent();
+        routing.recordSent(choice(loads.get(1)));
+        routing.dropKept();
+        assertThat(chargedTokens()).isEqualTo(COST);
+        assertThat(loads.get(0).promptCache().cachedTokens(chain)).isZero();
+        assertThat(loads.get(1).promptCache().cachedTokens(chain)).isEqualTo(5_000);
+    }
+
     @Test
     void testRequestBeyondShareDoesNotUseBusyReservedEngines() {
         core.configure(GatewayCores.configuration(CAPACITY, PROMISED_TOKENS));
