Retry a stream elsewhere when its second target fails with a status

Callers saw the connection of a stream closed that had begun, when the target that was to go on with it responded with a failure (a 500, say), although attempts and the retry budget were left and another target could go on.

FailedContinuationTest: 2 of 2 failed before (the second target got the last request), 2 of 2 pass. 273 tests of the neighbours pass.

--- a/src/main/java/org/martenwell/gateway/AttemptHandler.java
+++ b/src/main/java/org/martenwell/gateway/AttemptHandler.java
@@ -156,7 +156,10 @@
     private void beginResponse(SendAttempt from, HttpResponse response) {
         if (!relay.begin(response, request.route())) {
             from.cancel();
-            completion.abort();
+            attempt = null;
+            sender.rollBackSent();
+            outcomes.respondedUnusably(from, response.status().code());
+            retryFailed();
         } else if (relay.closeDelimitedFailure()) {
             SilentResponseEnd.await(core, guard, from);
         }
