Continue admitted streams before new requests

Callers who took streams up got 429 while new streams of others began, where their organisation was beyond its share.

Cause: a request that takes a stream up was admitted anew, by shares, lead, reserve, forecast and the limits of lag and processor time, though the fleet had admitted the stream. An attempt within a response was not.

Change: a request whose stream is known takes precedence: it isn't refused by these limits (by the heap it is), is placed as within the promised share and charged to it, and waits before all new ones. An attempt that only the list of versions tells has no precedence, since any made-up name would pass; it is recorded as continued once it is sent, not before it is admitted.

--- a/src/main/java/org/martenwell/admission/ForecastQueue.java
+++ b/src/main/java/org/martenwell/admission/ForecastQueue.java
@@ -8,9 +8,10 @@
 import java.util.Optional;
 
 /**
- * Requests that wait for an engine of one service. Places are offered first to the organisation
- * that has used the least of its share, and within it to the request with the earliest latest time
- * at which it can still be in time; requests that can no longer be in time come last.
+ * Requests that wait for an engine of one service. Places are offered first to requests that
+ * continue streams, then to the organisation that has used the least of its share, and within it to
+ * the request with the earliest latest time at which it can still be in time; requests that can no
+ * longer be in time come last.
  *
  * @param <T> The type of the requests.
  */
@@ -26,6 +27,12 @@
 
     private final FailedSearches failed = new FailedSearches();
 
+    /**
+     * The failed searches of requests that continue streams, by version. They look at the engines
+     * of one version, so they tell nothing about the others.
+     */
+    private final Map<String, FailedSearches> failedAtVersions = new HashMap<>();
+
     /** The waiting requests in the order in which they are offered a place. */
     private final List<Entry<T>> entries = new ArrayList<>();
 
@@ -82,7 +89,7 @@
      * @return {@code true} if the engines need not be looked at.
      */
     public boolean skipsSearch(WaitDemand demand, WaitRank rank, long now) {
-        return !entries.isEmpty() && !rank.refused() && failed.cover(rank.need(demand, now));
+        return !entries.isEmpty() && !rank.refused() && failed(rank).cover(rank.need(demand, now));
     }
 
     /**
@@ -90,15 +97,27 @@
      *
      * @param demand The request.
      * @param rank The rank of its organisation.
-     * @param complete {@code true} if all engines of the service were looked at.
+     * @param complete {@code true} if all engines of the service were looked at, or of the version
+     *     at which the request continues a stream.
      * @param now The current time, in milliseconds.
      */
     public void searchFailed(WaitDemand demand, WaitRank rank, boolean complete, long now) {
         if (entries.isEmpty() && !offering) {
             // Without a queue there are no passes that forget earlier searches.
-            failed.clear();
+            clearFailed();
         }
-        failed.add(rank.need(demand, now), complete);
+        failed(rank).add(rank.need(demand, now), complete);
+    }
+
+    private FailedSearches failed(WaitRank rank) {
+        return rank.continued()
+                .map(each -> failedAtVersions.computeIfAbsent(each, key -> new FailedSearches()))
+                .orElse(failed);
+    }
+
+    private void clearFailed() {
+        failed.clear();
+        failedAtVersions.clear();
     }
 
     /**
@@ -113,6 +132,9 @@
     public Optional<WaitRefusal> decide(
             WaitDemand demand, WaitRank rank, boolean waited, long now) {
         int ahead = ahead(demand, rank, now);
+        if (rank.continued().isPresent()) {
+            return forecast.decideContinued(demand, ahead, ahead < MAX_WAITING, now);
+        }
         if (waited) {
             return forecast.decideAgain(demand, ahead, now);
         }
@@ -159,7 +181,7 @@
     private void endBacklogIfEmpty(long now) {
         if (entries.isEmpty() && !offering) {
             forecast.recordWaiting(0, now);
-            failed.clear();
+            clearFailed();
         }
     }
 
@@ -171,7 +193,7 @@
      * @param now The current time, in milliseconds.
      */
     public void offerPlaces(long now) {
-        failed.clear();
+        clearFailed();
         updateRanks();
         entries.sort(order(now));
         offering = true;
@@ -197,13 +219,16 @@
      * @return {@code true} if the request goes on waiting.
      */
     private boolean staysAfterOffer(Entry<T> entry, int ahead, long now) {
-        if (entry.rank.refused() || !failed.cover(entry.rank.need(entry.demand, now))) {
+        if (entry.rank.refused() || !failed(entry.rank).cover(entry.rank.need(entry.demand, now))) {
             remove(entries.indexOf(entry), now);
             int others = entries.size();
             entry.request.tryAgain();
             return entries.size() > others;
         }
-        Optional<WaitRefusal> refusal = forecast.decideAgain(entry.demand, ahead, now);
+        Optional<WaitRefusal> refusal =
+                entry.rank.continued().isPresent()
+                        ? forecast.decideContinued(entry.demand, ahead, true, now)
+                        : forecast.decideAgain(entry.demand, ahead, now);
         if (refusal.isPresent()) {
             remove(entries.indexOf(entry), now);
             entry.request.refuse(refusal.get());
@@ -211,13 +236,18 @@
         return refusal.isEmpty();
     }
 
-    /** Updates the ranks, once for each organisation, since summing up shares takes time. */
+    /**
+     * Updates the ranks of new requests, once for each organisation, since summing up shares takes
+     * time.
+     */
     private void updateRanks() {
         Map<String, WaitRank> ranks = new HashMap<>();
         for (Entry<T> each : entries) {
-            each.rank =
-                    ranks.computeIfAbsent(
-                            each.request.organisationName(), name -> each.request.rank());
+            if (each.rank.continued().isEmpty()) {
+                each.rank =
+                        ranks.computeIfAbsent(
+                                each.request.organisationName(), name -> each.request.rank());
+            }
         }
     }
 
@@ -234,6 +264,10 @@
 
     private static <T> Comparator<Entry<T>> order(long now) {
         return (one, other) -> {
+            boolean otherContinued = other.rank.continued().isPresent();
+            if (one.rank.continued().isPresent() != otherContinued) {
+                return otherContinued ? 1 : -1;
+            }
             int byUse = Double.compare(one.rank.promisedUse(), other.rank.promisedUse());
             if (byUse != 0) {
                 return byUse;
--- a/src/main/java/org/martenwell/admission/WaitForecast.java
+++ b/src/main/java/org/martenwell/admission/WaitForecast.java
@@ -109,6 +109,23 @@
                 : Optional.of(refuse(demand, ahead, now));
     }
 
+    /**
+     * Decides about a request that continues a stream. Only engines of its version can serve it, to
+     * which the rate of free places of the service doesn't apply, and it is offered each of these
+     * first; so it waits as long as it may.
+     *
+     * @param demand The request.
+     * @param ahead The number of waiting requests that are offered a place before it.
+     * @param room {@code true} if the queue has room for it.
+     * @param now The current time, in milliseconds.
+     * @return The refusal, or empty if the request waits.
+     */
+    Optional<WaitRefusal> decideContinued(WaitDemand demand, int ahead, boolean room, long now) {
+        return room && now < demand.waitEndMillis()
+                ? Optional.empty()
+                : Optional.of(refuse(demand, ahead, now));
+    }
+
     /**
      * Refuses a request and forecasts when its caller may retry.
      *
--- a/src/main/java/org/martenwell/gateway/EngineQueue.java
+++ b/src/main/java/org/martenwell/gateway/EngineQueue.java
@@ -9,9 +9,9 @@
 import org.martenwell.admission.ForecastQueue;
 
 /**
- * Requests that wait for capacity at an engine. They are retried periodically, those of the
- * organisations that have used the least of their fair share first. If requests wait by forecast,
- * {@link ForecastQueue} determines their order.
+ * Requests that wait for capacity at an engine. They are retried periodically, those that continue
+ * admitted streams first, then those of the organisations that have used the least of their share.
+ * If requests wait by forecast, {@link ForecastQueue} determines their order.
  */
 final class EngineQueue {
 
@@ -128,7 +128,9 @@
 
     private void retryInOrder() {
         List<RequestSender> order = new ArrayList<>(waiting);
-        order.sort(Comparator.comparingDouble(each -> each.shareUse().promised()));
+        order.sort(
+                Comparator.comparing((RequestSender each) -> !each.hasPrecedence())
+                        .thenComparingDouble(each -> each.shareUse().promised()));
         for (RequestSender each : order) {
             if (waiting.contains(each)) {
                 each.tryAgain();
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -31,6 +31,12 @@
     /** The fraction of the route's latency objective for which a request may wait for capacity. */
     private static final double MAX_WAIT_FRACTION = 0.2;
 
+    /**
+     * The same fraction for a request that continues an admitted stream, the one up to which
+     * requests wait by forecast. Only the engines of one version can serve it.
+     */
+    private static final double MAX_CONTINUED_WAIT_FRACTION = 0.85;
+
     /**
      * The mean lag of the event loop above which the time to the first event is no sample of an
      * engine's speed, in milliseconds. It is small against the shortest prefill that is one.
@@ -51,6 +57,9 @@
     /** Set if all engines of the service are available to the request. */
     private boolean seesAllEngines = true;
 
+    /** The version at which the request continues an admitted stream, empty for a new request. */
+    private Optional<String> continued = Optional.empty();
+
     /** The share tier of the request at the last decision. */
     private ShareTier tier = ShareTier.PROMISED;
 
@@ -230,7 +239,22 @@
      * @return The rank by the present use of its organisation's shares.
      */
     WaitRank waitRank() {
-        return EngineWait.rank(shareUse());
+        return waitRank(shareUse());
+    }
+
+    private WaitRank waitRank(ShareUse use) {
+        return continued.map(EngineWait::rankOfContinued).orElseGet(() -> EngineWait.rank(use));
+    }
+
+    /**
+     * Gives the request precedence over new ones, since it continues a stream that the fleet has
+     * admitted. It is served as if it were within the promised share of its organisation, and
+     * charged to that.
+     *
+     * @param version The version that began the stream.
+     */
+    void takePrecedence(String version) {
+        continued = Optional.of(version);
     }
 
     /** {@return the waiting by forecast, empty if the request waits for a fixed time} */
@@ -260,12 +284,14 @@
         core.targetSpeeds().ifPresent(TargetSpeeds::update);
         long now = core.now();
         ShareUse use = shareUse();
-        tier = use.tier();
-        if (use.aheadOfOthers() && attempts == 0) {
+        tier = continued.isPresent() ? ShareTier.PROMISED : use.tier();
+        if (use.aheadOfOthers() && attempts == 0 && continued.isEmpty()) {
             return new Decision(Optional.empty(), Optional.of(RefusalReason.LEAD), use);
         }
         List<TargetLoad> allowed = allowed(available);
-        boolean skips = attempts == 0 && wait.map(each -> each.skipsSearch(use, now)).orElse(false);
+        boolean skips =
+                attempts == 0
+                        && wait.map(each -> each.skipsSearch(waitRank(use), now)).orElse(false);
         Optional<EngineChoice> choice =
                 skips
                         ? Optional.empty()
@@ -285,16 +311,20 @@
         if (wait.isPresent()) {
             return decideByForecast(wait.get(), skips, use, now);
         }
-        if (now - demand.arrivedMillis() >= MAX_WAIT_FRACTION * route.objectiveMillis()) {
+        if (now - demand.arrivedMillis() >= maxWaitFraction() * route.objectiveMillis()) {
             return new Decision(choice, Optional.of(RefusalReason.ENGINES_FULL), use);
         }
         return new Decision(choice, Optional.empty(), use);
     }
 
+    private double maxWaitFraction() {
+        return continued.isPresent() ? MAX_CONTINUED_WAIT_FRACTION : MAX_WAIT_FRACTION;
+    }
+
     /** Decides whether a request that found no engine with capacity waits. */
     private Decision decideByForecast(EngineWait waiting, boolean skipped, ShareUse use, long now) {
         if (!skipped) {
-            waiting.searchFailed(seesAllEngines, now);
+            waiting.searchFailed(seesAllEngines || continued.isPresent(), now);
         }
         Optional<WaitRefusal> forecast = waiting.decide(now);
         return new Decision(
--- a/src/main/java/org/martenwell/gateway/EngineWait.java
+++ b/src/main/java/org/martenwell/gateway/EngineWait.java
@@ -73,15 +73,26 @@
                 use.aheadOfOthers() || tier == ShareTier.BEYOND);
     }
 
+    /**
+     * Returns the rank of a request that continues an admitted stream.
+     *
+     * @param version The version that began the stream.
+     * @return The rank.
+     */
+    static WaitRank rankOfContinued(String version) {
+        return WaitRank.ofContinued(
+                version, ShareTier.PROMISED.fillFraction(), ShareTier.PROMISED.waitFraction());
+    }
+
     /**
      * Returns whether the engines need not be looked at for the request, and updates its rank.
      *
-     * @param use The use that its organisation has made of its fair shares.
+     * @param current The rank as of now.
      * @param now The current time, in milliseconds.
      * @return {@code true} if none would most likely have capacity.
      */
-    boolean skipsSearch(ShareUse use, long now) {
-        rank = rank(use);
+    boolean skipsSearch(WaitRank current, long now) {
+        rank = current;
         return queue.skipsSearch(demand, rank, now);
     }
 
--- a/src/main/java/org/martenwell/gateway/OverloadLimiter.java
+++ b/src/main/java/org/martenwell/gateway/OverloadLimiter.java
@@ -78,4 +78,18 @@
         }
         return Optional.of(lag >= processor ? RefusalReason.LOOP_LAG : RefusalReason.PROCESSOR);
     }
+
+    /**
+     * Records a request that arrived and continues an admitted stream, and decides whether to
+     * refuse it. New requests make room for it, of which its organisation has to bear more.
+     *
+     * @param organisation The organisation or an empty string.
+     * @param tokens The cost of the request, in tokens, 0 without a prompt.
+     * @param now The current time, in milliseconds.
+     * @return {@link RefusalReason#HEAP} if there is no room for any request, else empty.
+     */
+    Optional<RefusalReason> refusalOfContinued(String organisation, double tokens, long now) {
+        shares.requested(organisation, tokens, now);
+        return heapFull.getAsBoolean() ? Optional.of(RefusalReason.HEAP) : Optional.empty();
+    }
 }
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -112,7 +112,8 @@
             }
         }
         completion.callerIdentified(organisation.orElse(""));
-        Optional<RefusalReason> overload = overload(organisation.orElse(""));
+        stream.callerIdentified(organisation.orElse(""));
+        Optional<RefusalReason> overload = overload(route, organisation.orElse(""));
         if (overload.isPresent()) {
             recordRefusedDemand(configuration.get(), route, organisation.orElse(""));
             completion.refuse(overload.get(), RetryDelay.ELSEWHERE);
@@ -122,16 +123,15 @@
     }
 
     /** Returns the limit of this gateway that the request exceeds, or empty. */
-    private Optional<RefusalReason> overload(String organisation) {
+    private Optional<RefusalReason> overload(Route route, String organisation) {
         if (history.mayHaveRun()) {
             // It was admitted before, and no refusal could promise that it was not run.
             return Optional.empty();
         }
-        return core.overload()
-                .refusal(
-                        organisation,
-                        metadata.generation().map(GenerationMetadata::cost).orElse(0.0),
-                        core.now());
+        double cost = metadata.generation().map(GenerationMetadata::cost).orElse(0.0);
+        return stream.takePrecedence(route)
+                ? core.overload().refusalOfContinued(organisation, cost, core.now())
+                : core.overload().refusal(organisation, cost, core.now());
     }
 
     /**
@@ -209,6 +209,7 @@
             return;
         }
         Optional<GatewayConfiguration> configuration = core.configuration();
+        stream.takePrecedence(request.route());
         Optional<ServiceVersion> version = stream.resume(lookup, request.route());
         if (version.isEmpty() || configuration.isEmpty()) {
             completion.refuse(lookup.refusal().orElse(StreamRefusal.ROUTE_CHANGED));
@@ -268,6 +269,9 @@
         if (sender != null) {
             core.queue().remove(sender);
         }
+        if (history.attempts() == 0) {
+            stream.givePrecedenceBack();
+        }
         core.harmful().end(this);
         relay.release();
         if (deadlineTimer != null) {
--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -34,6 +34,8 @@
 
     private final ResponseRelay relay;
 
+    private final RequestStream stream;
+
     private final SendHistory history;
 
     private final AttemptHandler attemptHandler;
@@ -64,6 +66,7 @@
         this.request = request;
         this.completion = completion;
         this.relay = relay;
+        this.stream = stream;
         this.history = request.history();
         this.attemptHandler = new AttemptHandler(request, this, stream, relay, completion);
     }
@@ -86,6 +89,10 @@
                         request.exchange().request().arrivedMillis(),
                         request.deadlineMillis());
         engines.ifPresent(EngineRouting::recordDemand);
+        if (stream.hasPrecedence()) {
+            targets.version()
+                    .ifPresent(version -> engines.ifPresent(each -> each.takePrecedence(version)));
+        }
         trySend();
     }
 
@@ -112,6 +119,11 @@
         return engines.map(EngineRouting::shareUse).orElse(ShareUse.NONE);
     }
 
+    /** {@return {@code true} if the request takes precedence over new ones} */
+    boolean hasPrecedence() {
+        return stream.hasPrecedence();
+    }
+
     @Override
     public String organisationName() {
         return request.organisationName();
@@ -260,15 +272,15 @@
 
     /**
      * Sends the request to a target of a plain service, or refuses it. A request that was attempted
-     * before is not refused.
+     * before or continues an admitted stream is not refused.
      *
      * @param available The targets that accept requests.
      * @param now The current time, in milliseconds.
      */
     private void sendToPlainService(List<TargetLoad> available, long now) {
         PlainRouting routing = core.plainRouting(selector.service());
-        boolean firstAttempt = history.attempts() == 0;
-        if (firstAttempt && !routing.admits(available, request.route().objectiveMillis(), now)) {
+        boolean admitted = history.attempts() > 0 || stream.hasPrecedence();
+        if (!admitted && !routing.admits(available, request.route().objectiveMillis(), now)) {
             completion.fail(ErrorKind.WAIT_TOO_LONG, RetryDelay.CAPACITY);
             return;
         }
@@ -321,6 +333,7 @@
         if (history.recordAttempt(id)) {
             core.countFirstAttempt();
         }
+        stream.sent(request.route());
         request.exchange().requestSent(history.attempts());
         core.targets().recordSent(load, core.now());
         SendAttempt attempt = new SendAttempt(request, attemptHandler, target.get(), running);
--- a/src/main/java/org/martenwell/gateway/RequestStream.java
+++ b/src/main/java/org/martenwell/gateway/RequestStream.java
@@ -23,6 +23,15 @@
     /** The search for the version of the stream that the request resumes, empty if it is new. */
     private Optional<StreamLookup> resumption = Optional.empty();
 
+    /** The caller's organisation, empty where callers have no keys. */
+    private String organisation = "";
+
+    /** Set if the request takes precedence over new ones. */
+    private boolean precedence;
+
+    /** Set once peers may know that the stream continues here. */
+    private boolean recorded;
+
     /** Set once the first event of this request was counted. */
     private boolean eventCounted;
 
@@ -47,6 +56,48 @@
         return metadata.lastEventId().isPresent() && route.resumable();
     }
 
+    /**
+     * Sets the caller's organisation.
+     *
+     * @param name The name of the organisation, empty where callers have no keys.
+     */
+    void callerIdentified(String name) {
+        organisation = name;
+    }
+
+    /**
+     * Takes precedence over new requests, if this one resumes a stream that the fleet is known to
+     * have admitted. That the directory lists one version alone doesn't show this.
+     *
+     * @param route The request's route.
+     * @return {@code true} if the request has precedence.
+     */
+    boolean takePrecedence(Route route) {
+        if (!precedence && resumes(route)) {
+            precedence =
+                    metadata.resumedAttempt()
+                            .map(each -> core.streams().takePrecedence(each, organisation))
+                            .orElse(false);
+            if (precedence) {
+                core.log().streams().precedenceTaken();
+            }
+        }
+        return precedence;
+    }
+
+    /** {@return {@code true} if the request takes precedence over new ones} */
+    boolean hasPrecedence() {
+        return precedence;
+    }
+
+    /** Gives the precedence of a request back that was not sent to a target. */
+    void givePrecedenceBack() {
+        if (precedence) {
+            precedence = false;
+            metadata.resumedAttempt().ifPresent(core.streams()::givePrecedenceBack);
+        }
+    }
+
     /**
      * Searches the version that began the stream which the request resumes.
      *
@@ -75,12 +126,33 @@
         if (!route.leadsTo(version.service())) {
             return Optional.empty();
         }
-        metadata.resumedAttempt()
-                .ifPresent(attempt -> core.streams().continued(attempt, version, route));
+        if (lookup.stream().get().source() != OriginSource.ONLY_VERSION) {
+            recordContinued(version, route);
+        }
         begun = true;
         return Optional.of(version);
     }
 
+    /**
+     * Records that the request was sent to a target. A stream that nobody knew counts as admitted
+     * from then on.
+     *
+     * @param route The request's route.
+     */
+    void sent(Route route) {
+        if (!recorded) {
+            resumption
+                    .flatMap(StreamLookup::stream)
+                    .ifPresent(each -> recordContinued(each.version(), route));
+        }
+    }
+
+    private void recordContinued(ServiceVersion version, Route route) {
+        recorded = true;
+        metadata.resumedAttempt()
+                .ifPresent(attempt -> core.streams().continued(attempt, version, route));
+    }
+
     /** Counts the request, once, because it brought its caller an event of a resumable stream. */
     void countEvent() {
         if (!eventCounted) {
@@ -103,7 +175,12 @@
      */
     ServiceVersion begin(DirectoryTarget target, Route route) {
         begun = true;
-        metadata.requestId().ifPresent(id -> core.streams().began(id, target, route));
+        metadata.requestId()
+                .ifPresent(
+                        id -> {
+                            core.streams().began(id, target, route);
+                            core.streams().admitted(id, organisation);
+                        });
         return new ServiceVersion(target.service(), target.version());
     }
 
--- a/src/main/java/org/martenwell/gateway/StreamLog.java
+++ b/src/main/java/org/martenwell/gateway/StreamLog.java
@@ -44,6 +44,13 @@
         }
     }
 
+    /**
+     * Counts a request that takes precedence over new ones, since it resumes an admitted stream.
+     */
+    void precedenceTaken() {
+        metrics.counter("streams_given_precedence").inc();
+    }
+
     /**
      * Counts a request that brought its caller an event of a resumable stream.
      *
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.martenwell.admission.ContinuationGrants;
 import org.martenwell.balance.TargetLoad;
 import org.martenwell.directory.DirectoryTarget;
 import org.martenwell.route.GatewayConfiguration;
@@ -52,6 +53,8 @@
 
     private final VersionWindow window = new VersionWindow(MIN_RETENTION_MILLIS);
 
+    private final ContinuationGrants grants = new ContinuationGrants(MIN_RETENTION_MILLIS);
+
     private final OriginNotices notices = new OriginNotices(known, window);
 
     private OriginPeers peers = new NoPeers();
@@ -120,6 +123,7 @@
     private void applyRetention() {
         known.retain(retention.millis(now()));
         window.retain(retention.millis(now()));
+        grants.retain(retention.millis(now()));
     }
 
     /**
@@ -204,6 +208,38 @@
         }
     }
 
+    /**
+     * Records whose stream began here.
+     *
+     * @param attempt The id of the attempt.
+     * @param organisation The organisation of the caller, empty where callers have no keys.
+     */
+    void admitted(String attempt, String organisation) {
+        grants.began(StreamOrigin.key(attempt), organisation, now());
+    }
+
+    /**
+     * Takes precedence over new requests for one that continues a stream.
+     *
+     * @param attempt The id of the attempt that brought the first event.
+     * @param organisation The organisation of the caller, empty where callers have no keys.
+     * @return {@code true} if the stream is known here and its precedence is not used up.
+     */
+    boolean takePrecedence(String attempt, String organisation) {
+        long key = StreamOrigin.key(attempt);
+        return known.find(key, now()).filter(each -> each.version().isKnown()).isPresent()
+                && grants.take(key, organisation, now());
+    }
+
+    /**
+     * Gives the precedence of a request back that was not sent to a target.
+     *
+     * @param attempt The id of the attempt that brought the first event.
+     */
+    void givePrecedenceBack(String attempt) {
+        grants.giveBack(StreamOrigin.key(attempt), now());
+    }
+
     /**
      * Records that a stream that began elsewhere continues here.
      *
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -178,6 +178,43 @@
         assertThat(refused.refusal()).contains(RefusalReason.RESERVE);
     }
 
+    /** Guards against refusing a stream that the fleet admitted for the share of its caller. */
+    @Test
+    void testContinuedStreamBeyondShareUsesReservedEngine() {
+        core.configure(GatewayCores.configuration(CAPACITY, PROMISED_TOKENS));
+        exceedPromisedShare();
+        core.reserve().sent(1e9, 1);
+        loads.forEach(each -> fill(each, 1));
+        assertThat(routing.decide(loads, 0, GatewayCores.route(60_000)).refusal()).isPresent();
+        routing.takePrecedence("v1");
+        assertThat(routing.decide(loads, 0, GatewayCores.route(60_000)).choice()).isPresent();
+    }
+
+    @Test
+    void testContinuedStreamBeyondShareWaitsForAnEngine() {
+        core.configure(GatewayCores.configuration(CAPACITY, PROMISED_TOKENS));
+        exceedPromisedShare();
+        loads.forEach(each -> fill(each, SLOTS));
+        routing.takePrecedence("v1");
+        EngineRouting.Decision decision = routing.decide(loads, 0, GatewayCores.route(60_000));
+        assertThat(decision.choice()).isEmpty();
+        assertThat(decision.refusal()).isEmpty();
+    }
+
+    /** Guards against callers who get past their share by streams that they take up. */
+    @Test
+    void testContinuedStreamIsChargedToTheShareOfNewOnes() {
+        core.configure(GatewayCores.configuration(CAPACITY, PROMISED_TOKENS));
+        exceedPromisedShare();
+        double before = core.shares().own(core.now()).sums().get("o").withinShare();
+        routing.takePrecedence("v1");
+        routing.recordDemand();
+        EngineChoice choice = routing.decide(loads, 0, GatewayCores.route(400)).choice().get();
+        routing.recordSent(choice);
+        assertThat(core.shares().own(core.now()).sums().get("o").withinShare())
+                .isEqualTo(before + COST);
+    }
+
     /** Returns the organisation's charged tokens as reported to peers. */
     private double chargedTokens() {
         ShareSums sums = core.shares().own(core.now()).sums().get("o");
--- a/src/test/java/org/martenwell/gateway/OverloadLimiterTest.java
+++ b/src/test/java/org/martenwell/gateway/OverloadLimiterTest.java
@@ -13,13 +13,15 @@
 
     private static final int REQUESTS = 10_000;
 
+    private boolean heapFull;
+
     private double lagFraction;
 
     private double processorFraction;
 
     private final OverloadLimiter limiter =
             new OverloadLimiter(
-                    () -> false,
+                    () -> heapFull,
                     () -> lagFraction,
                     () -> processorFraction,
                     new AdmissionShares(organisation -> 0),
@@ -45,6 +47,33 @@
         assertThat(admitted(RefusalReason.HEAP)).isEqualTo(REQUESTS);
     }
 
+    /** Guards against refusing streams that the fleet has admitted while new ones begin. */
+    @Test
+    void testContinuedStreamsAreRefusedForTheHeapAlone() {
+        lagFraction = 1;
+        processorFraction = 1;
+        assertThat(limiter.refusalOfContinued("organisation", 1_000, 0)).isEmpty();
+        heapFull = true;
+        assertThat(limiter.refusalOfContinued("organisation", 1_000, 0))
+                .contains(RefusalReason.HEAP);
+    }
+
+    /** Guards against streams that are continued at the cost of other organisations. */
+    @Test
+    void testContinuedStreamsCountToTheDemandOfTheirOrganisation() {
+        processorFraction = 0.5;
+        for (int request = 0; request < 1_000; request++) {
+            limiter.refusalOfContinued("continues", 1_000, request / 10);
+        }
+        int modest = 0;
+        int greedy = 0;
+        for (int request = 0; request < 1_000; request++) {
+            modest += limiter.refusal("other", 1_000, 100).isEmpty() ? 1 : 0;
+            greedy += limiter.refusal("continues", 1_000, 100).isEmpty() ? 1 : 0;
+        }
+        assertThat(modest).isGreaterThan(greedy);
+    }
+
     /** Returns how many requests are admitted of those of one organisation. */
     private int admitted(RefusalReason reason) {
         int admitted = 0;
