Keep gateways that shut down together in touch

Streams that began at a gateway which was shutting down were refused as unknown (503 stream_unknown) at another one that was shutting down too, and at all gateways that started later.

Cause: a gateway leaves the directory as its shutdown begins and serves for seconds more; the others close their connections to it when they read that. Two that shut down at once are listed for nobody, so neither tells or asks the other.

Change: in a mesh, a gateway that left the directory while connected stays a peer until its connection ends (DepartingPeers). It is told and asked like others, and gets reports. No message changes.

Conclusion: mended in a mesh; gateways of a large fleet report by relays that are listed, and are as before.

--- a/src/main/java/org/martenwell/gateway/OriginExchange.java
+++ b/src/main/java/org/martenwell/gateway/OriginExchange.java
@@ -41,6 +41,8 @@
 
     private final LivePeers livePeers;
 
+    private final DepartingPeers departingPeers;
+
     private FleetDirectory directory;
 
     private final OriginTransfer transfer;
@@ -75,18 +77,21 @@
      * @param network Sends messages.
      * @param topology Selects the peers to send to.
      * @param livePeers The peers that reported recently.
+     * @param departingPeers The peers that left the directory and still run.
      */
     OriginExchange(
             String self,
             GatewayCore core,
             PeerNetwork network,
             ReportTopology topology,
-            LivePeers livePeers) {
+            LivePeers livePeers,
+            DepartingPeers departingPeers) {
         this.self = self;
         this.core = core;
         this.network = network;
         this.topology = topology;
         this.livePeers = livePeers;
+        this.departingPeers = departingPeers;
         this.transfer = new OriginTransfer(core.reactor(), self, network);
     }
 
@@ -106,8 +111,10 @@
      */
     void members(Collection<GatewayMember> members) {
         others = named(members, 0);
-        capable = named(members, GatewayMember.VERSION_PROTOCOL);
-        transferring = named(members, GatewayMember.ORIGIN_PROTOCOL);
+        List<GatewayMember> running = new ArrayList<>(members);
+        running.addAll(departingPeers.all().values());
+        capable = named(running, GatewayMember.VERSION_PROTOCOL);
+        transferring = named(running, GatewayMember.ORIGIN_PROTOCOL);
         transfer.fleetKnown();
     }
 
@@ -210,6 +217,9 @@
     public Set<String> respondents(InquiryScope scope) {
         long now = core.now();
         Set<String> names = new HashSet<>(scope.peers(topology, now));
+        if (!topology.usesRelays()) {
+            names.addAll(departingPeers.names());
+        }
         names.removeIf(each -> !capable.contains(each) || isLost(each));
         return names;
     }
--- a/src/main/java/org/martenwell/gateway/PeerReporter.java
+++ b/src/main/java/org/martenwell/gateway/PeerReporter.java
@@ -104,6 +104,8 @@
     /** The gateways that are connected for requests, beside those of the topology. */
     private final DirectPeers directPeers;
 
+    private final DepartingPeers departingPeers;
+
     /** The offloaded requests, set before the start. */
     private Optional<OffloadExchange> offload = Optional.empty();
 
@@ -142,7 +144,8 @@
                 new ReportTopology(name, settings.failureDomain(), core.clock()::omittedMillis);
         this.network =
                 new PeerNetwork(reactor, settings.peerAddress(), settings.peerKey(), random, this);
-        this.origins = new OriginExchange(name, core, network, topology, livePeers);
+        this.departingPeers = new DepartingPeers(name, network::connected);
+        this.origins = new OriginExchange(name, core, network, topology, livePeers, departingPeers);
         this.capacities = core.capacities();
         this.directPeers = new DirectPeers(name, network, core::now, this::connect);
         core.streams().peers(origins);
@@ -213,6 +216,7 @@
         addresses = changed;
         incarnations.keySet().retainAll(members.keySet());
         topology.members(members.values());
+        departingPeers.members(members.values());
         origins.members(members.values());
         capacities.members(members.values());
         core.offloading().ifPresent(each -> each.members(members.values()));
@@ -230,6 +234,11 @@
         Map<String, String> needed = new HashMap<>(addresses);
         needed.keySet().retainAll(reported);
         directPeers.required().forEach(needed::putIfAbsent);
+        if (!topology.usesRelays()) {
+            departingPeers
+                    .all()
+                    .forEach((peer, member) -> needed.putIfAbsent(peer, member.peerAddress()));
+        }
         network.setPeers(needed);
         greeted.retainAll(reported);
         for (String each : reported) {
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -122,6 +122,12 @@
         run(() -> reporters.remove(gateway).stop());
     }
 
+    /** Removes a gateway that goes on running from the list that all gateways get. */
+    void leave(String gateway) {
+        members.remove(gateway);
+        connect();
+    }
+
     /** Stops a gateway and lets the others know it at an address that answers nothing. */
     void cutOff(String gateway, String silentAddress) {
         stop(gateway);
