Let resumed streams wait for a target of their version

Callers who took streams up got 503 no_target at once, while new streams began at the other version.

Cause: a target that refuses a request because it is full is suspended for 0.15 s, one that refuses connections for 0.4 s and more, and a request that finds all targets suspended is refused. A stream that is taken up has those of its version alone.

Change: it looks for a target each 25 ms for up to 0.5 s, or half of its time, and has the targets listed, since one that crashed may have a successor.

FullVersionTest, before: 0 of 10 went on, 10 of 10 new ones began. After: 10 of 10.

Conclusion: the shape of the report; that it was the cause there isn't shown.

--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -26,6 +26,15 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * The longest time for which a stream that is resumed waits for a target of its version, in
+     * milliseconds: longer than most suspensions and than a list of the directory takes.
+     */
+    private static final long MAX_TARGET_WAIT_MILLIS = 500;
+
+    /** The interval at which it looks for one, in milliseconds. */
+    private static final long TARGET_RETRY_MILLIS = 25;
+
     private final GatewayCore core;
 
     private final AcceptedRequest request;
@@ -46,6 +55,9 @@
     /** The routing to model engines, empty for a plain service. */
     private Optional<EngineRouting> engines = Optional.empty();
 
+    /** The first time at which no target was available, empty before. */
+    private OptionalLong firstWithoutTarget = OptionalLong.empty();
+
     /** The requests at the target of a plain service when this one was sent, including it. */
     private int loadWhenSent;
 
@@ -166,7 +178,7 @@
             all = all && available.size() == count;
         }
         if (available.isEmpty()) {
-            refuseWithoutTarget(now);
+            awaitTargetOrRefuse(now);
         } else if (engines.isEmpty()) {
             sendToPlainService(available, now);
         } else {
@@ -207,6 +219,32 @@
                 neverSent ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, RetryDelay.NONE);
     }
 
+    /**
+     * Lets a stream that is resumed wait for a target of its version, which may be suspended
+     * because it is full, or have a successor that is not listed yet. Refuses all other requests.
+     */
+    private void awaitTargetOrRefuse(long now) {
+        boolean resumed = selector.version().isPresent() && history.attempts() == 0;
+        long since = firstWithoutTarget.orElse(now);
+        long limit = Math.min(MAX_TARGET_WAIT_MILLIS, request.remainingMillis() / 2);
+        if (resumed && now - since < limit && core.targets().mayAcceptRequestsLater(selector)) {
+            firstWithoutTarget = OptionalLong.of(since);
+            core.queue().remove(this);
+            core.streams().refreshTargets();
+            core.reactor()
+                    .delayBackground(
+                            TARGET_RETRY_MILLIS, request.guard().guarded(this::tryUnlessOver));
+        } else {
+            refuseWithoutTarget(now);
+        }
+    }
+
+    private void tryUnlessOver() {
+        if (!completion.over()) {
+            trySend();
+        }
+    }
+
     /** Refuses a request for which no target is available. */
     private void refuseWithoutTarget(long now) {
         if (selector.version().isPresent() && !core.targets().mayAcceptRequestsLater(selector)) {
--- a/src/main/java/org/martenwell/gateway/StreamVersions.java
+++ b/src/main/java/org/martenwell/gateway/StreamVersions.java
@@ -385,9 +385,9 @@
 
     /**
      * Reads the targets again, in a later millisecond than that of the event loop's iteration, so
-     * that the list counts for what was read in it.
+     * that the list counts for what was read in it. Has no effect shortly after the last time.
      */
-    private void refreshTargets() {
+    void refreshTargets() {
         boolean answered = window.listedAsOfMillis() >= refreshedMillis;
         if (!refreshScheduled && (answered || now() - refreshedMillis >= REFRESH_TIMEOUT_MILLIS)) {
             refreshScheduled = true;
