--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -26,6 +26,15 @@
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
+    /**
+     * The longest time for which a stream that is resumed waits for a target of its version, in
+     * milliseconds: longer than most suspensions and than a list of the directory takes.
+     */
+    private static final long MAX_TARGET_WAIT_MILLIS = 500;
+
+    /** The interval at which it looks for one, in milliseconds. */
+    private static final long TARGET_RETRY_MILLIS = 25;
+
     private final GatewayCore core;
 
     private final AcceptedRequest request;
@@ -34,6 +43,8 @@
 
     private final ResponseRelay relay;
 
+    private final RequestStream stream;
+
     private final SendHistory history;
 
     private final AttemptHandler attemptHandler;
@@ -44,6 +55,9 @@
     /** The routing to model engines, empty for a plain service. */
     private Optional<EngineRouting> engines = Optional.empty();
 
+    /** The first time at which no target was available, empty before. */
+    private OptionalLong firstWithoutTarget = OptionalLong.empty();
+
     /**
      * Creates the sender of a request.
      *
@@ -61,6 +75,7 @@
         this.request = request;
         this.completion = completion;
         this.relay = relay;
+        this.stream = stream;
         this.history = request.history();
         this.attemptHandler = new AttemptHandler(request, this, stream, relay, completion);
     }
@@ -83,6 +98,10 @@
                         request.exchange().request().arrivedMillis(),
                         request.deadlineMillis());
         engines.ifPresent(EngineRouting::recordDemand);
+        if (stream.hasPrecedence()) {
+            targets.version()
+                    .ifPresent(version -> engines.ifPresent(each -> each.takePrecedence(version)));
+        }
         trySend();
     }
 
@@ -109,6 +128,11 @@
         return engines.map(EngineRouting::shareUse).orElse(ShareUse.NONE);
     }
 
+    /** {@return {@code true} if the request takes precedence over new ones} */
+    boolean hasPrecedence() {
+        return stream.hasPrecedence();
+    }
+
     @Override
     public String organisationName() {
         return request.organisationName();
@@ -146,7 +170,7 @@
         List<TargetLoad> targets = availableTargets(now);
         List<TargetLoad> available = withoutHeldVersions(targets);
         if (available.isEmpty()) {
-            refuseWithoutTarget(now);
+            awaitTargetOrRefuse(now);
         } else if (engines.isEmpty()) {
             sendToPlainService(available, now);
         } else {
@@ -236,6 +260,32 @@
                 neverSent ? ErrorKind.WAIT_TOO_LONG : ErrorKind.TARGET_TIMEOUT, RetryDelay.NONE);
     }
 
+    /**
+     * Lets a stream that is resumed wait for a target of its version, which may be suspended
+     * because it is full, or have a successor that is not listed yet. Refuses all other requests.
+     */
+    private void awaitTargetOrRefuse(long now) {
+        boolean resumed = selector.version().isPresent() && history.attempts() == 0;
+        long since = firstWithoutTarget.orElse(now);
+        long limit = Math.min(MAX_TARGET_WAIT_MILLIS, request.remainingMillis() / 2);
+        if (resumed && now - since < limit && core.targets().mayAcceptRequestsLater(selector)) {
+            firstWithoutTarget = OptionalLong.of(since);
+            core.queue().remove(this);
+            core.streams().refreshTargets();
+            core.reactor()
+                    .delayBackground(
+                            TARGET_RETRY_MILLIS, request.guard().guarded(this::tryUnlessOver));
+        } else {
+            refuseWithoutTarget(now);
+        }
+    }
+
+    private void tryUnlessOver() {
+        if (!completion.over()) {
+            trySend();
+        }
+    }
+
     /** Refuses a request for which no target is available. */
     private void refuseWithoutTarget(long now) {
         if (selector.version().isPresent() && !core.targets().mayAcceptRequestsLater(selector)) {
@@ -301,15 +351,15 @@
 
     /**
      * Sends the request to a target of a plain service, or refuses it. A request that was attempted
-     * before is not refused.
+     * before or continues an admitted stream is not refused.
      *
      * @param available The targets that accept requests.
      * @param now The current time, in milliseconds.
      */
     private void sendToPlainService(List<TargetLoad> available, long now) {
         PlainRouting routing = core.plainRouting(selector.service());
-        boolean firstAttempt = history.attempts() == 0;
-        if (firstAttempt && !routing.admits(available, request.route().objectiveMillis(), now)) {
+        boolean admitted = history.attempts() > 0 || stream.hasPrecedence();
+        if (!admitted && !routing.admits(available, request.route().objectiveMillis(), now)) {
             completion.fail(ErrorKind.WAIT_TOO_LONG, RetryDelay.CAPACITY);
             return;
         }
@@ -361,6 +411,7 @@
         if (history.recordAttempt(id)) {
             core.countFirstAttempt();
         }
+        stream.sent(request.route());
         request.exchange().requestSent(history.attempts());
         core.targets().recordSent(load, core.now());
         SendAttempt attempt = new SendAttempt(request, attemptHandler, target.get(), running);
