Bound the memory that is kept for callers

Cause: a body that hasn't arrived completely counted against no limit. OverloadLimiter and HeapMonitor refuse complete requests only, so bodies in the making filled the heap, and each read ran out of memory. Nothing bounded heads, requests behind a served one and unread responses of all connections together either.

Refused callers may send all of their body before they read the refusal; such connections make room for new ones at the limit of connections. While the memory is used up, callers that read nothing of a complete response for 1 s are cut, the longest first. What is kept of a request is given up when it is refused or its caller leaves, not when the connection closes. The readiness check and metrics have a memory of their own.

--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -54,6 +54,10 @@
 
     private static final long NOT_RESTING = Long.MAX_VALUE;
 
+    private static final long TENTH_MILLIS = 100;
+
+    private static final long TENTHS = 10;
+
     /** The most reads of what has arrived before a decision to close. */
     private static final int MAX_LAST_READS = 64;
 
@@ -85,7 +89,10 @@
     /** The maximum size of headers that the codec accepts, in bytes. */
     private int codecHeaderBytes;
 
-    private final RequestDecoder decoder = new RequestDecoder();
+    /** The memory of the request that is arriving or served. */
+    private final RequestMemory requestMemory;
+
+    private final RequestDecoder decoder;
 
     /** The exchange being served, or {@code null}. */
     private CallerExchange exchange;
@@ -176,6 +183,8 @@
         this.reactor = reactor;
         this.socket = socket;
         this.server = server;
+        this.requestMemory = new RequestMemory(server.memory(), reactor::currentTimeMillis);
+        this.decoder = new RequestDecoder(requestMemory);
         this.guard = StepGuard.ofSocket(socket, "CallerConnection", this::stepFailed);
         enter(ConnectionState.IDLE);
         if (socket instanceof TcpSocket tcp) {
@@ -240,6 +249,16 @@
         }
     }
 
+    /**
+     * Returns the time for which the caller has not read a complete response of which bytes are
+     * left.
+     *
+     * @return The time in milliseconds, 0 if there is no such response.
+     */
+    long unreadMillis() {
+        return sending() ? server.clock().millis() - writtenMillis : 0;
+    }
+
     /** {@return {@code true} if a request is arriving or a complete response is being sent} */
     boolean transferring() {
         return state == ConnectionState.RECEIVING || (exchange == null && unwrittenBytes > 0);
@@ -425,11 +444,12 @@
     }
 
     private boolean responseTimedOut() {
-        boolean sending =
-                state == ConnectionState.SENDING
-                        || (state == ConnectionState.CLOSING && unwrittenBytes > 0);
-        long allowed = limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
-        return sending && server.clock().millis() - writtenMillis > allowed;
+        return unreadMillis() > limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
+    }
+
+    private boolean sending() {
+        return state == ConnectionState.SENDING
+                || (state == ConnectionState.CLOSING && unwrittenBytes > 0);
     }
 
     /**
@@ -492,16 +512,43 @@
             receive();
             applyHeaderLimit();
         }
-        if (exchange != null) {
-            pipelinedBytes += bytes.readRemaining();
+        boolean behindServed = exchange != null;
+        if (decode(bytes)) {
+            processDecodedParts();
+        } else {
+            refuseForMemory();
+        }
+        if (exchange != null && !behindServed) {
+            requestMemory.add(decoder.partBytes());
         }
-        decoder.decode(bytes);
-        processDecodedParts();
-        if (pipelinedBytes <= MAX_PIPELINED_BYTES) {
+        if (pipelinedBytes <= pipelinedLimit()) {
             read();
         }
     }
 
+    /**
+     * Decodes received bytes. Bodies are counted as they are processed, other bytes here.
+     *
+     * @return {@code false} if there is no memory for the head of the request that is received.
+     */
+    private boolean decode(ByteBuf bytes) {
+        int count = bytes.readRemaining();
+        if (exchange != null) {
+            pipelinedBytes += count;
+            requestMemory.add(count);
+            decoder.decode(bytes);
+            return true;
+        }
+        boolean withinBody = decoder.withinBody();
+        int headBytes = count - decoder.decode(bytes);
+        return withinBody || requestMemory.reserve(headBytes);
+    }
+
+    /** Returns the number of bytes behind the served request above which reading pauses. */
+    private int pipelinedLimit() {
+        return server.memory().full() ? 0 : MAX_PIPELINED_BYTES;
+    }
+
     /** Takes a codec if there is none with the limit on headers of the request that begins. */
     private void applyHeaderLimit() {
         if (codec == null || codecHeaderBytes != limits.maxHeaderBytes()) {
@@ -533,6 +580,7 @@
                 case BEGUN -> requestBegan();
                 case CONTINUED -> {}
                 case COMPLETE -> requestComplete();
+                case NO_MEMORY -> refuseForMemory();
                 case REJECTED -> rejectRequest(CloseReason.BAD_REQUEST, decoder.rejection());
             }
         }
@@ -587,9 +635,9 @@
     private void endWithFailure() {
         if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
             // What was read may be a request, which is lost.
-            rejectUncoded(REFUSAL);
+            rejectUncoded(CloseReason.DEFECT, REFUSAL);
         } else if (state == ConnectionState.SERVING && !responseBegun) {
-            rejectUncoded(FAILURE);
+            rejectUncoded(CloseReason.DEFECT, FAILURE);
         } else {
             abort(CloseReason.DEFECT);
         }
@@ -622,8 +670,7 @@
         try {
             int count = tcp.getSocketChannel().read(next);
             if (count > 0) {
-                pipelinedBytes += count;
-                decoder.decode(ByteBuf.wrapForReading(next.array()));
+                decode(ByteBuf.wrapForReading(next.array()));
             }
             return count < 0;
         } catch (IOException exception) {
@@ -653,13 +700,32 @@
         finishRequest(false);
     }
 
+    /** Refuses the request that is arriving for lack of memory. It has not run and never will. */
+    private void refuseForMemory() {
+        long delayMillis =
+                server.memory()
+                        .refuse(
+                                requestMemory.bytes() + decoder.expectedBodyBytes(),
+                                reactor.currentTimeMillis(),
+                                limits.headerTimeoutMillis());
+        String status = "503 Service Unavailable\r\nretry-after: " + tenths(delayMillis);
+        rejectUncoded(CloseReason.NO_MEMORY, emptyResponse(status));
+    }
+
+    /** Returns a time in seconds, rounded up to tenths. */
+    private static String tenths(long millis) {
+        long tenths = (millis + TENTH_MILLIS - 1) / TENTH_MILLIS;
+        return tenths / TENTHS + "." + tenths % TENTHS;
+    }
+
     /**
      * Responds and closes the connection without the codec, which may have failed.
      *
+     * @param reason The reason for the close.
      * @param response The bytes of the response.
      */
-    private void rejectUncoded(byte[] response) {
-        closeReason = CloseReason.DEFECT;
+    private void rejectUncoded(CloseReason reason, byte[] response) {
+        closeReason = reason;
         responseBegun = true;
         writeBytes(ByteBuf.wrapForReading(response.clone()));
         finishRequest(false);
@@ -686,6 +752,8 @@
             receive();
             reactor.postLast(guard.guarded(this::processDecodedParts));
         }
+        requestMemory.clear();
+        requestMemory.add(Math.max(pipelinedBytes, decoder.partBytes()));
         pipelinedBytes = 0;
         read();
     }
@@ -728,10 +796,12 @@
         }
         int length = bytes.readRemaining();
         unwrittenBytes += length;
+        server.memory().add(length);
         socket.write(bytes)
                 .subscribe(
                         (ignored, failure) -> {
                             unwrittenBytes -= length;
+                            server.memory().remove(length);
                             if (failure != null) {
                                 guard.run(this::disconnected);
                             } else if (unwrittenBytes == 0) {
@@ -760,17 +830,37 @@
             // Input is discarded from here on. Behind a rejected request, the codec is unusable.
             giveBackCodec();
         }
+        giveUpRequest();
         read();
         if (unwrittenBytes == 0) {
             closeOutput();
         }
     }
 
+    /**
+     * Returns the time after which the connection is closed even if the caller hasn't closed it. A
+     * caller may send all of a body before it reads the refusal, which a close would destroy.
+     */
+    private long closeTimeoutMillis() {
+        if (closeReason != CloseReason.NO_MEMORY) {
+            return CLOSE_TIMEOUT_MILLIS;
+        }
+        server.becameDispensable(this);
+        return CLOSE_TIMEOUT_MILLIS + limits.headerTimeoutMillis();
+    }
+
+    /** Gives up all that is kept of requests. */
+    private void giveUpRequest() {
+        decoder.release();
+        releaseCodec();
+        requestMemory.clear();
+    }
+
     private void closeOutput() {
         if (closed) {
             return;
         }
-        closeTimer = reactor.delayBackground(CLOSE_TIMEOUT_MILLIS, () -> close(closeReason));
+        closeTimer = reactor.delayBackground(closeTimeoutMillis(), () -> close(closeReason));
         if (socket instanceof TcpSocket tcp) {
             try {
                 if (closeAborts) {
@@ -803,9 +893,8 @@
                             new LostBytes(unreadBytes(), unwrittenBytes, discardedBytes));
             closed = true;
             state = ConnectionState.CLOSING;
-            decoder.release();
+            giveUpRequest();
             socket.close();
-            releaseCodec();
             if (closeTimer != null) {
                 closeTimer.cancel();
             }
--- a/src/main/java/org/martenwell/exchange/CallerServer.java
+++ b/src/main/java/org/martenwell/exchange/CallerServer.java
@@ -6,6 +6,7 @@
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.nio.NioReactor;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,6 +49,12 @@
      */
     private static final long STOP_MILLIS = 200;
 
+    /**
+     * The time without a byte read of a complete response after which its connection is closed
+     * while there is no memory, in milliseconds.
+     */
+    private static final long STALLED_MILLIS = 1_000;
+
     /** The most refused connections in graceful close, as a percentage of the most connections. */
     private static final long REFUSED_PERCENT = 5;
 
@@ -83,6 +90,11 @@
     /** The connections without a request, the one that has been idle for longest first. */
     private final Set<CallerConnection> idleConnections = new LinkedHashSet<>();
 
+    /** The connections whose caller may not have read its refusal yet, the oldest first. */
+    private final Set<CallerConnection> dispensableConnections = new LinkedHashSet<>();
+
+    private CallerMemory memory = CallerMemory.ofHeap();
+
     /** The most connections that are open at a time. */
     private int maxConnections = Integer.MAX_VALUE;
 
@@ -190,6 +202,15 @@
         connections.forEach(each -> each.extendLimits(changed));
     }
 
+    /**
+     * Sets the memory for callers; called before the start.
+     *
+     * @param shared The memory, which other servers may share.
+     */
+    public void setMemory(CallerMemory shared) {
+        memory = shared;
+    }
+
     /**
      * Limits the number of open connections, so that descriptors remain for other purposes. At the
      * limit, a new connection replaces the one that has been idle for longest; if none is idle, the
@@ -203,8 +224,8 @@
     }
 
     /**
-     * Closes the connections that have been idle for longest while there are too many. Those stay
-     * on which a request has arrived.
+     * Closes the connections that have been idle for longest while there are too many, then those
+     * of refused callers. Those stay on which a request has arrived.
      *
      * @param count The most connections that are to remain.
      * @return {@code true} if no more than these remain.
@@ -215,6 +236,9 @@
             idleConnections.remove(oldest);
             oldest.closeIfSilent(CloseReason.CONNECTION_LIMIT);
         }
+        while (connections.size() > count && !dispensableConnections.isEmpty()) {
+            dispensableConnections.iterator().next().abort(CloseReason.NO_MEMORY);
+        }
         return connections.size() <= count;
     }
 
@@ -261,6 +285,11 @@
         return acceptQueue.ageMillis();
     }
 
+    /** {@return the memory for callers} */
+    CallerMemory memory() {
+        return memory;
+    }
+
     /** {@return the current limits} */
     ConnectionLimits limits() {
         return limits;
@@ -310,6 +339,7 @@
     void closed(CallerConnection connection, ClosedConnection closed) {
         connections.remove(connection);
         idleConnections.remove(connection);
+        dispensableConnections.remove(connection);
         if (closed.reason() == CloseReason.CONNECTION_LIMIT) {
             closedAtLimit++;
         }
@@ -328,6 +358,17 @@
         idleConnections.add(connection);
     }
 
+    /**
+     * Records that a connection is only open for its caller to read a refusal.
+     *
+     * @param connection The connection.
+     */
+    void becameDispensable(CallerConnection connection) {
+        if (connections.contains(connection)) {
+            dispensableConnections.add(connection);
+        }
+    }
+
     /** {@return the codecs that no connection uses} */
     CallerCodecs codecs() {
         return codecs;
@@ -395,6 +436,24 @@
     private void checkTimeouts() {
         long now = reactor.currentTimeMillis();
         Set.copyOf(connections).forEach(each -> each.closeIfTimedOut(now));
+        if (memory.full()) {
+            closeStalled();
+        }
+    }
+
+    /** Closes connections whose callers don't read, the longest first, until there is room. */
+    private void closeStalled() {
+        List<CallerConnection> stalled =
+                connections.stream()
+                        .filter(each -> each.unreadMillis() >= STALLED_MILLIS)
+                        .sorted(Comparator.comparingLong(CallerConnection::unreadMillis).reversed())
+                        .toList();
+        for (CallerConnection each : stalled) {
+            if (!memory.full()) {
+                break;
+            }
+            each.abort(CloseReason.SLOW_CALLER);
+        }
     }
 
     /** Takes connections from the queue. */
--- a/src/main/java/org/martenwell/exchange/CloseReason.java
+++ b/src/main/java/org/martenwell/exchange/CloseReason.java
@@ -38,6 +38,9 @@
     /** The connection had waited for too long to be read; a refusal announced the close. */
     UNREAD(false),
 
+    /** There was no memory for a request; a refusal announced the close. */
+    NO_MEMORY(false),
+
     /** A request was rejected because it is malformed or exceeds a limit. */
     BAD_REQUEST(true);
 
--- a/src/main/java/org/martenwell/exchange/ClosedConnection.java
+++ b/src/main/java/org/martenwell/exchange/ClosedConnection.java
@@ -47,6 +47,7 @@
         return reason.unannounced()
                 || unanswered.isPresent()
                 || (reason == CloseReason.RESPONSE_COMPLETE && bytes.discarded() > 0)
-                || (reason == CloseReason.UNREAD && bytes.lostByReset());
+                || ((reason == CloseReason.UNREAD || reason == CloseReason.NO_MEMORY)
+                        && bytes.lostByReset());
     }
 }
--- a/src/main/java/org/martenwell/exchange/RequestDecoder.java
+++ b/src/main/java/org/martenwell/exchange/RequestDecoder.java
@@ -6,11 +6,11 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
@@ -32,6 +32,9 @@
         /** The request is complete. */
         COMPLETE,
 
+        /** There is no memory for the body of the request, which has arrived in part at most. */
+        NO_MEMORY,
+
         /** The request can't be processed, and the position of the next one is unknown. */
         REJECTED
     }
@@ -42,7 +45,10 @@
     /** Message parts that are decoded but not processed because a request is being served. */
     private final Deque<HttpObject> parts = new ArrayDeque<>();
 
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    /** The bytes of bodies in these parts. */
+    private int partBytes;
+
+    private final ArrivingBody body;
 
     /** The head of the request that began last, or {@code null}. */
     private HttpRequest head;
@@ -50,19 +56,30 @@
     /** The status of the response to a rejected request. */
     private HttpResponseStatus rejection = HttpResponseStatus.BAD_REQUEST;
 
-    /** Creates a decoder without a codec, which {@link #replaceCodec} sets. */
-    RequestDecoder() {}
+    /**
+     * Creates a decoder without a codec, which {@link #replaceCodec} sets.
+     *
+     * @param memory The memory of the connection's request.
+     */
+    RequestDecoder(RequestMemory memory) {
+        this.body = new ArrivingBody(memory);
+    }
 
     /**
      * Decodes received bytes.
      *
      * @param bytes The bytes, which are recycled.
+     * @return The number of decoded bytes of bodies.
      */
-    void decode(ByteBuf bytes) {
+    int decode(ByteBuf bytes) {
         CodecChannels.decode(codec, bytes);
+        int bodyBytes = 0;
         for (HttpObject each = codec.readInbound(); each != null; each = codec.readInbound()) {
             parts.add(each);
+            bodyBytes += bodyBytes(each);
         }
+        partBytes += bodyBytes;
+        return bodyBytes;
     }
 
     /**
@@ -79,6 +96,11 @@
         return !parts.isEmpty();
     }
 
+    /** {@return the number of bytes of bodies that are decoded but not processed} */
+    int partBytes() {
+        return partBytes;
+    }
+
     /**
      * Processes the next decoded part.
      *
@@ -90,6 +112,7 @@
         if (part == null) {
             return Step.NONE;
         }
+        partBytes -= bodyBytes(part);
         try {
             return process(part, maxBodyBytes);
         } finally {
@@ -102,16 +125,23 @@
         return head;
     }
 
+    /** {@return {@code true} if a request has begun and its body is incomplete} */
+    boolean withinBody() {
+        return head != null;
+    }
+
+    /** {@return the expected size of the body in bytes, as far as it is known} */
+    int expectedBodyBytes() {
+        return body.expectedBytes();
+    }
+
     /**
      * Returns the body of a complete request and prepares for the next one.
      *
      * @return The body.
      */
     Body takeBody() {
-        Body complete = Body.of(body.toByteArray());
-        // A new buffer, since reset() would keep the grown array for as long as the connection
-        // is idle, which is 15 KB after a body of 12 KB.
-        body = new ByteArrayOutputStream();
+        Body complete = body.take();
         head = null;
         return complete;
     }
@@ -121,10 +151,16 @@
         return rejection;
     }
 
-    /** Releases the parts that are not processed. */
+    /** Gives up the parts that are not processed and the body that is incomplete. */
     void release() {
+        body.discard();
         parts.forEach(ReferenceCountUtil::release);
         parts.clear();
+        partBytes = 0;
+    }
+
+    private static int bodyBytes(HttpObject part) {
+        return part instanceof HttpContent content ? content.content().readableBytes() : 0;
     }
 
     private Step process(HttpObject part, int maxBodyBytes) {
@@ -134,8 +170,8 @@
         }
         if (part instanceof HttpRequest requestHead) {
             head = requestHead;
-            body.reset();
-            return Step.BEGUN;
+            boolean admitted = body.begin(HttpUtil.getContentLength(requestHead, -1L));
+            return admitted ? Step.BEGUN : Step.NO_MEMORY;
         }
         if (part instanceof HttpContent content && head != null) {
             return append(content, maxBodyBytes);
@@ -148,9 +184,9 @@
             rejection = HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
             return Step.REJECTED;
         }
-        byte[] piece = new byte[content.content().readableBytes()];
-        content.content().getBytes(content.content().readerIndex(), piece);
-        body.writeBytes(piece);
+        if (!body.append(content.content())) {
+            return Step.NO_MEMORY;
+        }
         return content instanceof LastHttpContent ? Step.COMPLETE : Step.CONTINUED;
     }
 
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -17,6 +17,7 @@
 import org.martenwell.directory.FleetDirectory;
 import org.martenwell.directory.GatewayMember;
 import org.martenwell.exchange.CallerExchange;
+import org.martenwell.exchange.CallerMemory;
 import org.martenwell.exchange.CallerServer;
 import org.martenwell.observe.Defects;
 import org.martenwell.observe.ProcessUsage;
@@ -52,6 +53,9 @@
      */
     private static final long MEMBERS_MILLIS_PER_GATEWAY = 100;
 
+    /** The memory for callers of the readiness check, and for those of metrics, in bytes. */
+    private static final long CHECK_BYTES = 1 << 20;
+
     private static final String METRICS_TYPE = "text/plain; version=0.0.4";
 
     private static final int OK = 200;
@@ -153,6 +157,10 @@
                         this::serveCaller);
         DescriptorBudget.maxCallers(ProcessUsage.descriptorLimit())
                 .ifPresent(callers::setMaxConnections);
+        CallerMemory memory = CallerMemory.ofHeap();
+        callers.setMemory(memory);
+        log.metrics().registerGauge("caller_bytes_kept", memory::keptBytes);
+        log.metrics().registerGauge("requests_refused_memory", memory::refusals);
         log.metrics().registerGauge("connections_closed_at_limit", callers::closedAtLimit);
         log.metrics().registerGauge("connections_refused_unread", callers::refusedUnread);
         log.metrics().registerGauge("defects", Defects::count);
@@ -171,6 +179,7 @@
                         core.clock(),
                         IpAddress.of(settings.readinessAddress()),
                         this::serveBalancer);
+        readiness.setMemory(new CallerMemory(CHECK_BYTES));
         this.metrics =
                 settings.metricsAddress()
                         .map(IpAddress::of)
@@ -181,6 +190,7 @@
                                                 core.clock(),
                                                 address,
                                                 this::serveMetrics));
+        metrics.ifPresent(each -> each.setMemory(new CallerMemory(CHECK_BYTES)));
         this.peerReporter = new PeerReporter(reactor, settings, core, random);
         this.offload =
                 new OffloadExchange(
