Continue offloaded streams when their helping gateway ends

Callers of a busy gateway saw streams cut in a rolling restart: the gateways that served these streams for it ended before it, and it broke off every response that had begun, also those of resumable routes.

Cause: RequestOffloader.lost aborted an exchange with a head; a gateway that ended cut what peers had offloaded to it without a word.

Change: the gateway that holds the caller passes resumable streams on in complete events and keeps the id of the last one. If the other gateway hands the request back, is lost or goes silent, it continues the stream at a target of the version that began it, within the route's attempts and the deadline; head and signature stay. The organisation isn't charged again. Streams that can't be resumed are offloaded only if they end within the shutdown of the other gateway.

No store call is added but lists of targets that find a stream's version, which searches share.

--- a/src/main/java/org/martenwell/gateway/AcceptedRequest.java
+++ b/src/main/java/org/martenwell/gateway/AcceptedRequest.java
@@ -72,8 +72,11 @@
      * @return {@code true} if the caller has to retry the request.
      */
     boolean takeRetry() {
-        return history.attempts() < route.maxAttempts()
-                && remainingMillis() > 0
-                && core.takeRetry();
+        return mayRetry() && core.takeRetry();
+    }
+
+    /** {@return {@code true} if the route and the deadline permit another attempt} */
+    boolean mayRetry() {
+        return history.attempts() < route.maxAttempts() && remainingMillis() > 0;
     }
 }
--- a/src/main/java/org/martenwell/gateway/EngineRouting.java
+++ b/src/main/java/org/martenwell/gateway/EngineRouting.java
@@ -72,6 +72,9 @@
     /** The engine of the attempt, by whose events its speed is estimated; empty before it. */
     private Optional<MeasuredResponse> measuredResponse = Optional.empty();
 
+    /** Set if another gateway has charged the request to its organisation. */
+    private boolean chargedElsewhere;
+
     /** The charge for the request to its organisation's share, empty if there is none. */
     private Optional<ShareCharge> charge = Optional.empty();
 
@@ -206,12 +209,19 @@
         return Optional.of(new EngineRouting(core, demand, capacity.get(), name, wait));
     }
 
+    /** Records that another gateway has charged the request to its organisation. */
+    void chargedElsewhere() {
+        chargedElsewhere = true;
+    }
+
     /** Records the organisation's demand and the prompt parts that the request may share. */
     void recordDemand() {
         for (int index = 0; index < demand.chain().length(); index++) {
             core.sharedKeys().add(demand.chain().key(index));
         }
-        core.shares().requested(demand.organisation(), demand.cost(), core.now());
+        if (!chargedElsewhere) {
+            core.shares().requested(demand.organisation(), demand.cost(), core.now());
+        }
     }
 
     /**
@@ -384,7 +394,7 @@
      */
     void recordSent(EngineChoice choice) {
         wait.ifPresent(each -> each.recordSent(core.now()));
-        boolean first = charge.isEmpty();
+        boolean first = charge.isEmpty() && !chargedElsewhere;
         if (first) {
             core.shares().sent(demand.organisation(), demand.cost(), tier, core.now());
             charge = Optional.of(new ShareCharge(tier, core.now()));
--- a/src/main/java/org/martenwell/gateway/GatewayDaemon.java
+++ b/src/main/java/org/martenwell/gateway/GatewayDaemon.java
@@ -184,7 +184,11 @@
         this.peerReporter = new PeerReporter(reactor, settings, core, random);
         this.offload =
                 new OffloadExchange(
-                        core, settings.name(), targets.apply(core), peerReporter.offloadLinks());
+                        core,
+                        settings.name(),
+                        targets.apply(core),
+                        peerReporter.offloadLinks(),
+                        drainMillis());
         peerReporter.offload(offload);
         this.stateLog =
                 new StateLog(
@@ -222,7 +226,7 @@
     public Promise<Void> stop() {
         stopping = true;
         core.offloading().ifPresent(Offloading::stop);
-        offload.close();
+        offload.stop();
         core.targets().close();
         return cachedPartsFollower
                 .stop()
@@ -261,6 +265,11 @@
         return done;
     }
 
+    /** Returns the time after which a shutdown ends the requests in progress, in milliseconds. */
+    private long drainMillis() {
+        return settings.stopMillis() - STOP_MARGIN_MILLIS;
+    }
+
     /**
      * Completes a shutdown that is finished or has timed out; otherwise checks again later.
      *
@@ -271,7 +280,7 @@
         long elapsed = reactor.currentTimeMillis() - startMillis;
         boolean balancerNoticed =
                 elapsed >= Math.min(BALANCER_DETECTION_MILLIS, settings.stopMillis() / 2);
-        boolean timedOut = elapsed >= settings.stopMillis() - STOP_MARGIN_MILLIS;
+        boolean timedOut = elapsed >= drainMillis();
         if (balancerNoticed) {
             core.close();
             callers.closeIdle();
--- a/src/main/java/org/martenwell/gateway/OffloadExchange.java
+++ b/src/main/java/org/martenwell/gateway/OffloadExchange.java
@@ -24,16 +24,23 @@
      * @param name This gateway's name.
      * @param targets Chooses the gateways that requests are offloaded to.
      * @param links The connections to other gateways.
+     * @param drainMillis The time for which a gateway goes on behind the start of its shutdown, in
+     *     milliseconds.
      */
-    OffloadExchange(GatewayCore core, String name, OffloadTargets targets, OffloadLinks links) {
+    OffloadExchange(
+            GatewayCore core,
+            String name,
+            OffloadTargets targets,
+            OffloadLinks links,
+            long drainMillis) {
         this.sent =
                 new RequestOffloader(
                         core,
                         name,
                         targets,
                         links,
-                        (exchange, attempts) ->
-                                new RequestDispatch(core, exchange).continueWith(attempts));
+                        (exchange, work) -> new RequestDispatch(core, exchange).continueWith(work),
+                        drainMillis);
         this.received =
                 new OffloadedRequests(
                         core, name, links, exchange -> new RequestDispatch(core, exchange).start());
@@ -46,6 +53,12 @@
         received.close();
     }
 
+    /** Hands the requests of other gateways back that are in progress. */
+    void stop() {
+        close();
+        received.handBack();
+    }
+
     /**
      * Sends a caller's request to another gateway if one is to handle it.
      *
--- a/src/main/java/org/martenwell/gateway/OffloadedExchange.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedExchange.java
@@ -4,17 +4,22 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.exchange.ResponseMemory;
 import org.martenwell.peer.ResponsePart;
+import org.martenwell.stream.CompleteEventFilter;
 
 /**
  * A request that another gateway handles, at the gateway at which it arrived. It passes the parts
- * of the response to the caller without looking into them.
+ * of the response to the caller without looking into them, except those of a resumable stream:
+ * these are passed on in complete events only, so that a target can continue it.
  */
 final class OffloadedExchange {
 
+    private static final int OK = 200;
+
     /** The bytes written to the caller after which the handling gateway is notified. */
     private static final long REPORTED_BYTES = 1 << 16;
 
@@ -26,6 +31,17 @@
 
     private final ResponseMemory memory;
 
+    private final boolean resumable;
+
+    /** Splits a resumable stream at event boundaries. */
+    private final CompleteEventFilter events = new CompleteEventFilter();
+
+    /** Set once a resumable stream has begun. */
+    private boolean inEvents;
+
+    /** The bytes of an incomplete event that are reserved in memory. */
+    private int reservedBytes;
+
     /** The timer for the deadline of the request. */
     private ScheduledRunnable timeout;
 
@@ -41,6 +57,9 @@
     /** The number of targets that the request may have been sent to. */
     private int attempts = 1;
 
+    /** Set if the other gateway took another attempt from its retry budget. */
+    private boolean retryPaid;
+
     /**
      * Creates the exchange of a request that has just been sent.
      *
@@ -48,12 +67,19 @@
      * @param peer The gateway that handles it.
      * @param exchange The request and its response.
      * @param memory Bounds what is kept of responses.
+     * @param resumable {@code true} if an interrupted stream may be resumed.
      */
-    OffloadedExchange(long id, String peer, CallerExchange exchange, ResponseMemory memory) {
+    OffloadedExchange(
+            long id,
+            String peer,
+            CallerExchange exchange,
+            ResponseMemory memory,
+            boolean resumable) {
         this.id = id;
         this.peer = peer;
         this.exchange = exchange;
         this.memory = memory;
+        this.resumable = resumable;
     }
 
     /** {@return the number of the request} */
@@ -99,6 +125,20 @@
         attempts = Math.max(attempts, count);
     }
 
+    /**
+     * Records that the other gateway handles the request no more.
+     *
+     * @param part The notice.
+     */
+    void broken(ResponsePart part) {
+        retryPaid = part.value() > 0;
+    }
+
+    /** {@return {@code true} if the other gateway took another attempt from its retry budget} */
+    boolean retryPaid() {
+        return retryPaid;
+    }
+
     /**
      * Begins a response.
      *
@@ -106,6 +146,7 @@
      * @param framing The framing of the body.
      */
     void begin(ResponsePart head, ResponseFraming framing) {
+        inEvents = resumable && head.value() == OK;
         exchange.begin(head.value(), HeaderFields.headers(head.headers()), framing);
     }
 
@@ -127,6 +168,10 @@
     boolean write(ResponsePart part) {
         byte[] piece = bytes(part);
         receivedBytes += piece.length;
+        if (inEvents) {
+            exchange.write(events.receive(piece));
+            return reserve(events.keptBytes());
+        }
         if (keptHead == null) {
             exchange.write(piece);
             return true;
@@ -138,9 +183,30 @@
         return reserved;
     }
 
+    /** Reserves memory for an incomplete event. */
+    private boolean reserve(int bytes) {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+        boolean reserved = memory.reserve(0, bytes);
+        reservedBytes = reserved ? bytes : 0;
+        return reserved;
+    }
+
+    /**
+     * Returns the events that the caller has received, so that a target can continue the stream.
+     *
+     * @return The events, empty if the response can't be continued: it has not begun, is no
+     *     resumable stream, or its events have no ids.
+     */
+    Optional<CompleteEventFilter> forwarded() {
+        boolean continuable = events.lastId().isPresent() || !events.eventCompleted();
+        return Optional.of(events).filter(each -> inEvents && continuable);
+    }
+
     /** Ends a response that was begun. */
     void end() {
         if (keptHead == null) {
+            exchange.write(events.tail());
             exchange.end();
         } else {
             HttpHeaders headers = HeaderFields.headers(keptHead.headers());
@@ -159,8 +225,9 @@
 
     /** Releases what is kept of the response. */
     void release() {
-        memory.release(keptBody.size());
+        memory.release(keptBody.size() + reservedBytes);
         keptBody.reset();
+        reservedBytes = 0;
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/OffloadedRequests.java
+++ b/src/main/java/org/martenwell/gateway/OffloadedRequests.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 import org.martenwell.exchange.Body;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerRequest;
@@ -65,10 +66,10 @@
 
     private final Map<String, Sender> senders = new HashMap<>();
 
-    /** Set once no more requests are accepted. */
     /** Returns whether this gateway is below its own limit. */
     private BooleanSupplier acceptance = () -> true;
 
+    /** Set once no more requests are accepted. */
     private boolean closed;
 
     private boolean checkScheduled;
@@ -103,6 +104,32 @@
         closed = true;
     }
 
+    /**
+     * Ends all requests at their targets and hands them back to their gateways, which may then send
+     * them elsewhere. What has arrived of the responses is sent before. The attempts elsewhere are
+     * taken from the retry budget of this gateway, which ends, as far as it lasts.
+     */
+    void handBack() {
+        for (Sender each : List.copyOf(senders.values())) {
+            cancelAll(each, () -> core.takeRetry() ? 1 : 0);
+        }
+    }
+
+    /**
+     * Ends the requests of a gateway, which learns which ones.
+     *
+     * @param sender The gateway.
+     * @param paidRetries Returns the attempts elsewhere that this gateway pays for a request.
+     */
+    private static void cancelAll(Sender sender, IntSupplier paidRetries) {
+        Map<Long, Handled> cancelled = Map.copyOf(sender.requests);
+        cancelled.values().forEach(OffloadedRequests::cancel);
+        for (long each : cancelled.keySet()) {
+            int paid = paidRetries.getAsInt();
+            sender.outbox.add(ResponsePart.of(each, ResponsePartKind.BROKEN, paid), true, () -> {});
+        }
+    }
+
     /**
      * Returns whether requests of a gateway are in progress or responses to it wait.
      *
@@ -237,12 +264,8 @@
         if (sender == null) {
             return;
         }
-        Map<Long, Handled> lost = Map.copyOf(sender.requests);
         sender.outbox.clear();
-        lost.values().forEach(OffloadedRequests::cancel);
-        for (long each : lost.keySet()) {
-            sender.outbox.add(ResponsePart.of(each, ResponsePartKind.BROKEN), true, () -> {});
-        }
+        cancelAll(sender, () -> 0);
     }
 
     /** Gives up a gateway that no responses can be sent to. Closing its connections notifies it. */
--- a/src/main/java/org/martenwell/gateway/RequestCompletion.java
+++ b/src/main/java/org/martenwell/gateway/RequestCompletion.java
@@ -181,13 +181,18 @@
     }
 
     /**
-     * Ends the request with a response of the gateway itself, without regard to its attempts.
+     * Ends the request with a response of the gateway itself, without regard to its attempts. If a
+     * response has begun, the connection is closed.
      *
      * @param kind The error to respond with.
      * @param delay The delay after which the caller may retry.
      */
     void respond(ErrorKind kind, RetryDelay delay) {
-        respond(kind, delay.seconds());
+        if (exchange.headSent()) {
+            fail(kind, delay);
+        } else {
+            respond(kind, delay.seconds());
+        }
     }
 
     private void respond(ErrorKind kind, double retrySeconds) {
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -11,6 +11,7 @@
 import org.martenwell.service.ResponseTimeout;
 import org.martenwell.service.StepGuard;
 import org.martenwell.share.RefusalReason;
+import org.martenwell.stream.CompleteEventFilter;
 import org.martenwell.version.ServiceVersion;
 
 /**
@@ -40,6 +41,9 @@
     /** Set if the request was accepted before, so that a shutdown doesn't refuse it. */
     private boolean acceptedBefore;
 
+    /** Set if another gateway took the first attempt of this one from its retry budget. */
+    private boolean retryPaid;
+
     /** The request or {@code null} until it is accepted. */
     private AcceptedRequest request;
 
@@ -71,17 +75,26 @@
     }
 
     /**
-     * Starts the dispatch of a request that was offloaded to another gateway before.
+     * Starts the dispatch of a request that was offloaded to another gateway before. One that may
+     * have run is only sent if it may be retried.
      *
-     * @param attempts The number of targets that it may have been sent to, 0 if it has not run. A
-     *     request that may have run is only sent if it may be retried.
+     * @param work What the other gateway has done.
      */
-    void continueWith(int attempts) {
+    void continueWith(OffloadedWork work) {
         acceptedBefore = true;
-        history.recordOffloaded(attempts);
+        retryPaid = work.retryPaid();
+        history.recordOffloaded(work.attempts());
+        work.forwarded().ifPresent(this::continueBehind);
         start();
     }
 
+    private void continueBehind(CompleteEventFilter forwarded) {
+        relay.continueBehind(forwarded);
+        if (relay.eventForwarded()) {
+            stream.continueHere();
+        }
+    }
+
     private void begin() {
         completion.begin();
         Optional<GatewayConfiguration> configuration = core.configuration();
@@ -193,10 +206,13 @@
     }
 
     /**
-     * Returns whether a request may be retried whose attempts another gateway made that was lost,
-     * and if so takes the retry from the budget.
+     * Returns whether a request may be retried whose attempts another gateway made, and if so takes
+     * the retry from the budget, unless the other gateway has.
      */
     private boolean mayRetryHere() {
+        if (retryPaid) {
+            return request.route().repeatable() && request.mayRetry();
+        }
         // The budget of the lost gateway, which counted the request, is lost with it. A gateway
         // that offloads nearly all requests could otherwise retry none.
         core.countFirstAttempt();
--- a/src/main/java/org/martenwell/gateway/RequestOffloader.java
+++ b/src/main/java/org/martenwell/gateway/RequestOffloader.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.ObjIntConsumer;
+import java.util.function.BiConsumer;
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerRequest;
 import org.martenwell.exchange.ResponseFraming;
@@ -19,12 +19,15 @@
 import org.martenwell.peer.OffloadedResponseReceived;
 import org.martenwell.peer.ResponsePart;
 import org.martenwell.route.Route;
+import org.martenwell.route.RouteType;
 import org.martenwell.service.StepGuard;
 import org.martenwell.settings.GatewayFeature;
+import org.martenwell.stream.CompleteEventFilter;
 
 /**
  * Lets other gateways handle requests of this one's callers, and passes the responses on. A request
- * that another gateway rejects is handled here as if it had not been offloaded.
+ * that another gateway rejects is handled here as if it had not been offloaded. One that another
+ * gateway hands back or loses is repeated or continued here, if its route permits that.
  */
 final class RequestOffloader {
 
@@ -54,11 +57,11 @@
 
     private final OffloadLinks links;
 
-    /**
-     * Handles a request here. The number is that of the targets that it may have been sent to, 0 if
-     * it has not run.
-     */
-    private final ObjIntConsumer<CallerExchange> local;
+    /** Handles requests here. */
+    private final BiConsumer<CallerExchange, OffloadedWork> local;
+
+    /** The time for which a gateway goes on behind the start of its shutdown, in milliseconds. */
+    private final long drainMillis;
 
     /** The requests in progress by number. */
     private final Map<Long, OffloadedExchange> exchanges = new HashMap<>();
@@ -79,20 +82,23 @@
      * @param name This gateway's name.
      * @param targets Chooses the gateways that requests are offloaded to.
      * @param links The connections to them.
-     * @param local Handles a request here, given the number of targets that it may have been sent
-     *     to, 0 if it has not run.
+     * @param local Handles requests here.
+     * @param drainMillis The time for which a gateway goes on behind the start of its shutdown, in
+     *     milliseconds.
      */
     RequestOffloader(
             GatewayCore core,
             String name,
             OffloadTargets targets,
             OffloadLinks links,
-            ObjIntConsumer<CallerExchange> local) {
+            BiConsumer<CallerExchange, OffloadedWork> local,
+            long drainMillis) {
         this.core = core;
         this.name = name;
         this.targets = targets;
         this.links = links;
         this.local = local;
+        this.drainMillis = drainMillis;
         this.nextId = (long) (core.random() * (1L << 52));
     }
 
@@ -114,11 +120,32 @@
         if (chosen.isEmpty() || !links.prepare(chosen.get())) {
             return false;
         }
-        send(exchange, chosen.get(), now - request.arrivedMillis());
+        RequestMetadata metadata = core.dialect().read(request.headers());
+        Optional<Route> route = core.routes().find(metadata.host(), request.path());
+        long deadlineMillis = deadlineMillis(request, route, metadata);
+        boolean stream = route.filter(each -> each.type() == RouteType.STREAMING).isPresent();
+        boolean resumable = stream && route.get().resumable();
+        if (stream && !resumable && deadlineMillis - now > drainMillis) {
+            // A shutdown of the other gateway could cut it, and it couldn't go on elsewhere.
+            return false;
+        }
+        send(exchange, chosen.get(), now - request.arrivedMillis(), resumable, deadlineMillis);
         return true;
     }
 
-    private void send(CallerExchange exchange, String peer, long heldMillis) {
+    private static long deadlineMillis(
+            CallerRequest request, Optional<Route> route, RequestMetadata metadata) {
+        long timeoutMillis = route.map(Route::timeoutMillis).orElse(DEFAULT_TIMEOUT_MILLIS);
+        return request.arrivedMillis()
+                + Math.min(timeoutMillis, metadata.timeoutMillis().orElse(Long.MAX_VALUE));
+    }
+
+    private void send(
+            CallerExchange exchange,
+            String peer,
+            long heldMillis,
+            boolean resumable,
+            long deadlineMillis) {
         CallerRequest request = exchange.request();
         OffloadedRequest message =
                 new OffloadedRequest(
@@ -133,10 +160,11 @@
                         exchange.keepAlive(),
                         exchange.chunksAllowed());
         OffloadedExchange offloaded =
-                new OffloadedExchange(message.id(), peer, exchange, core.responseMemory());
+                new OffloadedExchange(
+                        message.id(), peer, exchange, core.responseMemory(), resumable);
         exchanges.put(message.id(), offloaded);
         core.beginRequest();
-        offloaded.timeout(timeout(offloaded));
+        offloaded.timeout(timeout(offloaded, deadlineMillis));
         exchange.onDisconnect(() -> callerDisconnected(offloaded));
         // The caller may leave, and the deadline pass, until a slow pass of the event loop ends.
         links.sendNow(peer, message);
@@ -144,17 +172,7 @@
     }
 
     /** Starts the timer for the deadline of a request, at which the other gateway may be silent. */
-    private ScheduledRunnable timeout(OffloadedExchange offloaded) {
-        CallerRequest request = offloaded.exchange().request();
-        RequestMetadata metadata = core.dialect().read(request.headers());
-        long timeoutMillis =
-                core.routes()
-                        .find(metadata.host(), request.path())
-                        .map(Route::timeoutMillis)
-                        .orElse(DEFAULT_TIMEOUT_MILLIS);
-        long deadlineMillis =
-                request.arrivedMillis()
-                        + Math.min(timeoutMillis, metadata.timeoutMillis().orElse(Long.MAX_VALUE));
+    private ScheduledRunnable timeout(OffloadedExchange offloaded, long deadlineMillis) {
         return core.reactor()
                 .delayBackground(
                         Math.max(1, deadlineMillis - core.now()) + RESPONSE_MARGIN_MILLIS,
@@ -218,7 +236,10 @@
                 finish(offloaded);
                 offloaded.respond(part);
             }
-            case BROKEN -> lost(offloaded);
+            case BROKEN -> {
+                offloaded.broken(part);
+                lost(offloaded);
+            }
             case REJECTED -> rejected(offloaded);
             case SENT_AGAIN -> offloaded.sentAgain(part.value());
         }
@@ -270,7 +291,7 @@
         core.log().requests().offloadRejected();
         targets.rejected(offloaded.peer(), core.now());
         finish(offloaded);
-        local.accept(offloaded.exchange(), 0);
+        local.accept(offloaded.exchange(), OffloadedWork.NONE);
     }
 
     /**
@@ -291,7 +312,10 @@
         }
     }
 
-    /** Ends a request whose response is incomplete, or handles it here if none has begun. */
+    /**
+     * Handles a request here that another gateway has lost or handed back. A response that has
+     * begun is continued if it is a resumable stream, else aborted.
+     */
     private void lost(OffloadedExchange offloaded) {
         if (!finish(offloaded)) {
             // A message to the peer, as that of a cancellation, found it lost before.
@@ -303,10 +327,13 @@
                 .requests()
                 .offloadFailed(() -> requestId(exchange), exchange.headSent(), elapsedMillis);
         offloaded.release();
-        if (exchange.headSent()) {
+        Optional<CompleteEventFilter> forwarded = offloaded.forwarded();
+        if (exchange.headSent() && forwarded.isEmpty()) {
             exchange.abort();
         } else {
-            local.accept(exchange, offloaded.attempts());
+            local.accept(
+                    exchange,
+                    new OffloadedWork(offloaded.attempts(), offloaded.retryPaid(), forwarded));
         }
     }
 
--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -85,6 +85,9 @@
                         request.route(),
                         request.exchange().request().arrivedMillis(),
                         request.deadlineMillis());
+        if (relay.begunElsewhere()) {
+            engines.ifPresent(EngineRouting::chargedElsewhere);
+        }
         engines.ifPresent(EngineRouting::recordDemand);
         trySend();
     }
--- a/src/main/java/org/martenwell/gateway/RequestStream.java
+++ b/src/main/java/org/martenwell/gateway/RequestStream.java
@@ -20,6 +20,9 @@
     /** Set once the request may only be continued at the version that began its stream. */
     private boolean begun;
 
+    /** Set if another gateway has forwarded events of the request, which is continued here. */
+    private boolean continued;
+
     /** The search for the version of the stream that the request resumes, empty if it is new. */
     private Optional<StreamLookup> resumption = Optional.empty();
 
@@ -37,6 +40,11 @@
         this.metadata = metadata;
     }
 
+    /** Continues the stream of this request here, of which another gateway forwarded events. */
+    void continueHere() {
+        continued = true;
+    }
+
     /**
      * Returns whether the request resumes a stream.
      *
@@ -44,7 +52,13 @@
      * @return {@code true} if the version that began the stream has to be found.
      */
     boolean resumes(Route route) {
-        return metadata.lastEventId().isPresent() && route.resumable();
+        return (continued || metadata.lastEventId().isPresent()) && route.resumable();
+    }
+
+    /** Returns the id of the attempt that brought the first event, empty if it isn't known. */
+    private Optional<String> firstAttempt() {
+        boolean begunByCaller = metadata.lastEventId().isPresent();
+        return continued && !begunByCaller ? metadata.requestId() : metadata.resumedAttempt();
     }
 
     /**
@@ -55,7 +69,7 @@
      * @param listener Receives the result, possibly within this call.
      */
     void find(Route route, long remainingMillis, Consumer<StreamLookup> listener) {
-        core.streams().find(metadata.resumedAttempt(), route, remainingMillis, listener);
+        core.streams().find(firstAttempt(), route, remainingMillis, listener);
     }
 
     /**
@@ -71,12 +85,11 @@
             return Optional.empty();
         }
         ServiceVersion version = lookup.stream().get().version();
-        core.log().streams().found(requestId(), metadata.resumedAttempt(), lookup.stream().get());
+        core.log().streams().found(requestId(), firstAttempt(), lookup.stream().get());
         if (!route.leadsTo(version.service())) {
             return Optional.empty();
         }
-        metadata.resumedAttempt()
-                .ifPresent(attempt -> core.streams().continued(attempt, version, route));
+        firstAttempt().ifPresent(attempt -> core.streams().continued(attempt, version, route));
         begun = true;
         return Optional.of(version);
     }
@@ -115,9 +128,7 @@
     void recordRefusal(StreamRefusal refusal) {
         resumption.ifPresent(
                 lookup ->
-                        core.log()
-                                .streams()
-                                .refused(requestId(), metadata.resumedAttempt(), refusal, lookup));
+                        core.log().streams().refused(requestId(), firstAttempt(), refusal, lookup));
     }
 
     /**
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -65,7 +65,10 @@
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
 
     /** Splits a resumable stream at event boundaries. */
-    private final CompleteEventFilter events = new CompleteEventFilter();
+    private CompleteEventFilter events = new CompleteEventFilter();
+
+    /** Set if another gateway has begun the response. */
+    private boolean begunElsewhere;
 
     /**
      * Creates a relay that awaits its first attempt.
@@ -80,6 +83,23 @@
         this.guard = guard;
     }
 
+    /**
+     * Continues a resumable stream that another gateway has begun.
+     *
+     * @param forwarded The events that the caller has received.
+     */
+    void continueBehind(CompleteEventFilter forwarded) {
+        begunElsewhere = true;
+        events = forwarded;
+        events.reset();
+        eventForwarded = forwarded.eventCompleted();
+    }
+
+    /** {@return {@code true} if another gateway has begun the response} */
+    boolean begunElsewhere() {
+        return begunElsewhere;
+    }
+
     /**
      * Discards the incomplete response of an earlier attempt and awaits the next one.
      *
--- a/src/main/java/org/martenwell/peer/ResponsePart.java
+++ b/src/main/java/org/martenwell/peer/ResponsePart.java
@@ -9,7 +9,8 @@
  * @param id The number of the request.
  * @param kind The kind.
  * @param value The status of a head or of a whole response, the number of targets that a request
- *     has been sent to, else 0.
+ *     has been sent to, 1 for a request that is handed back and whose next attempt the sender took
+ *     from its retry budget, else 0.
  * @param headers The headers of a head or of a whole response without those that frame the body,
  *     else empty.
  * @param body The bytes of a whole response's body or of a piece, read-only, else empty.
--- a/src/main/java/org/martenwell/peer/ResponsePartKind.java
+++ b/src/main/java/org/martenwell/peer/ResponsePartKind.java
@@ -27,7 +27,7 @@
     /** A complete response. */
     WHOLE(5),
 
-    /** The response ends incomplete, or there is none. */
+    /** The response ends incomplete, or there is none: the request failed or is handed back. */
     BROKEN(6),
 
     /** The request has not run and never will at the gateway that rejects it. */
--- a/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
+++ b/src/test/java/org/martenwell/gateway/EngineRoutingTest.java
@@ -125,6 +125,17 @@
         assertThat(chargedTokens()).isEqualTo(COST);
     }
 
+    /** Guards against charging the organisation at each gateway that has served the request. */
+    @Test
+    void testRequestThatAnotherGatewayChargedIsNotChargedAgain() {
+        routing.chargedElsewhere();
+        routing.recordDemand();
+        routing.recordSent(choice(loads.get(0)));
+        routing.rollBackSent();
+        routing.recordSent(choice(loads.get(1)));
+        assertThat(chargedTokens()).isZero();
+    }
+
     @Test
     void testRequestThatNoEngineServedIsNotCharged() {
         routing.recordDemand();
--- a/src/test/java/org/martenwell/gateway/OffloadFixture.java
+++ b/src/test/java/org/martenwell/gateway/OffloadFixture.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -14,10 +15,15 @@
 import org.martenwell.exchange.CallerExchange;
 import org.martenwell.exchange.CallerRequest;
 import org.martenwell.exchange.CloseReason;
+import org.martenwell.exchange.ConnectionLimits;
 import org.martenwell.exchange.ResponseChannel;
 import org.martenwell.exchange.ResponseFraming;
 import org.martenwell.message.PeerMessage;
 import org.martenwell.route.EngineCapacity;
+import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.Route;
+import org.martenwell.route.RouteType;
+import org.martenwell.route.WeightedService;
 import org.martenwell.settings.GatewayFeature;
 import org.martenwell.settings.GatewaySettings;
 
@@ -76,6 +82,33 @@
         return core;
     }
 
+    /** Configures one route, which all requests take. */
+    void configureRoute(RouteType type, long timeoutMillis, boolean resumable) {
+        Route route =
+                new Route(
+                        "route",
+                        "",
+                        "/",
+                        type,
+                        timeoutMillis,
+                        400,
+                        0,
+                        List.of(new WeightedService(GatewayCores.SERVICE, 1)),
+                        2,
+                        true,
+                        resumable,
+                        0);
+        core.configure(
+                new GatewayConfiguration(
+                        1,
+                        List.of(route),
+                        Map.of(),
+                        ConnectionLimits.DEFAULTS,
+                        0,
+                        false,
+                        Map.of()));
+    }
+
     Links links() {
         return links;
     }
--- a/src/test/java/org/martenwell/gateway/OffloadedRequestsTest.java
+++ b/src/test/java/org/martenwell/gateway/OffloadedRequestsTest.java
@@ -28,6 +28,12 @@
 
     private static final byte[] EVENT = "event".getBytes(StandardCharsets.UTF_8);
 
+    /** The window of the fleet's retry budget, in milliseconds. */
+    private static final int RETRY_WINDOW_MILLIS = 10_000;
+
+    /** The retries in a window beyond the share of requests. */
+    private static final int RETRY_ALLOWANCE = 100;
+
     private final OffloadFixture fixture = new OffloadFixture();
 
     /** The requests that were accepted. */
@@ -174,6 +180,42 @@
         assertThat(kinds()).containsExactly(ResponsePartKind.BROKEN);
     }
 
+    /** Guards against a request that runs at two targets, and against events that are lost. */
+    @Test
+    void testRequestsThatAreHandedBackHaveEndedAtTheirTargets() {
+        List<List<ResponsePartKind>> sentBefore = new ArrayList<>();
+        CallerExchange exchange = handle(1);
+        exchange.onDisconnect(() -> sentBefore.add(kinds()));
+        exchange.begin(200, headers());
+        exchange.write(EVENT);
+        exchange.write(EVENT);
+        requests.handBack();
+        assertThat(sentBefore)
+                .containsExactly(
+                        List.of(ResponsePartKind.CLOSE_DELIMITED_HEAD, ResponsePartKind.BODY));
+        assertThat(kinds()).containsExactly(ResponsePartKind.BODY, ResponsePartKind.BROKEN);
+        assertThat(requests.uses(OffloadFixture.PEER)).isFalse();
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    /**
+     * Guards against streams that break for the budget of the gateway alone that continues them.
+     */
+    @Test
+    void testAttemptsBehindAHandBackAreTakenFromTheBudgetOfThisGatewayAsFarAsItLasts() {
+        fixture.core().updateFleet(1, 0);
+        fixture.pass(RETRY_WINDOW_MILLIS);
+        int count = 2 * RETRY_ALLOWANCE;
+        for (int id = 0; id < count; id++) {
+            handle(id);
+        }
+        requests.handBack();
+        List<Integer> paid = parts().stream().map(ResponsePart::value).toList();
+        assertThat(paid).hasSize(count).contains(0, 1);
+        assertThat(paid.stream().mapToInt(Integer::intValue).sum()).isLessThan(RETRY_ALLOWANCE);
+        assertThat(fixture.core().takeRetry()).isFalse();
+    }
+
     /** Guards against a slow caller that fills the memory of both gateways. */
     @Test
     void testWindowLimitsWhatIsSentAheadOfTheCaller() {
--- a/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
+++ b/src/test/java/org/martenwell/gateway/RequestOffloaderTest.java
@@ -17,6 +17,8 @@
 import org.martenwell.peer.OffloadedResponseReceived;
 import org.martenwell.peer.ResponsePart;
 import org.martenwell.peer.ResponsePartKind;
+import org.martenwell.route.RouteType;
+import org.martenwell.stream.CompleteEventFilter;
 
 /**
  * Guards against responses of other gateways that are lost, changed or answered wrongly, and
@@ -26,6 +28,12 @@
 
     private static final int BLOCK_BYTES = 1 << 15;
 
+    /** The time of a shutdown, in milliseconds. */
+    private static final long DRAIN_MILLIS = 7_500;
+
+    /** The time-out of a route whose requests may last longer than that, in milliseconds. */
+    private static final long TIMEOUT_MILLIS = 15_000;
+
     private final OffloadFixture fixture = new OffloadFixture();
 
     private final OffloadFixture.Channel caller = new OffloadFixture.Channel();
@@ -33,6 +41,12 @@
     /** The requests that are handled here, as the numbers of their attempts elsewhere. */
     private final List<Integer> local = new ArrayList<>();
 
+    /** The ids of the last events that the callers of those requests have received. */
+    private final List<String> lastEvents = new ArrayList<>();
+
+    /** Whether the other gateway has paid for the next attempts of those requests. */
+    private final List<Boolean> retriesPaid = new ArrayList<>();
+
     private final RequestOffloader offloader = offloader(fixture);
 
     private final CallerExchange exchange = fixture.exchange(caller, "body", 40);
@@ -43,7 +57,13 @@
                 OffloadFixture.SELF,
                 of.targets(),
                 of.links(),
-                (each, attempts) -> local.add(attempts));
+                (each, work) -> {
+                    local.add(work.attempts());
+                    retriesPaid.add(work.retryPaid());
+                    lastEvents.add(
+                            work.forwarded().flatMap(CompleteEventFilter::lastId).orElse(""));
+                },
+                DRAIN_MILLIS);
     }
 
     @Test
@@ -196,6 +216,94 @@
         assertThat(local).isEmpty();
     }
 
+    /** Guards against streams that end with the gateway that was to serve them. */
+    @Test
+    void testResumableStreamIsContinuedBehindItsLastCompleteEvent() {
+        fixture.configureRoute(RouteType.STREAMING, TIMEOUT_MILLIS, true);
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("id: 1\ndata: a\n\nid: 2\nda")));
+        receive(ResponsePart.body(id, bytes("ta: b\n\nid: 3\n")));
+        assertThat(caller.text()).isEqualTo("head 200 CHUNKEDid: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(local).containsExactly(1);
+        assertThat(lastEvents).containsExactly("2");
+        assertThat(retriesPaid).containsExactly(false);
+        assertThat(exchange.finished()).isFalse();
+        assertThat(fixture.core().responseMemory().usedBytes()).isZero();
+        assertThat(fixture.core().activeRequests()).isZero();
+    }
+
+    @Test
+    void testResumableStreamThatIsHandedBackIsContinued() {
+        fixture.configureRoute(RouteType.STREAMING, TIMEOUT_MILLIS, true);
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.of(id, ResponsePartKind.SENT_AGAIN, 2),
+                ResponsePart.body(id, bytes("id: 7\ndata: a\n\n")),
+                ResponsePart.of(id, ResponsePartKind.BROKEN, 1));
+        assertThat(local).containsExactly(2);
+        assertThat(lastEvents).containsExactly("7");
+        assertThat(retriesPaid).containsExactly(true);
+        receive(ResponsePart.body(id, bytes("id: 8\ndata: b\n\n")));
+        assertThat(caller.text()).doesNotContain("id: 8");
+    }
+
+    @Test
+    void testResumableStreamEndsWithTheBytesBehindItsLastEvent() {
+        fixture.configureRoute(RouteType.STREAMING, TIMEOUT_MILLIS, true);
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("id: 1\ndata: a\n\nrest")),
+                ResponsePart.of(id, ResponsePartKind.END));
+        assertThat(caller.text()).isEqualTo("head 200 CHUNKEDid: 1\ndata: a\n\nrestend");
+        assertThat(fixture.core().responseMemory().usedBytes()).isZero();
+    }
+
+    /** Guards against events that a caller gets twice. */
+    @Test
+    void testStreamWithoutEventIdsIsNotContinued() {
+        fixture.configureRoute(RouteType.STREAMING, TIMEOUT_MILLIS, true);
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CHUNKED_HEAD, 200, List.of()),
+                ResponsePart.body(id, bytes("data: a\n\n")));
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(caller.events()).endsWith("aborted");
+        assertThat(local).isEmpty();
+    }
+
+    /** Guards against a failure that is joined with a stream. */
+    @Test
+    void testFailureOfAResumableRouteIsNotContinued() {
+        fixture.configureRoute(RouteType.STREAMING, TIMEOUT_MILLIS, true);
+        long id = offload().id();
+        receive(
+                ResponsePart.head(id, ResponsePartKind.CLOSE_DELIMITED_HEAD, 500, List.of()),
+                ResponsePart.body(id, bytes("id: 1\ndata: a\n\n")));
+        offloader.peerLost(OffloadFixture.PEER);
+        assertThat(caller.events()).endsWith("aborted");
+        assertThat(local).isEmpty();
+    }
+
+    /** Guards against a stream that is cut when the gateway that handles it shuts down. */
+    @Test
+    void testStreamThatMayOutliveTheOtherGatewayIsHandledHere() {
+        assertThat(offloads(RouteType.STREAMING, DRAIN_MILLIS + 1, false, 0)).isFalse();
+        assertThat(offloads(RouteType.STREAMING, DRAIN_MILLIS, false, 0)).isTrue();
+        assertThat(offloads(RouteType.STREAMING, DRAIN_MILLIS + 1, false, 1)).isTrue();
+        assertThat(offloads(RouteType.STREAMING, TIMEOUT_MILLIS, true, 0)).isTrue();
+        assertThat(offloads(RouteType.IDEMPOTENT, TIMEOUT_MILLIS, false, 0)).isTrue();
+    }
+
+    private boolean offloads(RouteType type, long timeoutMillis, boolean resumable, long held) {
+        fixture.configureRoute(type, timeoutMillis, resumable);
+        return offloader.offload(fixture.exchange(new OffloadFixture.Channel(), "", held));
+    }
+
     @Test
     void testBrokenResponseBreaksThatOfTheCaller() {
         long id = offload().id();
