Copy pieces of resumable streams whole instead of byte by byte

The gateway that holds the caller now looks into offloaded resumable streams too, which costs the busy box time.

Cause: CompleteEventFilter wrote each byte to a synchronized stream and copied what was complete twice.

Change: it follows the bytes and writes pieces whole; what it passes on is unchanged.

CompleteEventFilterTest, RequestOffloaderTest, RejoinedStreamsTest pass.

--- a/src/main/java/org/martenwell/stream/CompleteEventFilter.java
+++ b/src/main/java/org/martenwell/stream/CompleteEventFilter.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -37,20 +36,20 @@
      */
     public byte[] receive(byte[] bytes) {
         int completeLength = 0;
-        for (byte each : bytes) {
-            incomplete.write(each);
-            follow(each);
-            if (each == '\n' && !boundary.withinEvent()) {
-                completeLength = incomplete.size();
+        for (int index = 0; index < bytes.length; index++) {
+            follow(bytes[index]);
+            if (bytes[index] == '\n' && !boundary.withinEvent()) {
+                completeLength = index + 1;
             }
         }
         if (completeLength == 0) {
+            incomplete.writeBytes(bytes);
             return new byte[0];
         }
-        byte[] all = incomplete.toByteArray();
+        incomplete.write(bytes, 0, completeLength);
+        byte[] complete = incomplete.toByteArray();
         incomplete.reset();
-        incomplete.write(all, completeLength, all.length - completeLength);
-        byte[] complete = Arrays.copyOf(all, completeLength);
+        incomplete.write(bytes, completeLength, bytes.length - completeLength);
         updateLastId(complete);
         return complete;
     }
