--- a/src/main/java/org/martenwell/gateway/RequestSender.java
+++ b/src/main/java/org/martenwell/gateway/RequestSender.java
@@ -97,6 +97,9 @@
                         request.route(),
                         request.exchange().request().arrivedMillis(),
                         request.deadlineMillis());
+        if (relay.begunElsewhere()) {
+            engines.ifPresent(EngineRouting::chargedElsewhere);
+        }
         engines.ifPresent(EngineRouting::recordDemand);
         if (stream.hasPrecedence()) {
             targets.version()
