--- a/src/main/java/org/martenwell/directory/DirectoryListener.java
+++ b/src/main/java/org/martenwell/directory/DirectoryListener.java
@@ -21,10 +21,10 @@
             GatewayConfiguration configuration, String document, Optional<String> peer);
 
     /**
-     * Called once per version of an entry that can't be parsed. The entry is ignored; all other
-     * entries are unaffected.
+     * Called once per version of an entry, or of a part of the configuration, that can't be used.
+     * It is ignored; all others are unaffected.
      *
-     * @param name The entry's name.
+     * @param name The entry's name, or that of the configuration with the JSON Pointer of the part.
      * @param reason A description of the error, for the log.
      */
     void entryUnreadable(String name, String reason);
--- a/src/main/java/org/martenwell/directory/StoreDirectory.java
+++ b/src/main/java/org/martenwell/directory/StoreDirectory.java
@@ -21,6 +21,7 @@
 import org.martenwell.quarantine.Fingerprint;
 import org.martenwell.quarantine.QuarantinedRequest;
 import org.martenwell.route.GatewayConfiguration;
+import org.martenwell.route.InvalidEntry;
 import org.martenwell.service.IpAddress;
 import org.martenwell.version.OriginBatch;
 import org.martenwell.version.ServiceVersion;
@@ -378,9 +379,15 @@
             listener.configurationChanged(
                     configuration, new String(Json.write(document), StandardCharsets.UTF_8), peer);
             version = configuration.version();
+            configuration.invalidEntries().forEach(this::reportInvalid);
         }
     }
 
+    private void reportInvalid(InvalidEntry entry) {
+        String document = reader.configurationKind() + "/" + reader.configurationName();
+        listener.entryUnreadable(document + "#" + entry.pointer(), entry.reason());
+    }
+
     /**
      * Reports all targets to the listener, without malformed entries and those that lack a start
      * time.
--- a/src/main/java/org/martenwell/error/ErrorKind.java
+++ b/src/main/java/org/martenwell/error/ErrorKind.java
@@ -21,6 +21,9 @@
     /** The API key is missing or belongs to no organisation. */
     UNAUTHENTICATED(401, Outcome.NOT_RUN, Retryability.NEVER, 77),
 
+    /** The configuration of the caller's organisation is invalid. */
+    INVALID_ORGANISATION(503, Outcome.NOT_RUN, Retryability.LATER, 78),
+
     /** The policy of the organisation's contract refused the request. */
     POLICY_REFUSED(403, Outcome.NOT_RUN, Retryability.NEVER, 77),
 
--- a/src/main/java/org/martenwell/gateway/RequestDispatch.java
+++ b/src/main/java/org/martenwell/gateway/RequestDispatch.java
@@ -115,14 +115,17 @@
         completion.routeSelected(route.name());
         Optional<String> organisation = Optional.empty();
         if (configuration.get().apiKeysRequired() && !route.anonymous()) {
-            organisation =
-                    metadata.key()
-                            .map(configuration.get().keys()::get)
-                            .map(OrganisationConfiguration::name);
-            if (organisation.isEmpty()) {
+            Optional<OrganisationConfiguration> caller =
+                    metadata.key().map(configuration.get().keys()::get);
+            if (caller.isEmpty()) {
                 completion.respond(ErrorKind.UNAUTHENTICATED, RetryDelay.NONE);
                 return;
             }
+            if (!caller.get().valid()) {
+                completion.fail(ErrorKind.INVALID_ORGANISATION, RetryDelay.NONE);
+                return;
+            }
+            organisation = caller.map(OrganisationConfiguration::name);
         }
         completion.callerIdentified(organisation.orElse(""));
         stream.callerIdentified(organisation.orElse(""));
--- a/src/main/java/org/martenwell/json/JsonTrees.java
+++ b/src/main/java/org/martenwell/json/JsonTrees.java
@@ -21,6 +21,8 @@
 
     private static final JsonFactory FACTORY = new JsonFactory();
 
+    private static final int REPLACEMENT_CHARACTER = 0xFFFD;
+
     /**
      * Tolerates invalid values in documents with entries from third parties, so that one invalid
      * value does not invalidate the entire document.
@@ -120,13 +122,23 @@
         generator.writeEndObject();
     }
 
-    /** Replaces unpaired surrogates, which UTF-8 can't represent, by question marks. */
+    /** Replaces unpaired surrogates, which UTF-8 can't represent, by U+FFFD. */
     private static String encodable(String text) {
-        return text.chars().anyMatch(each -> Character.isSurrogate((char) each))
-                ? new String(text.getBytes(StandardCharsets.UTF_8), StandardCharsets.UTF_8)
+        return text.codePoints().anyMatch(JsonTrees::isUnpaired)
+                ? text.codePoints()
+                        .map(each -> isUnpaired(each) ? REPLACEMENT_CHARACTER : each)
+                        .collect(
+                                StringBuilder::new,
+                                StringBuilder::appendCodePoint,
+                                StringBuilder::append)
+                        .toString()
                 : text;
     }
 
+    private static boolean isUnpaired(int codePoint) {
+        return Character.getType(codePoint) == Character.SURROGATE;
+    }
+
     private static void writeArray(JsonNode array, JsonGenerator generator) throws IOException {
         generator.writeStartArray();
         for (JsonNode each : array) {
--- a/src/main/java/org/martenwell/route/GatewayConfiguration.java
+++ b/src/main/java/org/martenwell/route/GatewayConfiguration.java
@@ -16,6 +16,7 @@
  *     configured.
  * @param apiKeysRequired {@code true} if requests need an API key, except on anonymous routes.
  * @param keys The organisations by API key.
+ * @param invalidEntries The parts that are not in force.
  */
 public record GatewayConfiguration(
         long version,
@@ -24,7 +25,8 @@
         ConnectionLimits limits,
         long tokensPerSecond,
         boolean apiKeysRequired,
-        Map<String, OrganisationConfiguration> keys) {
+        Map<String, OrganisationConfiguration> keys,
+        List<InvalidEntry> invalidEntries) {
 
     /**
      * Returns a service.
--- a/src/main/java/org/martenwell/route/OrganisationConfiguration.java
+++ b/src/main/java/org/martenwell/route/OrganisationConfiguration.java
@@ -5,5 +5,6 @@
  *
  * @param name The name of the organisation.
  * @param priority The priority of its requests; 0 is the highest.
+ * @param valid {@code false} if targets can't be told the name, so that requests are refused.
  */
-public record OrganisationConfiguration(String name, int priority) {}
+public record OrganisationConfiguration(String name, int priority, boolean valid) {}
--- a/src/test/java/org/martenwell/gateway/GatewayCores.java
+++ b/src/test/java/org/martenwell/gateway/GatewayCores.java
@@ -57,7 +57,8 @@
                 ConnectionLimits.DEFAULTS,
                 tokensPerSecond,
                 false,
-                Map.of());
+                Map.of(),
+                List.of());
     }
 
     /** Creates a streaming route to the service. */
--- a/src/test/java/org/martenwell/gateway/OffloadFixture.java
+++ b/src/test/java/org/martenwell/gateway/OffloadFixture.java
@@ -106,7 +106,8 @@
                         ConnectionLimits.DEFAULTS,
                         0,
                         false,
-                        Map.of()));
+                        Map.of(),
+                        List.of()));
     }
 
     Links links() {
--- a/src/test/java/org/martenwell/gateway/ReporterFleet.java
+++ b/src/test/java/org/martenwell/gateway/ReporterFleet.java
@@ -242,7 +242,8 @@
                                 ConnectionLimits.DEFAULTS,
                                 0,
                                 false,
-                                Map.of()));
+                                Map.of(),
+                                List.of()));
         reporters.get(gateway).document(Long.toString(version));
     }
 
--- a/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
+++ b/src/test/java/org/martenwell/gateway/StreamVersionsTest.java
@@ -487,7 +487,14 @@
 
     private static GatewayConfiguration configuration(Route... routes) {
         return new GatewayConfiguration(
-                1, List.of(routes), Map.of(), ConnectionLimits.DEFAULTS, 0, false, Map.of());
+                1,
+                List.of(routes),
+                Map.of(),
+                ConnectionLimits.DEFAULTS,
+                0,
+                false,
+                Map.of(),
+                List.of());
     }
 
     private static Optional<ResumedStream> onlyVersion() {
