Compare API keys by their UTF-8 bytes

With the keys `clé` of one tenant and `clÃ©` of another, a caller that sent the first one in UTF-8 ran as the other tenant; with such a key alone it got 401.

Cause: a header is read as one character a byte and was compared with the text of the configuration. Evidence: of 15 keys side by side only those outside ASCII go wrong, each for the key whose text is its UTF-8 read as Latin-1. Ruled out: folding of case, normal form or percent-encoding.

Change: the table holds keys as they stand in a header (FieldValue).

--- a/src/main/java/org/martenwell/gateway/RequestMetadata.java
+++ b/src/main/java/org/martenwell/gateway/RequestMetadata.java
@@ -8,7 +8,7 @@
  * @param requestId The id that the caller gave to this attempt, or empty.
  * @param host The host that the request is addressed to.
  * @param timeoutMillis The caller's timeout, in milliseconds, or empty if it stated none.
- * @param key The caller's API key, or empty if it sent none.
+ * @param key The caller's API key with one character per byte, or empty if it sent none.
  * @param lastEventId The id of the last event that the caller received, if it resumes a stream.
  * @param resumedAttempt The id of the attempt that brought the first event of the stream that the
  *     caller resumes, or empty if it names none.
--- a/src/main/java/org/martenwell/route/GatewayConfiguration.java
+++ b/src/main/java/org/martenwell/route/GatewayConfiguration.java
@@ -15,7 +15,8 @@
  * @param tokensPerSecond The tokens that all targets together can generate per second, 0 if not
  *     configured.
  * @param apiKeysRequired {@code true} if requests need an API key, except on anonymous routes.
- * @param keys The organisations by API key.
+ * @param keys The organisations by API key, which is encoded as a {@link
+ *     org.martenwell.exchange.FieldValue}.
  * @param invalidEntries The parts that are not in force.
  */
 public record GatewayConfiguration(
