Keep request targets as they are, reject those outside ASCII

Cause: the codec reads a target as one character a byte and writes it in UTF-8 (and adds slashes to absolute ones). Evidence: TargetRequestEncoderTest shows it without a gateway. Ruled out: the decoder, whose text has the bytes, and the way between gateways.

Change: TargetRequestEncoder writes a target as it was read. Bytes outside ASCII can't stand in one (RFC 9112, 3.2), targets read them in several ways, and the route of the percent-encoded path would not apply, so they get 400 like other invalid characters. The same class in routes: a host or prefix outside ASCII matched no sound request; it stands for the A-label and the percent-encoded path now, and a route that no request can state is logged and left out.

--- a/src/main/java/org/martenwell/exchange/CallerRequest.java
+++ b/src/main/java/org/martenwell/exchange/CallerRequest.java
@@ -7,7 +7,8 @@
  * A complete request of a caller.
  *
  * @param method The method.
- * @param target The request target as received, with its query.
+ * @param target The request target with its query as received, in visible ASCII unless a gateway of
+ *     an earlier build has offloaded the request.
  * @param headers The headers as received.
  * @param body The complete body, empty if there is none.
  * @param arrivedMillis The arrival of the first byte on the event loop's clock, in milliseconds.
--- a/src/main/java/org/martenwell/exchange/CallerRequestDecoder.java
+++ b/src/main/java/org/martenwell/exchange/CallerRequestDecoder.java
@@ -10,11 +10,15 @@
 import java.util.List;
 
 /**
- * Decodes requests and rejects those with a folded header line, which Netty accepts. It checks the
- * bytes that Netty consumes as heads, so that requests behind others are checked like the first.
+ * Decodes requests and rejects those that Netty accepts with a folded header line, or with a target
+ * outside ASCII. It checks the bytes that Netty consumes as heads, so that requests behind others
+ * are checked like the first.
  */
 final class CallerRequestDecoder extends HttpRequestDecoder {
 
+    /** The last character of ASCII that is visible. */
+    private static final char LAST_VISIBLE = '~';
+
     private final ObsoleteFoldDetector foldDetector = new ObsoleteFoldDetector();
 
     /** Set while the head of a request is expected or incomplete. */
@@ -61,6 +65,20 @@
         }
     }
 
+    /**
+     * {@inheritDoc}
+     *
+     * <p>Bytes outside ASCII can't stand in a target by RFC 9112, section 3.2. Targets would read
+     * them in several ways, and a route for the percent-encoded target wouldn't apply.
+     */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        if (initialLine[1].chars().anyMatch(each -> each > LAST_VISIBLE)) {
+            throw new IllegalArgumentException("The request target is not in ASCII.");
+        }
+        return super.createMessage(initialLine);
+    }
+
     /** {@return {@code true} if a part of a request is read, or a request was rejected} */
     boolean withinRequest() {
         return rejected || withinRequest || actualReadableBytes() > 0;
--- a/src/main/java/org/martenwell/exchange/CodecChannels.java
+++ b/src/main/java/org/martenwell/exchange/CodecChannels.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /**
@@ -44,7 +43,7 @@
      * @return The codec, which the connection must release.
      */
     static EmbeddedChannel forTarget(ResponseDecoder decoder) {
-        return new EmbeddedChannel(decoder, new HttpRequestEncoder());
+        return new EmbeddedChannel(decoder, new TargetRequestEncoder());
     }
 
     /** {@return the configuration of response decoders} */
--- a/src/main/java/org/martenwell/route/Route.java
+++ b/src/main/java/org/martenwell/route/Route.java
@@ -6,8 +6,10 @@
  * Rule that selects requests by host and path, and the way in which they are served.
  *
  * @param name The name of the route.
- * @param host The host that the requests name, without a port.
- * @param pathPrefix The prefix of the request paths, which begins and ends with a slash.
+ * @param host The host that the requests name, without a port. Requests name one outside ASCII by
+ *     its A-labels.
+ * @param pathPrefix The prefix of the request paths, which begins and ends with a slash. Requests
+ *     percent-encode its characters outside ASCII.
  * @param type The type, which decides whether requests may be retried.
  * @param timeoutMillis The time from the arrival of a request to its deadline, in milliseconds.
  * @param objectiveMillis The latency objective (SLO) of a response or its first event, in
--- a/src/main/java/org/martenwell/route/RouteTable.java
+++ b/src/main/java/org/martenwell/route/RouteTable.java
@@ -12,20 +12,27 @@
 public final class RouteTable {
 
     /** The routes by host in lower case, longest prefix first. */
-    private final Map<String, List<Route>> routes = new HashMap<>();
+    private final Map<String, List<Entry>> routes = new HashMap<>();
+
+    private record Entry(PathPrefix prefix, Route route) {}
 
     /**
      * Creates a table.
      *
-     * @param all The routes, in any order.
+     * @param all The routes, in any order. One whose host or prefix no request can state matches
+     *     nothing.
      */
     public RouteTable(List<Route> all) {
         for (Route each : all) {
-            routes.computeIfAbsent(each.host().toLowerCase(Locale.ROOT), host -> new ArrayList<>())
-                    .add(each);
+            RoutePattern.of(each.host(), each.pathPrefix())
+                    .ifPresent(
+                            pattern ->
+                                    routes.computeIfAbsent(
+                                                    pattern.host(), host -> new ArrayList<>())
+                                            .add(new Entry(pattern.prefix(), each)));
         }
-        for (List<Route> each : routes.values()) {
-            each.sort(Comparator.comparingInt(route -> -route.pathPrefix().length()));
+        for (List<Entry> each : routes.values()) {
+            each.sort(Comparator.comparingInt(entry -> -entry.prefix().length()));
         }
     }
 
@@ -43,7 +50,8 @@
             name = name.substring(0, port);
         }
         return routes.getOrDefault(name, List.of()).stream()
-                .filter(route -> path.startsWith(route.pathPrefix()))
+                .filter(entry -> entry.prefix().begins(path))
+                .map(Entry::route)
                 .findFirst();
     }
 }
