Resume streams by the bytes of their event ids

A stream whose events have ids outside ASCII went on behind another event: the next target was told `?-1` for an Arabic letter and `-1`.

Cause: the id was decoded as UTF-8 and written to Last-Event-ID as one character a byte. Ruled out: ids that callers state, which arrive unchanged.

--- a/src/main/java/org/martenwell/gateway/ForwardMetadata.java
+++ b/src/main/java/org/martenwell/gateway/ForwardMetadata.java
@@ -10,7 +10,8 @@
  * @param remainingMillis The time until the request times out, in milliseconds, or empty if the
  *     caller stated no timeout.
  * @param organisation The caller's organisation, or empty on an anonymous route.
- * @param lastEventId The id of the last event that the caller received, if a stream is resumed.
+ * @param lastEventId The id of the last event that the caller received, with one character per
+ *     byte, if a stream is resumed.
  * @param copyFrom The address of the engine to copy cached prompt parts from, or empty.
  */
 public record ForwardMetadata(
--- a/src/main/java/org/martenwell/gateway/ResponseRelay.java
+++ b/src/main/java/org/martenwell/gateway/ResponseRelay.java
@@ -267,7 +267,7 @@
     /**
      * Returns the last event that was forwarded completely.
      *
-     * @return The event's id, or empty if no event was forwarded.
+     * @return The event's id with one character per byte, or empty if no event was forwarded.
      */
     Optional<String> lastEventId() {
         return events.lastId();
--- a/src/main/java/org/martenwell/stream/CompleteEventFilter.java
+++ b/src/main/java/org/martenwell/stream/CompleteEventFilter.java
@@ -111,13 +111,16 @@
         bytesWithoutEvent = 0;
     }
 
-    /** {@return the id of the last complete event that has one, or empty} */
+    /**
+     * {@return the id of the last complete event that has one, as {@code Last-Event-ID} states it:
+     * one character per byte; or empty}
+     */
     public Optional<String> lastId() {
         return lastId;
     }
 
     private void updateLastId(byte[] complete) {
-        String text = new String(complete, StandardCharsets.UTF_8);
+        String text = new String(complete, StandardCharsets.ISO_8859_1);
         int line = text.lastIndexOf("\n" + ID_FIELD) + 1;
         if (text.startsWith(ID_FIELD, line)) {
             int end = text.indexOf('\n', line);
--- a/src/main/java/org/martenwell/stream/EventSplitter.java
+++ b/src/main/java/org/martenwell/stream/EventSplitter.java
@@ -76,7 +76,7 @@
         int count = 0;
         boolean ended = false;
         Optional<String> lastId = Optional.empty();
-        String text = new String(complete, StandardCharsets.UTF_8);
+        String text = new String(complete, StandardCharsets.ISO_8859_1);
         for (String line : Splitter.on('\n').split(text)) {
             if (line.startsWith("id:")) {
                 lastId = Optional.of(line.substring("id:".length()).strip());
--- a/src/test/java/org/martenwell/stream/CompleteEventFilterTest.java
+++ b/src/test/java/org/martenwell/stream/CompleteEventFilterTest.java
@@ -49,6 +49,14 @@
         assertThat(events.lastId()).isEmpty();
     }
 
+    /** The target that resumes the stream would take another event for the last one. */
+    @Test
+    void testIdOutsideAsciiKeepsItsBytes() {
+        CompleteEventFilter events = new CompleteEventFilter();
+        events.receive(bytes("id: \u0644-1\ndata: a\n\n"));
+        assertThat(events.lastId()).contains("\u00d9\u0084-1");
+    }
+
     /** A stream that ends within an event was cut off, but a comment belongs to no event. */
     @ParameterizedTest
     @CsvSource({
--- a/src/test/java/org/martenwell/stream/EventSplitterTest.java
+++ b/src/test/java/org/martenwell/stream/EventSplitterTest.java
@@ -36,6 +36,13 @@
                 .isEqualTo("id: 0\ndata: y\n\n");
     }
 
+    /** The target that resumes the stream would take another event for the last one. */
+    @Test
+    void testIdOutsideAsciiKeepsItsBytes() {
+        EventBatch batch = new EventSplitter().receive(bytes("id: \u0644-1\ndata: a\n\n"));
+        assertThat(batch.lastId()).contains("\u00d9\u0084-1");
+    }
+
     @Test
     void testCarriageReturnsBeforeLineFeedsAreIgnored() {
         EventBatch batch = new EventSplitter().receive(bytes("data: x\r\n\r\n"));
