Compare the router's keys and tokens by their UTF-8 bytes

At the OpenAI-compatible router a key outside ASCII always got 401, and an operators' token outside Latin-1 was sent as question marks.

Cause: a header is read as one character a byte, and the UTF-8 of that was hashed or compared; commands wrote tokens as one character a byte. Change: the bytes that arrived are hashed and compared, and commands and the load generator send UTF-8 (FieldValue).

--- a/src/main/java/org/martenwell/command/OperatorClient.java
+++ b/src/main/java/org/martenwell/command/OperatorClient.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.exchange.FieldValue;
 import org.martenwell.http.AsyncHttpClient;
 import org.martenwell.http.BufferedHttpResponse;
 import org.martenwell.http.HeaderField;
@@ -57,10 +58,18 @@
     BufferedHttpResponse change(
             HttpMethod method, String path, String token, List<HeaderField> headers, byte[] body) {
         List<HeaderField> all = new ArrayList<>(headers);
-        all.add(new HeaderField("Authorization", "Bearer " + token));
+        all.add(new HeaderField("Authorization", "Bearer " + headerValue(token)));
         return call(method, path, all, body);
     }
 
+    private static String headerValue(String token) {
+        return FieldValue.of(token)
+                .orElseThrow(
+                        () ->
+                                MartenwellException.of(
+                                        ErrorKind.USAGE, "No header can carry the token."));
+    }
+
     private BufferedHttpResponse call(
             HttpMethod method, String path, List<HeaderField> headers, byte[] body) {
         EventLoopThread loop = EventLoopThread.start("operator-client");
--- a/src/main/java/org/martenwell/configuration/KeyTable.java
+++ b/src/main/java/org/martenwell/configuration/KeyTable.java
@@ -43,11 +43,11 @@
     /**
      * Finds the organisation of a key.
      *
-     * @param key The key as the caller sent it.
+     * @param key The key as the caller sent it, one character per byte.
      * @return The organisation, or empty if the key is unknown.
      */
     Optional<Organisation> find(String key) {
-        byte[] hash = DigestUtils.sha256(key.getBytes(StandardCharsets.UTF_8));
+        byte[] hash = DigestUtils.sha256(key.getBytes(StandardCharsets.ISO_8859_1));
         Optional<Organisation> found = Optional.empty();
         for (Entry entry : buckets.getOrDefault(hash[0], List.of())) {
             if (MessageDigest.isEqual(entry.hash, hash)) {
--- a/src/main/java/org/martenwell/operator/OperatorServlet.java
+++ b/src/main/java/org/martenwell/operator/OperatorServlet.java
@@ -126,7 +126,8 @@
         String header = request.getHeader(HttpHeaders.AUTHORIZATION);
         byte[] expected =
                 (BEARER_PREFIX + settings.operatorToken()).getBytes(StandardCharsets.UTF_8);
-        byte[] given = (header == null ? "" : header).getBytes(StandardCharsets.UTF_8);
+        // The HTTP library reads a header as one character per byte.
+        byte[] given = (header == null ? "" : header).getBytes(StandardCharsets.ISO_8859_1);
         if (!MessageDigest.isEqual(expected, given)) {
             throw MartenwellException.of(
                     ErrorKind.UNAUTHENTICATED, "The operators' token is missing or wrong.");
--- a/src/main/java/org/martenwell/standin/LoadClient.java
+++ b/src/main/java/org/martenwell/standin/LoadClient.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.function.IntConsumer;
 import org.martenwell.error.MartenwellException;
+import org.martenwell.exchange.FieldValue;
 import org.martenwell.http.AsyncHttpClient;
 import org.martenwell.http.HeaderField;
 import org.martenwell.http.StreamedHttpResponse;
@@ -160,7 +161,7 @@
 
     private static List<HeaderField> headers(OrganisationLoad load) {
         return List.of(
-                new HeaderField("Authorization", "Bearer " + load.key()),
+                new HeaderField("Authorization", "Bearer " + FieldValue.of(load.key()).orElse("")),
                 new HeaderField("Content-Type", "application/json"));
     }
 }
