Reject request targets outside ASCII at the router

The OpenAI-compatible router passed a path in raw UTF-8 to a plain service, encoded once more, and the service ran it (200). Cause as at the gateways: read as one character a byte, written in UTF-8.

RouterEncodingTest#testPathsOutsideAsciiAreRejected failed before (200), passes.

--- a/src/main/java/org/martenwell/caller/RequestChecker.java
+++ b/src/main/java/org/martenwell/caller/RequestChecker.java
@@ -8,12 +8,17 @@
 import org.martenwell.error.ErrorKind;
 import org.martenwell.error.MartenwellException;
 
-/** Rejects requests whose length is ambiguous or whose headers or body exceed the limits. */
+/**
+ * Rejects requests whose target or length is ambiguous or whose headers or body exceed the limits.
+ */
 public final class RequestChecker {
 
     /** The limit on the total size of all names and values of headers, in bytes. */
     private static final int MAX_HEADER_BYTES = 64 << 10;
 
+    /** The last character of ASCII that is visible. */
+    private static final char LAST_VISIBLE = '~';
+
     private final int maxBodyBytes;
 
     /**
@@ -32,6 +37,11 @@
      * @param request The request, whose body needn't have arrived.
      */
     public void check(HttpRequest request) {
+        if (request.getPathAndQuery().chars().anyMatch(each -> each > LAST_VISIBLE)) {
+            // RFC 9112, section 3.2, allows no such target, and targets read it in several ways.
+            throw MartenwellException.of(
+                    ErrorKind.MALFORMED_REQUEST, "The request target is not in ASCII.");
+        }
         int headerBytes = 0;
         int contentLengths = 0;
         boolean hasTransferEncoding = false;
--- a/src/test/java/org/martenwell/daemon/RouterEncodingTest.java
+++ b/src/test/java/org/martenwell/daemon/RouterEncodingTest.java
@@ -67,6 +67,17 @@
         assertThat(send(OWN, "/v1/models", false)).startsWith("HTTP/1.1 401");
     }
 
+    /** Targets may read such bytes in several ways. */
+    @Test
+    void testPathsOutsideAsciiAreRejected() {
+        String key = DemoSite.key("clinic-2");
+        String path = "/services/" + DemoSite.LOCK + "/citt\u00e0";
+        int before = fleet.runs().size();
+        assertThat(send(key, path, true)).startsWith("HTTP/1.1 400").contains("malformed_request");
+        assertThat(send(key, path, false)).startsWith("HTTP/1.1 400").contains("malformed_request");
+        assertThat(fleet.runs()).hasSize(before);
+    }
+
     private static String hash(String key) {
         return DigestUtils.sha256Hex(key.getBytes(StandardCharsets.UTF_8));
     }
