Print and read names of organisations in UTF-8 in commands

`martenwell fairness` listed an Urdu name as ten question marks under LC_ALL=C: the log was read as Latin-1, and standard output has the encoding of the locale, so organisations of one length could be one to the operator. Change: logs are read in UTF-8 (other bytes replaced), all commands print in UTF-8.

MartenwellTest: the new case of `fairness` failed before; by hand under LC_ALL=C `??????????` before, the name after.

--- a/src/main/java/org/martenwell/command/FairnessCommand.java
+++ b/src/main/java/org/martenwell/command/FairnessCommand.java
@@ -1,12 +1,13 @@
 package org.martenwell.command;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.stream.Stream;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 import org.martenwell.error.ErrorKind;
@@ -61,14 +62,18 @@
     }
 
     /**
-     * Reads a log. Bytes that are not UTF-8 are accepted, since other processes may share the file.
+     * Reads a log in UTF-8. Other bytes are replaced, since other processes may share the file.
      *
      * @param file The file.
      * @param history Receives the counts.
      */
     private static void read(Path file, ServiceHistory history) {
-        try (Stream<String> lines = Files.lines(file, StandardCharsets.ISO_8859_1)) {
-            lines.map(TokenLogParser.INSTANCE::parse)
+        try (BufferedReader reader =
+                new BufferedReader(
+                        new InputStreamReader(
+                                Files.newInputStream(file), StandardCharsets.UTF_8))) {
+            reader.lines()
+                    .map(TokenLogParser.INSTANCE::parse)
                     .forEach(entries -> entries.forEach(history::add));
         } catch (IOException | UncheckedIOException exception) {
             throw MartenwellException.of(
--- a/src/main/java/org/martenwell/command/Martenwell.java
+++ b/src/main/java/org/martenwell/command/Martenwell.java
@@ -1,6 +1,7 @@
 package org.martenwell.command;
 
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
 import java.util.Set;
@@ -52,7 +53,18 @@
     public static void main(String[] arguments) {
         String command = arguments.length > 0 ? arguments[0] : HELP;
         LogConfiguration.install(logTarget(command), logLevel(command));
-        System.exit(new Martenwell(System.out, System.err).run(arguments));
+        System.exit(new Martenwell(utf8(System.out), utf8(System.err)).run(arguments));
+    }
+
+    /**
+     * Returns a stream that prints text in UTF-8. In some locales standard output prints a question
+     * mark for each letter outside ASCII.
+     *
+     * @param stream Receives the bytes.
+     * @return The stream.
+     */
+    static PrintStream utf8(PrintStream stream) {
+        return new PrintStream(stream, true, StandardCharsets.UTF_8);
     }
 
     /**
--- a/src/test/java/org/martenwell/command/MartenwellTest.java
+++ b/src/test/java/org/martenwell/command/MartenwellTest.java
@@ -100,6 +100,29 @@
         assertThat(run("fairness")).isEqualTo(64);
     }
 
+    /** Two organisations would otherwise be listed by one name, or none that the operator knows. */
+    @Test
+    void testFairnessNamesOrganisationsAsTheyAreLogged(@TempDir Path folder) throws IOException {
+        Path log = folder.resolve("log");
+        for (int second = 1; second <= 7; second++) {
+            append(
+                    log,
+                    second,
+                    "\"\u0644\u0627\u06c1\u0648\u0631\":{\"requested\":90,\"served\":1,\"refused\":89},"
+                            + "\"M\u00fcnchen\":{\"requested\":100,\"served\":100}");
+        }
+        Files.write(log, new byte[] {(byte) 0xff, '\n'}, StandardOpenOption.APPEND);
+        assertThat(run("fairness", log.toString())).isZero();
+        assertThat(text(out)).contains("\u0644\u0627\u06c1\u0648\u0631").doesNotContain("\u00d9");
+    }
+
+    @Test
+    void testOutputIsInUtf8WhateverTheLocale() {
+        PrintStream ascii = new PrintStream(out, true, StandardCharsets.US_ASCII);
+        Martenwell.utf8(ascii).print("\u0644 M\u00fcnchen");
+        assertThat(text(out)).isEqualTo("\u0644 M\u00fcnchen");
+    }
+
     @Test
     void testUnreachableRouterIsAnInputError() {
         assertThat(run("status", "--operator", "127.0.0.1:1")).isEqualTo(74);
