--- a/src/test/java/org/martenwell/observe/JsonLineTest.java
+++ b/src/test/java/org/martenwell/observe/JsonLineTest.java
@@ -34,6 +34,22 @@
         assertThat(line.has("exception")).isFalse();
     }
 
+    /** Operators look for organisations by their names. */
+    @Test
+    void testNamesOutsideAsciiAreWrittenAsTheyAre() {
+        List<String> names =
+                List.of(
+                        "\u0644\u0627\u06c1\u0648\u0631",
+                        "M\u00fcnchen",
+                        "\ud83d\ude00",
+                        "a\u0085");
+        JsonNode line = line(LogEvent.of("refusals").with("names", names).message(), null);
+        for (int index = 0; index < names.size(); index++) {
+            assertThat(line.path("data").path("names").get(index).asText())
+                    .isEqualTo(names.get(index));
+        }
+    }
+
     @Test
     void testTextMessageIsFormattedWithException() {
         JsonNode line =
--- a/src/test/java/org/martenwell/peer/MessageCodecTest.java
+++ b/src/test/java/org/martenwell/peer/MessageCodecTest.java
@@ -99,7 +99,12 @@
 
     @Provide
     Arbitrary<List<PeerMessage>> messages() {
-        Arbitrary<String> names = Arbitraries.strings().alpha().numeric().ofMaxLength(200);
+        Arbitrary<String> names =
+                Arbitraries.strings()
+                        .alpha()
+                        .numeric()
+                        .withCharRange('\u0080', '\ud7ff')
+                        .ofMaxLength(200);
         Arbitrary<Long> numbers = Arbitraries.longs().greaterOrEqual(0);
         Arbitrary<Integer> counts = Arbitraries.integers().greaterOrEqual(0);
         Arbitrary<Double> serviceAmounts =
@@ -225,7 +230,9 @@
                         .array(byte[].class)
                         .ofMaxSize(200)
                         .map(each -> ByteBuffer.wrap(each).asReadOnlyBuffer());
-        Arbitrary<String> texts = Arbitraries.strings().ascii().ofMaxLength(100);
+        // The codecs of HTTP read one character per byte.
+        Arbitrary<String> texts =
+                Arbitraries.strings().withCharRange('\0', '\u00ff').ofMaxLength(100);
         Arbitrary<List<HeaderField>> headers =
                 Combinators.combine(texts, texts).as(HeaderField::new).list().ofMaxSize(5);
         Arbitrary<PeerMessage> offloadedRequests =
