--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -22,7 +22,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.martenwell.service.StepGuard;
 
@@ -54,27 +53,9 @@
 
     private static final long NOT_RESTING = Long.MAX_VALUE;
 
-    private static final long TENTH_MILLIS = 100;
-
-    private static final long TENTHS = 10;
-
     /** The most reads of what has arrived before a decision to close. */
     private static final int MAX_LAST_READS = 64;
 
-    /** The interim response to a request with {@code Expect: 100-continue}. */
-    private static final byte[] CONTINUE_RESPONSE =
-            "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-
-    /** The response to a request that was lost before it was processed. */
-    private static final byte[] REFUSAL = emptyResponse("503 Service Unavailable");
-
-    /** The response on a connection of which no request is processed since there are too many. */
-    private static final byte[] UNREAD_REFUSAL =
-            emptyResponse("503 Service Unavailable\r\nretry-after: 0.1");
-
-    /** The response to a request whose processing failed. */
-    private static final byte[] FAILURE = emptyResponse("500 Internal Server Error");
-
     private final NioReactor reactor;
 
     private final ITcpSocket socket;
@@ -195,11 +176,6 @@
         }
     }
 
-    private static byte[] emptyResponse(String status) {
-        String head = "HTTP/1.1 " + status + "\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
-        return head.getBytes(StandardCharsets.US_ASCII);
-    }
-
     /** Starts reading. */
     void start() {
         server.becameIdle(this);
@@ -311,7 +287,7 @@
      */
     void refuseUnread(CloseReason reason) {
         closeReason = reason;
-        writeBytes(ByteBuf.wrapForReading(UNREAD_REFUSAL.clone()));
+        writeBytes(UncodedResponse.unreadRefusal());
         closeGracefully();
     }
 
@@ -341,7 +317,7 @@
         closeReason = reason;
         served.serverStopped();
         if (state == ConnectionState.SERVING && !responseBegun) {
-            rejectUncoded(reason, FAILURE);
+            rejectUncoded(reason, UncodedResponse.failure());
             served.callerDisconnected();
         }
     }
@@ -628,7 +604,7 @@
             receive();
         }
         if (HttpUtil.is100ContinueExpected(decoder.head())) {
-            writeBytes(ByteBuf.wrapForReading(CONTINUE_RESPONSE.clone()));
+            writeBytes(UncodedResponse.interim());
         }
     }
 
@@ -672,9 +648,9 @@
     private void endWithFailure() {
         if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
             // What was read may be a request, which is lost.
-            rejectUncoded(CloseReason.DEFECT, REFUSAL);
+            rejectUncoded(CloseReason.DEFECT, UncodedResponse.refusal());
         } else if (state == ConnectionState.SERVING && !responseBegun) {
-            rejectUncoded(CloseReason.DEFECT, FAILURE);
+            rejectUncoded(CloseReason.DEFECT, UncodedResponse.failure());
         } else {
             abort(CloseReason.DEFECT);
         }
@@ -745,26 +721,19 @@
                                 requestMemory.bytes() + decoder.expectedBodyBytes(),
                                 reactor.currentTimeMillis(),
                                 limits.headerTimeoutMillis());
-        String status = "503 Service Unavailable\r\nretry-after: " + tenths(delayMillis);
-        rejectUncoded(CloseReason.NO_MEMORY, emptyResponse(status));
-    }
-
-    /** Returns a time in seconds, rounded up to tenths. */
-    private static String tenths(long millis) {
-        long tenths = (millis + TENTH_MILLIS - 1) / TENTH_MILLIS;
-        return tenths / TENTHS + "." + tenths % TENTHS;
+        rejectUncoded(CloseReason.NO_MEMORY, UncodedResponse.refusal(delayMillis));
     }
 
     /**
      * Responds and closes the connection without the codec, which may have failed.
      *
      * @param reason The reason for the close.
-     * @param response The bytes of the response.
+     * @param response The bytes of the response, which are recycled.
      */
-    private void rejectUncoded(CloseReason reason, byte[] response) {
+    private void rejectUncoded(CloseReason reason, ByteBuf response) {
         closeReason = reason;
         responseBegun = true;
-        writeBytes(ByteBuf.wrapForReading(response.clone()));
+        writeBytes(response);
         finishRequest(false);
     }
 
