--- a/src/main/java/org/martenwell/exchange/CallerConnection.java
+++ b/src/main/java/org/martenwell/exchange/CallerConnection.java
@@ -45,14 +45,6 @@
      */
     private static final long CLOSE_TIMEOUT_MILLIS = 1_000;
 
-    /**
-     * The time for which an idle connection is kept beyond its idle timeout. Callers measure it
-     * from the end of a response that reaches them later, and their requests take time to arrive.
-     */
-    private static final long IDLE_MARGIN_MILLIS = 1_000;
-
-    private static final long NOT_RESTING = Long.MAX_VALUE;
-
     /** The most reads of what has arrived before a decision to close. */
     private static final int MAX_LAST_READS = 64;
 
@@ -78,31 +70,7 @@
     /** The exchange being served, or {@code null}. */
     private CallerExchange exchange;
 
-    private ConnectionState state = ConnectionState.IDLE;
-
-    /**
-     * The arrival of the current request's first byte or, while idle, the end of the last request.
-     */
-    private long stateSinceMillis;
-
-    /** The same on the clock that leaves out the delays of the event loop. */
-    private long responsiveSinceMillis;
-
-    /** The last time at which the socket accepted bytes, on the same clock. */
-    private long writtenMillis;
-
-    /**
-     * The time of the first check of timeouts after the pass of the event loop in which the
-     * connection became idle, or {@link #NOT_RESTING}. The loop's time within a pass is that of its
-     * start, which may be long before the last response was sent.
-     */
-    private long restingSinceMillis = NOT_RESTING;
-
-    /**
-     * The limits on the current state. Limits that change apply to the next state, since a caller
-     * may rely on those that were in force when this one began.
-     */
-    private ConnectionLimits limits;
+    private final StatePeriod period;
 
     /** Set while a read of the socket is pending. */
     private boolean reading;
@@ -170,9 +138,9 @@
         this.requestMemory = new RequestMemory(server.memory(), reactor::currentTimeMillis);
         this.decoder = new RequestDecoder(requestMemory);
         this.guard = StepGuard.ofSocket(socket, "CallerConnection", this::stepFailed);
-        enter(ConnectionState.IDLE);
+        this.period = new StatePeriod(reactor, server);
         if (socket instanceof TcpSocket tcp) {
-            tcp.setInspector(new WriteProgress(() -> writtenMillis = server.clock().millis()));
+            tcp.setInspector(new WriteProgress(period::written));
         }
     }
 
@@ -193,7 +161,7 @@
      * @param changed The new limits.
      */
     void extendLimits(ConnectionLimits changed) {
-        limits = limits.extendedBy(changed);
+        period.extendLimits(changed);
     }
 
     /**
@@ -203,7 +171,7 @@
      * @return {@code true} if the connection has been idle since this time or longer.
      */
     boolean idleSince(long millis) {
-        return state == ConnectionState.IDLE && restingSinceMillis <= millis;
+        return period.idleSince(millis);
     }
 
     /**
@@ -213,7 +181,7 @@
      * @return {@code true} if the connection is idle, but not since this time.
      */
     boolean idleLaterThan(long millis) {
-        return state == ConnectionState.IDLE && !idleSince(millis);
+        return period.is(ConnectionState.IDLE) && !idleSince(millis);
     }
 
     /**
@@ -224,16 +192,13 @@
      * @param nowMillis The current time on the event loop's clock, in milliseconds.
      */
     void closeIfTimedOut(long nowMillis) {
-        if (state == ConnectionState.IDLE) {
-            if (restingSinceMillis == NOT_RESTING && nowMillis > stateSinceMillis) {
-                restingSinceMillis = nowMillis;
-            }
-            if (idleSince(nowMillis - limits.idleTimeoutMillis() - IDLE_MARGIN_MILLIS - 1)) {
+        if (period.is(ConnectionState.IDLE)) {
+            if (period.idleTimedOut(nowMillis)) {
                 closeIfSilent(CloseReason.IDLE_TIMEOUT);
             }
-        } else if (requestTimedOut()) {
+        } else if (period.requestTimedOut()) {
             refuseIfIncomplete(CloseReason.REQUEST_TIMEOUT, HttpResponseStatus.REQUEST_TIMEOUT);
-        } else if (responseTimedOut()) {
+        } else if (period.responseTimedOut(unreadMillis())) {
             abort(CloseReason.SLOW_CALLER);
         }
     }
@@ -245,12 +210,12 @@
      * @return The time in milliseconds, 0 if there is no such response.
      */
     long unreadMillis() {
-        return sending() ? server.clock().millis() - writtenMillis : 0;
+        return sending() ? period.unwrittenMillis() : 0;
     }
 
     /** {@return {@code true} if a request is arriving or a complete response is being sent} */
     boolean transferring() {
-        return state == ConnectionState.RECEIVING || (exchange == null && unwrittenBytes > 0);
+        return period.is(ConnectionState.RECEIVING) || (exchange == null && unwrittenBytes > 0);
     }
 
     /**
@@ -259,7 +224,7 @@
      * @param reason The reason.
      */
     void closeIfSilent(CloseReason reason) {
-        if (state == ConnectionState.IDLE && !readArrived()) {
+        if (period.is(ConnectionState.IDLE) && !readArrived()) {
             abort(reason);
         }
     }
@@ -273,7 +238,7 @@
     void refuse(CloseReason reason) {
         refusalReason = reason;
         start();
-        if (state == ConnectionState.IDLE && !readArrived()) {
+        if (period.is(ConnectionState.IDLE) && !readArrived()) {
             refuseUnread(reason);
         } else {
             endWithRefusal(reason);
@@ -303,10 +268,10 @@
         refusalReason = reason;
         closeIfSilent(reason);
         refuseIfIncomplete(reason, HttpResponseStatus.SERVICE_UNAVAILABLE);
-        if (state == ConnectionState.SERVING && !responseBegun) {
+        if (period.is(ConnectionState.SERVING) && !responseBegun) {
             endServed(reason);
         }
-        if (state != ConnectionState.CLOSING) {
+        if (!period.is(ConnectionState.CLOSING)) {
             abort(reason);
         }
     }
@@ -316,7 +281,7 @@
         CallerExchange served = exchange;
         closeReason = reason;
         served.serverStopped();
-        if (state == ConnectionState.SERVING && !responseBegun) {
+        if (period.is(ConnectionState.SERVING) && !responseBegun) {
             rejectUncoded(reason, UncodedResponse.failure());
             served.callerDisconnected();
         }
@@ -451,18 +416,9 @@
         }
     }
 
-    private boolean requestTimedOut() {
-        return state == ConnectionState.RECEIVING
-                && server.clock().millis() - responsiveSinceMillis > limits.headerTimeoutMillis();
-    }
-
-    private boolean responseTimedOut() {
-        return unreadMillis() > limits.idleTimeoutMillis() + IDLE_MARGIN_MILLIS;
-    }
-
     private boolean sending() {
-        return state == ConnectionState.SENDING
-                || (state == ConnectionState.CLOSING && unwrittenBytes > 0);
+        return period.is(ConnectionState.SENDING)
+                || (period.is(ConnectionState.CLOSING) && unwrittenBytes > 0);
     }
 
     /**
@@ -470,12 +426,14 @@
      * not run and never will.
      */
     private void refuseIfIncomplete(CloseReason reason, HttpResponseStatus status) {
-        for (int count = 0; count < MAX_LAST_READS && state == ConnectionState.RECEIVING; count++) {
+        for (int count = 0;
+                count < MAX_LAST_READS && period.is(ConnectionState.RECEIVING);
+                count++) {
             if (!readArrived()) {
                 break;
             }
         }
-        if (state == ConnectionState.RECEIVING) {
+        if (period.is(ConnectionState.RECEIVING)) {
             rejectRequest(reason, status);
         }
     }
@@ -515,13 +473,13 @@
     }
 
     private void processBytes(ByteBuf bytes) {
-        if (state == ConnectionState.CLOSING) {
+        if (period.is(ConnectionState.CLOSING)) {
             discardedBytes += bytes.readRemaining();
             bytes.recycle();
             read();
             return;
         }
-        if (state == ConnectionState.IDLE || state == ConnectionState.SENDING) {
+        if (period.is(ConnectionState.IDLE) || period.is(ConnectionState.SENDING)) {
             receive();
             applyHeaderLimit();
         }
@@ -564,9 +522,9 @@
 
     /** Takes a codec if there is none with the limit on headers of the request that begins. */
     private void applyHeaderLimit() {
-        if (codec == null || codecHeaderBytes != limits.maxHeaderBytes()) {
+        if (codec == null || codecHeaderBytes != period.limits().maxHeaderBytes()) {
             releaseCodec();
-            codecHeaderBytes = limits.maxHeaderBytes();
+            codecHeaderBytes = period.limits().maxHeaderBytes();
             codec = server.codecs().take(codecHeaderBytes);
             decoder.replaceCodec(codec);
         }
@@ -580,15 +538,15 @@
     }
 
     private void receive() {
-        enter(ConnectionState.RECEIVING);
+        period.enter(ConnectionState.RECEIVING);
         server.becameActive(this);
     }
 
     /** Processes decoded parts until a request is complete and handed to the server. */
     private void processDecodedParts() {
         boolean more = true;
-        while (more && exchange == null && state != ConnectionState.CLOSING) {
-            switch (decoder.next(limits.maxBodyBytes())) {
+        while (more && exchange == null && !period.is(ConnectionState.CLOSING)) {
+            switch (decoder.next(period.limits().maxBodyBytes())) {
                 case NONE -> more = false;
                 case BEGUN -> requestBegan();
                 case CONTINUED -> {}
@@ -600,7 +558,7 @@
     }
 
     private void requestBegan() {
-        if (state == ConnectionState.IDLE) {
+        if (period.is(ConnectionState.IDLE)) {
             receive();
         }
         if (HttpUtil.is100ContinueExpected(decoder.head())) {
@@ -616,7 +574,7 @@
                         head.uri(),
                         head.headers(),
                         decoder.takeBody(),
-                        stateSinceMillis);
+                        period.sinceMillis());
         exchange =
                 new CallerExchange(
                         this,
@@ -630,7 +588,7 @@
         } else if (refusalReason != null) {
             rejectRequest(refusalReason, HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
-            state = ConnectionState.SERVING;
+            period.continueAs(ConnectionState.SERVING);
             server.handle(exchange);
         }
     }
@@ -646,10 +604,10 @@
     }
 
     private void endWithFailure() {
-        if (state == ConnectionState.IDLE || state == ConnectionState.RECEIVING) {
+        if (period.is(ConnectionState.IDLE) || period.is(ConnectionState.RECEIVING)) {
             // What was read may be a request, which is lost.
             rejectUncoded(CloseReason.DEFECT, UncodedResponse.refusal());
-        } else if (state == ConnectionState.SERVING && !responseBegun) {
+        } else if (period.is(ConnectionState.SERVING) && !responseBegun) {
             rejectUncoded(CloseReason.DEFECT, UncodedResponse.failure());
         } else {
             abort(CloseReason.DEFECT);
@@ -659,7 +617,7 @@
     /** Closes the connection unless it closes gracefully, and notifies an exchange of that. */
     private void abandon(CallerExchange failed) {
         try {
-            if (state != ConnectionState.CLOSING) {
+            if (!period.is(ConnectionState.CLOSING)) {
                 abort(CloseReason.DEFECT);
             }
         } finally {
@@ -720,7 +678,7 @@
                         .refuse(
                                 requestMemory.bytes() + decoder.expectedBodyBytes(),
                                 reactor.currentTimeMillis(),
-                                limits.headerTimeoutMillis());
+                                period.limits().headerTimeoutMillis());
         rejectUncoded(CloseReason.NO_MEMORY, UncodedResponse.refusal(delayMillis));
     }
 
@@ -750,7 +708,7 @@
             return;
         }
         if (unwrittenBytes > 0) {
-            enter(ConnectionState.SENDING);
+            period.enter(ConnectionState.SENDING);
         } else {
             rest();
         }
@@ -765,7 +723,7 @@
     }
 
     private void rest() {
-        enter(ConnectionState.IDLE);
+        period.enter(ConnectionState.IDLE);
         extendLimits(statedLimits);
         server.becameIdle(this);
         giveBackCodec();
@@ -818,9 +776,9 @@
     }
 
     private void allWritten() {
-        if (state == ConnectionState.SENDING) {
+        if (period.is(ConnectionState.SENDING)) {
             rest();
-        } else if (state == ConnectionState.CLOSING) {
+        } else if (period.is(ConnectionState.CLOSING)) {
             closeOutput();
         }
     }
@@ -831,7 +789,7 @@
      */
     private void closeGracefully() {
         announced = observe(closeReason);
-        enter(ConnectionState.CLOSING);
+        period.enter(ConnectionState.CLOSING);
         server.becameActive(this);
         if (closeReason == CloseReason.RESPONSE_COMPLETE) {
             // Input is discarded from here on. Behind a rejected request, the codec is unusable.
@@ -853,7 +811,7 @@
             return CLOSE_TIMEOUT_MILLIS;
         }
         server.becameDispensable(this);
-        return CLOSE_TIMEOUT_MILLIS + limits.headerTimeoutMillis();
+        return CLOSE_TIMEOUT_MILLIS + period.limits().headerTimeoutMillis();
     }
 
     /** Gives up all that is kept of requests. */
@@ -884,7 +842,7 @@
     private void disconnected() {
         CallerExchange abandoned = exchange;
         exchange = null;
-        boolean complete = state == ConnectionState.CLOSING && unwrittenBytes == 0;
+        boolean complete = period.is(ConnectionState.CLOSING) && unwrittenBytes == 0;
         close(complete ? closeReason : CloseReason.CALLER_LEFT);
         if (abandoned != null) {
             abandoned.callerDisconnected();
@@ -899,7 +857,7 @@
                     connection.withBytes(
                             new LostBytes(unreadBytes(), unwrittenBytes, discardedBytes));
             closed = true;
-            state = ConnectionState.CLOSING;
+            period.continueAs(ConnectionState.CLOSING);
             giveUpRequest();
             socket.close();
             if (closeTimer != null) {
@@ -910,15 +868,13 @@
     }
 
     private ClosedConnection observe(CloseReason reason) {
-        long ageMillis = reactor.currentTimeMillis() - stateSinceMillis;
-        long responsiveMillis = server.clock().millis() - responsiveSinceMillis;
         return new ClosedConnection(
                 reason,
-                state,
-                ageMillis,
-                ageMillis - responsiveMillis,
+                period.state(),
+                period.ageMillis(),
+                period.lateMillis(),
                 LostBytes.NONE,
-                limits,
+                period.limits(),
                 responseBegun ? Optional.empty() : Optional.ofNullable(servedHeaders));
     }
 
@@ -932,13 +888,4 @@
             return 0;
         }
     }
-
-    private void enter(ConnectionState next) {
-        state = next;
-        stateSinceMillis = reactor.currentTimeMillis();
-        restingSinceMillis = NOT_RESTING;
-        responsiveSinceMillis = server.clock().millis();
-        writtenMillis = responsiveSinceMillis;
-        limits = server.limits();
-    }
 }
