--- a/src/main/java/org/martenwell/exchange/CodecChannels.java
+++ b/src/main/java/org/martenwell/exchange/CodecChannels.java
@@ -13,8 +13,8 @@
  */
 final class CodecChannels {
 
-    /** The maximum length of a request or status line. */
-    private static final int MAX_LINE_BYTES = 8_192;
+    /** The maximum length of a status line. */
+    private static final int MAX_STATUS_LINE_BYTES = 8_192;
 
     private static final int MAX_RESPONSE_HEAD_BYTES = 65_536;
 
@@ -28,12 +28,13 @@
     /**
      * Creates a codec for a caller's connection: decodes requests and encodes responses.
      *
-     * @param maxHeaderBytes The maximum size of a request's headers.
+     * @param maxHeaderBytes The maximum size of a request's headers, and of its request line.
      * @return The codec, which the connection must release.
      */
     static EmbeddedChannel forCaller(int maxHeaderBytes) {
         return new EmbeddedChannel(
-                new CallerRequestDecoder(decoderConfig(maxHeaderBytes)), new HttpResponseEncoder());
+                new CallerRequestDecoder(decoderConfig(maxHeaderBytes, maxHeaderBytes)),
+                new HttpResponseEncoder());
     }
 
     /**
@@ -48,12 +49,12 @@
 
     /** {@return the configuration of response decoders} */
     static HttpDecoderConfig responseConfig() {
-        return decoderConfig(MAX_RESPONSE_HEAD_BYTES);
+        return decoderConfig(MAX_STATUS_LINE_BYTES, MAX_RESPONSE_HEAD_BYTES);
     }
 
-    private static HttpDecoderConfig decoderConfig(int maxHeaderBytes) {
+    private static HttpDecoderConfig decoderConfig(int maxLineBytes, int maxHeaderBytes) {
         return new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                .setMaxInitialLineLength(maxLineBytes)
                 .setMaxHeaderSize(maxHeaderBytes)
                 .setMaxChunkSize(MAX_CHUNK_BYTES)
                 .setInitialBufferSize(INITIAL_LINE_BUFFER_BYTES)
--- a/src/main/java/org/martenwell/exchange/ConnectionLimits.java
+++ b/src/main/java/org/martenwell/exchange/ConnectionLimits.java
@@ -3,7 +3,7 @@
 /**
  * The limits on requests and connections of callers.
  *
- * @param maxHeaderBytes The maximum size of a request's headers, in bytes.
+ * @param maxHeaderBytes The maximum size of a request's headers, and of its request line, in bytes.
  * @param maxBodyBytes The maximum size of a request body, in bytes.
  * @param headerTimeoutMillis The maximum time from a request's first byte to its last, in
  *     milliseconds.
