--- a/src/main/java/org/martenwell/route/OrganisationConfiguration.java
+++ b/src/main/java/org/martenwell/route/OrganisationConfiguration.java
@@ -5,6 +5,6 @@
  *
  * @param name The name of the organisation.
  * @param priority The priority of its requests; 0 is the highest.
- * @param valid {@code false} if targets can't be told the name, so that requests are refused.
+ * @param valid {@code false} if no request to a target can carry the name; requests are refused.
  */
 public record OrganisationConfiguration(String name, int priority, boolean valid) {}
